--- /dev/null
+++ b/internal/base/conf/load.go
@@ -0,0 +1,96 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"cowslipstack/schema"
+)
+
+// Source is a piece of TOML input and the name that errors call it by.
+type Source struct {
+	// File is the name of the input, a path for files.
+	File string
+	// Text is the input itself.
+	Text []byte
+}
+
+// Shape is what an input is checked against.
+type Shape struct {
+	// Schema is the text of a JSON Schema.
+	Schema string
+	// Tables are the optional top-level tables; one that is missing is taken as empty.
+	Tables []string
+}
+
+// LoadDaemon reads and checks the settings file of a daemon.
+func LoadDaemon(path string) (Daemon, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Daemon{}, errors.Wrap(err, "read settings")
+	}
+	shape := Shape{Schema: schema.Daemon, Tables: []string{"control", "entry", "platform", "log"}}
+	var d Daemon
+	if err := Decode(Source{File: path, Text: text}, shape, &d); err != nil {
+		return Daemon{}, err
+	}
+	return d, checkDaemon(path, d)
+}
+
+// Decode checks the source against the shape and fills out, a pointer to the generated type.
+func Decode(source Source, shape Shape, out any) error {
+	tree := map[string]any{}
+	if err := toml.Unmarshal(source.Text, &tree); err != nil {
+		return syntaxError(source, err)
+	}
+	for _, table := range shape.Tables {
+		if _, ok := tree[table]; !ok {
+			tree[table] = map[string]any{}
+		}
+	}
+	plain, err := json.Marshal(tree)
+	if err != nil {
+		return errors.Wrapf(err, "%s", source.File)
+	}
+	if err := validate(source, shape.Schema, plain); err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(plain, out), "%s", source.File)
+}
+
+func validate(source Source, schemaText string, plain []byte) error {
+	compiled, err := compile(schemaText)
+	if err != nil {
+		return err
+	}
+	instance, err := jsonschema.UnmarshalJSON(bytes.NewReader(plain))
+	if err != nil {
+		return errors.Wrapf(err, "%s", source.File)
+	}
+	var invalid *jsonschema.ValidationError
+	if err := compiled.Validate(instance); errors.As(err, &invalid) {
+		return schemaError(source, invalid)
+	} else if err != nil {
+		return errors.Wrapf(err, "%s", source.File)
+	}
+	return nil
+}
+
+func compile(schemaText string) (*jsonschema.Schema, error) {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader([]byte(schemaText)))
+	if err != nil {
+		return nil, errors.Wrap(err, "parse schema")
+	}
+	compiler := jsonschema.NewCompiler()
+	const location = "schema.json"
+	if err := compiler.AddResource(location, parsed); err != nil {
+		return nil, errors.Wrap(err, "add schema")
+	}
+	compiled, err := compiler.Compile(location)
+	return compiled, errors.Wrap(err, "compile schema")
+}
--- /dev/null
+++ b/internal/base/hist/doc.go
@@ -0,0 +1,2 @@
+// Package hist keeps histograms by service, team and class.
+package hist
--- /dev/null
+++ b/internal/base/hist/hist.go
@@ -0,0 +1,44 @@
+package hist
+
+import (
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Labels say whose observation it is; an empty field is written as "none".
+type Labels struct {
+	// Service is the service that was called.
+	Service string
+	// Team is the team that called.
+	Team string
+	// Class is the class of the request.
+	Class string
+}
+
+// Observe adds a duration to the named histogram in seconds; it is safe for concurrent use.
+func Observe(name string, l Labels, d time.Duration) {
+	metrics.GetOrCreateHistogram(Name(name, l)).Update(d.Seconds())
+}
+
+// Name returns the metric's full name with its labels.
+func Name(name string, l Labels) string {
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteString(`{service="`)
+	b.WriteString(orNone(l.Service))
+	b.WriteString(`",team="`)
+	b.WriteString(orNone(l.Team))
+	b.WriteString(`",class="`)
+	b.WriteString(orNone(l.Class))
+	b.WriteString(`"}`)
+	return b.String()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/model/docs/doc.go
@@ -0,0 +1,3 @@
+// Package docs holds the environment document: its generated types, its
+// checks and its digest.
+package docs
--- /dev/null
+++ b/internal/model/record/command.go
@@ -0,0 +1,101 @@
+package record
+
+import (
+	"time"
+
+	"cowslipstack/internal/model/fleet"
+)
+
+// Command is one change of the replicated state; exactly one of its changes is set.
+type Command struct {
+	// RequestID names the change; a resend under the same one gets the first result.
+	RequestID string
+	// Time is when the proposer made the command; the state machine has no other clock.
+	Time time.Time
+	// Document puts an environment document into force.
+	Document *DocumentChange
+	// Claim opens or settles a claim.
+	Claim *ClaimChange
+	// VM moves a VM through its life.
+	VM *VMChange
+}
+
+// DocumentChange puts an environment document into force.
+type DocumentChange struct {
+	// Environment is the environment's name.
+	Environment string
+	// BaseRevision is the revision that the change builds on.
+	BaseRevision uint64
+	// Text is the document as TOML.
+	Text []byte
+	// Digest is what the text must have been tried under; empty for any.
+	Digest string
+}
+
+// ClaimStep is what a change does to a claim; the zero value is not valid.
+type ClaimStep int
+
+const (
+	// ClaimOpen takes a key for one attempt of one entry.
+	ClaimOpen ClaimStep = iota + 1 // open
+	// ClaimAnswered records that the entry holds a whole answer.
+	ClaimAnswered // answered
+	// ClaimNotRun frees a key of which no byte was sent.
+	ClaimNotRun // not_run
+	// ClaimUnknown records that the request may have run without a whole answer.
+	ClaimUnknown // unknown
+)
+
+// ClaimChange opens or settles the claim of a non-idempotent request.
+type ClaimChange struct {
+	// Key is the caller's idempotency key with its service and team.
+	Key string
+	// Entry is the entry that sends the request.
+	Entry string
+	// Attempt is the identity of the sending.
+	Attempt string
+	// Issued is when the caller made the key.
+	Issued time.Time
+	// Step is what the change does.
+	Step ClaimStep
+	// Digest is the digest of the request that the key stands for.
+	Digest string
+}
+
+// VMStep is what a change does to a VM; the zero value is not valid.
+type VMStep int
+
+const (
+	// VMJoin adds a VM to a pool, or back to one after a stop.
+	VMJoin VMStep = iota + 1 // join
+	// VMDrain stops new work on a VM.
+	VMDrain // drain
+	// VMStop records that the platform may stop the VM.
+	VMStop // stop
+	// VMMove gives a stopped VM to another pool under a new epoch.
+	VMMove // move
+	// VMReturn puts a VM back on probation after a stop.
+	VMReturn // return
+	// VMActivate ends a probation, or cancels a drain.
+	VMActivate // activate
+	// VMFail records the loss of a VM.
+	VMFail // fail
+)
+
+// VMChange moves one VM through its life.
+type VMChange struct {
+	// Step is what the change does.
+	Step VMStep
+	// VM is the VM's name.
+	VM string
+	// Epoch is the epoch that the change builds on; 0 for a VM that is not known yet.
+	Epoch uint64
+	// Pool is the pool to join or move to.
+	Pool string
+	// Domain is where the VM stands, for a join.
+	Domain fleet.Domain
+	// Size is what the VM has, for a join.
+	Size fleet.Size
+	// Cause tells an operator why.
+	Cause string
+}
