--- /dev/null
+++ b/cmd/cowslip/doc.go
@@ -0,0 +1,2 @@
+// Cowslip is the operators' command line.
+package main
--- /dev/null
+++ b/internal/app/daemon/daemon.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/base/logs"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/wire/dial"
+)
+
+// Run runs the daemon until the context ends or a part of it fails.
+func Run(ctx context.Context, settings conf.Daemon) error {
+	var g *tasks.Group
+	var logger *zap.Logger
+	app := fx.New(Module(settings), fx.NopLogger, fx.Populate(&g, &logger))
+	if err := app.Err(); err != nil {
+		return rootCause(err)
+	}
+	if err := app.Start(ctx); err != nil {
+		return rootCause(err)
+	}
+	failure := wait(ctx, g, logger)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout(settings))
+	defer cancel()
+	return errors.CombineErrors(failure, rootCause(app.Stop(stop)))
+}
+
+// Module returns the parts that the settings' roles need.
+func Module(settings conf.Daemon) fx.Option {
+	options := []fx.Option{
+		fx.Supply(settings),
+		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler),
+	}
+	if settings.HasRole(conf.RoleControl) {
+		options = append(options, controlModule)
+	}
+	if settings.HasRole(conf.RoleEntry) {
+		options = append(options, entryModule)
+	}
+	return fx.Options(append(options, fx.Invoke(startLoop, startServers))...)
+}
+
+// wait returns nil when the context ends, or the failure of the part that ended first.
+func wait(ctx context.Context, g *tasks.Group, logger *zap.Logger) error {
+	end := g.Wait(ctx)
+	if end == nil {
+		logger.Info("stopping")
+		return nil
+	}
+	logger.Error("part_failed", zap.String("part", end.Name), zap.Error(end.Err))
+	return errors.Wrapf(end.Err, "%s failed", end.Name)
+}
+
+func newLogger(settings conf.Daemon) (*zap.Logger, error) {
+	logger, err := logs.New(logs.Options{Level: string(settings.Log.Level), Format: string(settings.Log.Format)})
+	if err != nil {
+		return nil, err
+	}
+	logger = logger.With(zap.String("process", string(settings.Name)))
+	check.SetHandler(check.LogHandler(logger))
+	return logger, nil
+}
+
+func newClock() clock.Clock {
+	return clock.System{}
+}
+
+func newLoop() *loop.Loop {
+	return loop.New(loop.DefaultCapacity)
+}
+
+// newGroup returns the group that owns all goroutines of the daemon.
+func newGroup(lc fx.Lifecycle) *tasks.Group {
+	g := tasks.NewGroup(context.Background())
+	lc.Append(fx.StopHook(g.Stop))
+	return g
+}
+
+func newControlClient(settings conf.Daemon, client *http.Client) *dial.Control {
+	return dial.NewControl(client, addresses(settings.ControlPeers()))
+}
+
+func startLoop(l *loop.Loop, g *tasks.Group) {
+	g.Start("control_loop", l.Run)
+}
+
+func addresses(peers []conf.Peer) []string {
+	all := make([]string, 0, len(peers))
+	for _, p := range peers {
+		all = append(all, p.Address)
+	}
+	return all
+}
+
+// rootCause drops the container's own wrapping, so that an operator sees the cause alone.
+func rootCause(err error) error {
+	return dig.RootCause(err)
+}
--- /dev/null
+++ b/internal/app/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon wires the parts of cowslipd together with fx.
+package daemon
--- /dev/null
+++ b/internal/app/daemon/entry.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/edge/enrol"
+	"cowslipstack/internal/edge/front"
+	"cowslipstack/internal/edge/relay"
+	"cowslipstack/internal/wire/dial"
+	"cowslipstack/internal/wire/serve"
+)
+
+// entryModule holds the parts of the entry role.
+var entryModule = fx.Options(
+	fx.Provide(newAgent, newEntrySender, newEntryService, newRelay, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Invoke(startEntry),
+)
+
+func newAgent(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, control *dial.Control, others *dial.Entries) *agent.Agent {
+	return agent.New(agent.Options{
+		Name: string(settings.Name), Loop: l, Clock: c, Logger: logger, Control: control, Others: others,
+		Lease: conf.Milliseconds(settings.Entry.LeaseMs),
+		Renew: conf.Milliseconds(settings.Entry.RenewMs),
+		TTL:   conf.Milliseconds(settings.Entry.AnnounceTTLMs),
+	})
+}
+
+func newEntrySender(settings conf.Daemon, client *http.Client, c clock.Clock, logger *zap.Logger) *dial.Entries {
+	var others []string
+	for _, p := range settings.EntryPeers() {
+		if p.Name != settings.Name {
+			others = append(others, p.Address)
+		}
+	}
+	return dial.NewEntries(client, others, c, logger)
+}
+
+func newEntryService(a *agent.Agent, c clock.Clock) *serve.Entry {
+	return &serve.Entry{Agent: a, Clock: c}
+}
+
+func newRelay(lc fx.Lifecycle) *relay.Relay {
+	r := relay.New()
+	lc.Append(fx.StopHook(r.Close))
+	return r
+}
+
+func newFront(settings conf.Daemon, a *agent.Agent, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
+	return front.New(front.Options{
+		Views: a, Relay: r, Clock: c, Logger: logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
+	})
+}
+
+// callersHandler names the handler of callers' requests for the container.
+type callersHandler struct {
+	fx.Out
+
+	Handler http.Handler `name:"callers"`
+}
+
+func newCallersHandler(f *front.Front) callersHandler {
+	return callersHandler{Handler: f.Handler()}
+}
+
+// endpointsHandler names the handler of announcements for the container.
+type endpointsHandler struct {
+	fx.Out
+
+	Handler http.Handler `name:"endpoints"`
+}
+
+func newEndpointsHandler(a *agent.Agent, logger *zap.Logger) endpointsHandler {
+	return endpointsHandler{Handler: enrol.Handler(a, logger)}
+}
+
+func startEntry(a *agent.Agent, others *dial.Entries, g *tasks.Group) {
+	g.Start("agent", a.Run)
+	for i := range others.Count() {
+		g.Start("entry_sender", func(ctx context.Context) error { return others.Run(ctx, i) })
+	}
+}
+
+// senderRun returns the goroutine that delivers to one replica.
+func senderRun(sender *dial.Replicas, id quorum.ReplicaID) func(context.Context) error {
+	return func(ctx context.Context) error { return sender.Run(ctx, id) }
+}
--- /dev/null
+++ b/internal/app/daemon/operators.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/wire/dial"
+	"cowslipstack/internal/wire/peer"
+	"cowslipstack/internal/wire/serve"
+)
+
+// peerParts are the services for the system's own processes; nil where a role is not played.
+type peerParts struct {
+	fx.In
+
+	Replica *serve.Replica `optional:"true"`
+	Control *serve.Control `optional:"true"`
+	Entry   *serve.Entry   `optional:"true"`
+}
+
+// peerHandler names the handler of the system's own processes for the container.
+type peerHandler struct {
+	fx.Out
+
+	Handler http.Handler `name:"peers"`
+}
+
+func newPeerHandler(parts peerParts) peerHandler {
+	handler := http.NewServeMux()
+	if parts.Replica != nil {
+		handler.Handle(peer.NewReplicaHandler(parts.Replica))
+	}
+	if parts.Control != nil {
+		handler.Handle(peer.NewControlHandler(parts.Control))
+	}
+	if parts.Entry != nil {
+		handler.Handle(peer.NewEntryHandler(parts.Entry))
+	}
+	return peerHandler{Handler: handler}
+}
+
+// operatorParts are what operators' calls need; the agent is nil on a process that is no entry.
+type operatorParts struct {
+	fx.In
+
+	Control *dial.Control
+	Clock   clock.Clock
+	Agent   *agent.Agent `optional:"true"`
+}
+
+// operatorHandler names the handler of operators' calls for the container.
+type operatorHandler struct {
+	fx.Out
+
+	Handler http.Handler `name:"operators"`
+}
+
+func newOperatorHandler(parts operatorParts) operatorHandler {
+	service := &serve.Operator{Control: parts.Control}
+	if parts.Agent != nil {
+		service.Agent = parts.Agent
+	}
+	router := mux.NewRouter()
+	path, handler := peer.NewOperatorHandler(service)
+	router.PathPrefix(path).Handler(handler)
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if parts.Agent != nil && !parts.Agent.View().Lease.Valid(parts.Clock.Now()) {
+			http.Error(w, "no lease", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	return operatorHandler{Handler: router}
+}
--- /dev/null
+++ b/internal/app/fakes/command.go
@@ -0,0 +1,80 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/logs"
+	"cowslipstack/internal/edge/enrol"
+)
+
+// Exit codes of cowslipfake.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Arguments are the commands of cowslipfake.
+type Arguments struct {
+	Endpoint *EndpointCommand `arg:"subcommand:endpoint" help:"run a fake endpoint"`
+}
+
+// EndpointCommand runs one fake endpoint.
+type EndpointCommand struct {
+	Service    string   `arg:"--service,required" help:"service to run"`
+	Name       string   `arg:"--name,required" help:"the endpoint's own name"`
+	VM         string   `arg:"--vm" default:"vm-1" help:"VM that the endpoint stands on"`
+	DataCentre string   `arg:"--data-centre" default:"dc-a" help:"data centre of the VM"`
+	Rack       string   `arg:"--rack" default:"rack-1" help:"rack of the VM"`
+	Slots      int      `arg:"--slots" default:"8" help:"requests in progress at one time"`
+	Listen     string   `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	Entries    []string `arg:"--entry,separate,required" help:"announcement address of an entry"`
+}
+
+// Command parses the arguments, without the program's name, runs the stand-in and returns the exit code.
+func Command(ctx context.Context, args []string, out io.Writer) int {
+	var a Arguments
+	parser, err := arg.NewParser(arg.Config{Program: "cowslipfake"}, &a)
+	if err != nil {
+		return fail(out, err, exitFailure)
+	}
+	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
+		parser.WriteHelp(out)
+		return exitOK
+	} else if err != nil {
+		return fail(out, err, exitUsage)
+	}
+	if a.Endpoint == nil {
+		return fail(out, errors.New("a command is needed; see cowslipfake --help"), exitUsage)
+	}
+	if err := a.Endpoint.run(ctx); err != nil {
+		return fail(out, err, exitFailure)
+	}
+	return exitOK
+}
+
+func (c *EndpointCommand) run(ctx context.Context) error {
+	logger, err := logs.New(logs.Options{})
+	if err != nil {
+		return err
+	}
+	return NewEndpoint(EndpointOptions{
+		Announcement: enrol.Announcement{
+			Service: c.Service, Endpoint: c.Name, VM: c.VM, Slots: c.Slots, DataCentre: c.DataCentre, Rack: c.Rack,
+		},
+		Listen: c.Listen, Entries: c.Entries, Clock: clock.System{}, Logger: logger,
+	}).Run(ctx)
+}
+
+func fail(out io.Writer, err error, code int) int {
+	if _, err := fmt.Fprintf(out, "cowslipfake: %v\n", err); err != nil {
+		return exitFailure
+	}
+	return code
+}
--- /dev/null
+++ b/internal/app/fakes/endpoint.go
@@ -0,0 +1,144 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/edge/enrol"
+	"cowslipstack/internal/edge/relay"
+)
+
+const (
+	announceEvery   = time.Second
+	announceTimeout = 2 * time.Second
+	headerTimeout   = 10 * time.Second
+)
+
+// EndpointOptions says what a fake endpoint announces.
+type EndpointOptions struct {
+	// Announcement is what is announced; its address and sequence are filled in.
+	Announcement enrol.Announcement
+	// Listen is the address to listen on; port 0 takes a free one.
+	Listen string
+	// Entries are the announcement addresses of entries; the first that answers is enough.
+	Entries []string
+	// Clock gives the time.
+	Clock clock.Clock
+	// Logger takes the endpoint's events.
+	Logger *zap.Logger
+}
+
+// Endpoint answers requests with its own name, and counts what it ran.
+type Endpoint struct {
+	options EndpointOptions
+	ran     atomic.Int64
+}
+
+// NewEndpoint returns an endpoint that does nothing until it is run.
+func NewEndpoint(o EndpointOptions) *Endpoint {
+	return &Endpoint{options: o}
+}
+
+// Run serves and announces until the context ends, then leaves.
+func (e *Endpoint) Run(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", e.options.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	e.options.Announcement.Address = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	e.options.Logger.Info("endpoint_started", zap.String("address", e.options.Announcement.Address))
+	e.announceUntil(ctx)
+	e.options.Announcement.Leaving = true
+	e.announce(context.WithoutCancel(ctx))
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), headerTimeout)
+	defer cancel()
+	if err := server.Shutdown(stop); err != nil {
+		return errors.Wrap(err, "shut down")
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ran returns how many requests the endpoint ran.
+func (e *Endpoint) Ran() int64 {
+	return e.ran.Load()
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.ran.Add(1)
+	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+	answer := fmt.Sprintf("%s %s %s %d bytes\n", e.options.Announcement.Endpoint, r.Method, r.URL.RequestURI(), len(body))
+	if _, err := io.WriteString(w, answer); err != nil {
+		e.options.Logger.Debug("answer_not_written", zap.Error(err))
+	}
+}
+
+func (e *Endpoint) announceUntil(ctx context.Context) {
+	ticker := e.options.Clock.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for {
+		e.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C():
+		}
+	}
+}
+
+func (e *Endpoint) announce(ctx context.Context) {
+	// Unix time keeps the sequence rising over a restart under the same name.
+	e.options.Announcement.Sequence = uint64(e.options.Clock.Now().UnixNano())
+	body, err := json.Marshal(e.options.Announcement)
+	if err != nil {
+		e.options.Logger.Error("announcement_not_encoded", zap.Error(err))
+		return
+	}
+	for _, address := range e.options.Entries {
+		if err = post(ctx, "http://"+address+enrol.Path, body); err == nil {
+			return
+		}
+	}
+	e.options.Logger.Info("announcement_failed", zap.Error(err))
+}
+
+func post(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make announcement")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	if err := response.Body.Close(); err != nil {
+		return errors.Wrap(err, "close answer")
+	}
+	if response.StatusCode != http.StatusNoContent {
+		return errors.Newf("the entry answered %s", response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/opcli/run.go
@@ -0,0 +1,117 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Exit codes of the command line.
+const (
+	// ExitOK means that the command did what it was asked.
+	ExitOK = 0
+	// ExitFailure means that the command failed; nothing was changed unless it says so.
+	ExitFailure = 1
+	// ExitUsage means that the arguments or an input file were wrong; nothing was changed.
+	ExitUsage = 2
+	// ExitConflict means that another change came first.
+	ExitConflict = 3
+)
+
+// Arguments are the flags and commands of cowslip.
+type Arguments struct {
+	Env     *EnvCommand    `arg:"subcommand:env" help:"try, promote and compare environment documents"`
+	Status  *StatusCommand `arg:"subcommand:status" help:"show the state of the fleet"`
+	Address string         `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
+	JSON    bool           `arg:"--json" help:"write JSON"`
+	Timeout time.Duration  `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
+}
+
+// Description returns the text that heads the help.
+func (Arguments) Description() string {
+	return "cowslip is the operators' command line of cowslipstack."
+}
+
+// Terminal is where a command writes.
+type Terminal struct {
+	// Out takes results.
+	Out io.Writer
+	// Err takes errors, one line each.
+	Err io.Writer
+}
+
+// call is what a command works with.
+type call struct {
+	arguments Arguments
+	client    peer.OperatorClient
+	out       io.Writer
+}
+
+// Run parses the arguments, without the program's name, runs the command and returns the exit code.
+func Run(ctx context.Context, args []string, t Terminal) int {
+	var a Arguments
+	parser, err := arg.NewParser(arg.Config{Program: "cowslip", Out: t.Out}, &a)
+	if err != nil {
+		return fail(t, err)
+	}
+	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
+		parser.WriteHelp(t.Out)
+		return ExitOK
+	} else if err != nil {
+		return fail(t, &usageError{err: err})
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	c := &call{arguments: a, client: peer.NewOperatorClient(http.DefaultClient, "http://"+a.Address), out: t.Out}
+	if err := c.run(ctx); err != nil {
+		return fail(t, err)
+	}
+	return ExitOK
+}
+
+func (c *call) run(ctx context.Context) error {
+	switch {
+	case c.arguments.Env != nil:
+		return c.arguments.Env.run(ctx, c)
+	case c.arguments.Status != nil:
+		return c.status(ctx)
+	default:
+		return &usageError{err: errors.New("a command is needed; see cowslip --help")}
+	}
+}
+
+// usageError is a fault in the arguments.
+type usageError struct{ err error }
+
+// Error returns the fault's text.
+func (e *usageError) Error() string { return e.err.Error() }
+
+func fail(t Terminal, err error) int {
+	fmt.Fprintf(t.Err, "cowslip: %v\n", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var input *conf.InputError
+	if errors.As(err, &usage) || errors.As(err, &input) {
+		return ExitUsage
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeAborted:
+		return ExitConflict
+	case connect.CodeInvalidArgument:
+		return ExitUsage
+	default:
+		return ExitFailure
+	}
+}
--- /dev/null
+++ b/internal/app/opcli/status.go
@@ -0,0 +1,58 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"cowslipstack/internal/wire/peer"
+)
+
+// StatusCommand shows the state of the fleet.
+type StatusCommand struct{}
+
+// tabPadding is the space between a table's columns.
+const tabPadding = 2
+
+func (c *call) status(ctx context.Context) error {
+	response, err := c.client.Status(ctx, connect.NewRequest(&peer.StatusRequest{}))
+	if err != nil {
+		return errors.Wrap(err, "status")
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(response.Msg)
+	}
+	return c.writeStatus(response.Msg)
+}
+
+func (c *call) writeStatus(s *peer.StatusResponse) error {
+	w := tabwriter.NewWriter(c.out, 0, 0, tabPadding, ' ', 0)
+	fmt.Fprintf(w, "environment\t%s\nrevision\t%d\nleader\t%s\n\n", s.GetEnvironment(), s.GetRevision(), s.GetLeader())
+	fmt.Fprintln(w, "ENTRY\tREVISION\tRENEWED")
+	for _, e := range s.GetEntries() {
+		fmt.Fprintf(w, "%s\t%d\t%d ms ago\n", e.GetName(), e.GetRevision(), e.GetRenewedMs())
+	}
+	fmt.Fprintln(w, "\nSERVICE\tPOOL\tENDPOINT\tADDRESS\tVM\tSLOTS")
+	for _, sv := range s.GetServices() {
+		fmt.Fprintf(w, "%s\t%s\t%d endpoints\t\t\t\n", sv.GetName(), sv.GetPool(), len(sv.GetEndpoints()))
+		for _, e := range sv.GetEndpoints() {
+			fmt.Fprintf(w, "\t\t%s\t%s\t%s\t%d\n", e.GetName(), e.GetAddress(), e.GetVm(), e.GetSlots())
+		}
+	}
+	return errors.Wrap(w.Flush(), "write status")
+}
+
+// writeJSON writes a message as one JSON object with snake-case fields.
+func (c *call) writeJSON(m proto.Message) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "encode JSON")
+	}
+	_, err = fmt.Fprintf(c.out, "%s\n", data)
+	return errors.Wrap(err, "write JSON")
+}
--- /dev/null
+++ b/internal/app/script/script_test.go
@@ -0,0 +1,138 @@
+package script_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"cowslipstack/internal/app/daemon"
+	"cowslipstack/internal/app/fakes"
+	"cowslipstack/internal/app/opcli"
+)
+
+// waitLimit is the longest time that a script waits for an event.
+const waitLimit = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"cowslipd":    program(func(ctx context.Context) int { return daemon.Command(ctx, os.Args[1:], os.Stderr) }),
+		"cowslipfake": program(func(ctx context.Context) int { return fakes.Command(ctx, os.Args[1:], os.Stderr) }),
+		"cowslip": program(func(ctx context.Context) int {
+			return opcli.Run(ctx, os.Args[1:], opcli.Terminal{Out: os.Stdout, Err: os.Stderr})
+		}),
+	})
+}
+
+// program returns a main function that ends with the code of run, as the programs under cmd do.
+func program(run func(context.Context) int) func() {
+	return func() {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		code := run(ctx)
+		stop()
+		os.Exit(code)
+	}
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":  ports,
+			"fetch":  fetch,
+			"await":  await,
+			"code":   code,
+			"expand": expand,
+		},
+	})
+}
+
+// ports NAME... sets each variable to a free port.
+func ports(ts *testscript.TestScript, _ bool, names []string) {
+	// All are held until each has its own.
+	var held []net.Listener
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		held = append(held, listener)
+		ts.Setenv(name, strconv.Itoa(listener.Addr().(*net.TCPAddr).Port))
+	}
+	for _, listener := range held {
+		ts.Check(listener.Close())
+	}
+}
+
+// expand FILE... replaces ${VARIABLE} in files.
+func expand(ts *testscript.TestScript, _ bool, names []string) {
+	for _, name := range names {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// fetch URL STATUS gets a page, once, and writes its headers and body to the file "page".
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: fetch url status")
+	}
+	status, page, err := get(args[0])
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("page"), page, 0o600))
+	if status != args[1] {
+		ts.Fatalf("status %s, not %s: %s", status, args[1], page)
+	}
+}
+
+// await URL STATUS gets a page until it has the status.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: await url status")
+	}
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status, page, err := get(args[0]); err == nil && status == args[1] {
+			ts.Check(os.WriteFile(ts.MkAbs("page"), page, 0o600))
+			return
+		}
+	}
+	ts.Fatalf("%s did not answer %s", args[0], args[1])
+}
+
+// code N PROGRAM ARGS... runs a program and wants its exit code.
+func code(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: code n program [args...]")
+	}
+	err := ts.Exec(args[1], args[2:]...)
+	got := "0"
+	if exit, ok := err.(interface{ ExitCode() int }); ok {
+		got = strconv.Itoa(exit.ExitCode())
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if got != args[0] {
+		ts.Fatalf("exit code %s, not %s", got, args[0])
+	}
+}
+
+func get(url string) (string, []byte, error) {
+	response, err := http.Get(url)
+	if err != nil {
+		return "", nil, err
+	}
+	body, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, response.Body.Close())
+	page := []byte{}
+	for name, values := range response.Header {
+		page = append(page, name+": "+values[0]+"\n"...)
+	}
+	return strconv.Itoa(response.StatusCode), append(page, body...), err
+}
--- /dev/null
+++ b/internal/ctrl/quorum/doc.go
@@ -0,0 +1,4 @@
+// Package quorum is the replicated log as a pure step function: messages,
+// ticks and disk events go in, messages, records and committed entries come
+// out. It does no I/O, starts no goroutine and reads no clock.
+package quorum
--- /dev/null
+++ b/internal/ctrl/state/machine.go
@@ -0,0 +1,84 @@
+package state
+
+import (
+	"time"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+// State is all that the replicated log has built; plain data.
+type State struct {
+	// Applied is the index of the last applied log entry.
+	Applied uint64
+	// Time is the latest time that a command carried.
+	Time time.Time
+	// Document is the environment document in force.
+	Document Document
+	// VMs are the platform's VMs by name; each belongs to exactly one pool.
+	VMs map[string]fleet.VM
+	// Requests are the results kept for resends, oldest first.
+	Requests []Request
+}
+
+// Request is the first result of a change, kept for resends.
+type Request struct {
+	// ID is the change's request identity.
+	ID string
+	// Result is what the change gave at first.
+	Result record.Result
+}
+
+// requestsKept bounds the memory for resends; at 4,200 changes a day it covers several days.
+const requestsKept = 16384
+
+// Machine applies commands to the state; only its owner's goroutine may use it.
+type Machine struct {
+	state   State
+	results map[string]record.Result
+}
+
+// NewMachine returns a machine on an empty state.
+func NewMachine() *Machine {
+	return &Machine{state: State{VMs: map[string]fleet.VM{}}, results: map[string]record.Result{}}
+}
+
+// State returns the state for reading; it must not be kept or changed.
+func (m *Machine) State() *State {
+	return &m.state
+}
+
+// Apply makes the change of the log entry at index and returns its result.
+func (m *Machine) Apply(index uint64, c record.Command) record.Result {
+	m.state.Applied = index
+	if c.Time.After(m.state.Time) {
+		m.state.Time = c.Time
+	}
+	if first, ok := m.results[c.RequestID]; ok && c.RequestID != "" {
+		return first
+	}
+	result := m.change(c)
+	m.remember(c.RequestID, result)
+	return result
+}
+
+func (m *Machine) change(c record.Command) record.Result {
+	switch {
+	case c.Document != nil:
+		return m.applyDocument(*c.Document)
+	default:
+		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
+	}
+}
+
+func (m *Machine) remember(id string, result record.Result) {
+	if id == "" {
+		return
+	}
+	m.results[id] = result
+	m.state.Requests = append(m.state.Requests, Request{ID: id, Result: result})
+	if len(m.state.Requests) > requestsKept {
+		delete(m.results, m.state.Requests[0].ID)
+		m.state.Requests = m.state.Requests[1:]
+	}
+}
--- /dev/null
+++ b/internal/edge/enrol/doc.go
@@ -0,0 +1,2 @@
+// Package enrol takes the announcements that endpoints make over HTTP.
+package enrol
--- /dev/null
+++ b/internal/edge/enrol/enrol.go
@@ -0,0 +1,98 @@
+package enrol
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/model/fleet"
+)
+
+// Path is where endpoints post their announcements.
+const Path = "/v1/endpoints"
+
+// bodyLimit is the most bytes of an announcement.
+const bodyLimit = 16 << 10
+
+// maxSlots is the most slots that an endpoint may announce.
+const maxSlots = 4096
+
+// Announcement is the JSON body that an endpoint posts.
+type Announcement struct {
+	// Service is the service that the endpoint runs.
+	Service string `json:"service"`
+	// Endpoint is the endpoint's own name, unique within its service and new for each start.
+	Endpoint string `json:"endpoint"`
+	// Address is the host:port that takes requests.
+	Address string `json:"address"`
+	// VM is the VM that the endpoint runs on.
+	VM string `json:"vm"`
+	// Epoch is the VM's pool epoch.
+	Epoch uint64 `json:"epoch"`
+	// Slots is the most requests in progress at one time.
+	Slots int `json:"slots"`
+	// DataCentre and Rack are where the endpoint stands.
+	DataCentre string `json:"data_centre"`
+	// Rack is the endpoint's rack.
+	Rack string `json:"rack"`
+	// Sequence rises with each announcement.
+	Sequence uint64 `json:"sequence"`
+	// Leaving is final: the endpoint gets no new work.
+	Leaving bool `json:"leaving"`
+}
+
+// Agent takes endpoints' announcements.
+type Agent interface {
+	Announce(context.Context, fleet.Endpoint) error
+}
+
+// Handler returns the HTTP handler of announcements.
+func Handler(agent Agent, logger *zap.Logger) http.Handler {
+	router := mux.NewRouter()
+	router.Methods(http.MethodPost).Path(Path).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := take(w, r, agent); err != nil {
+			logger.Debug("announcement_refused", zap.Error(err))
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return router
+}
+
+func take(w http.ResponseWriter, r *http.Request, agent Agent) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit))
+	decoder.DisallowUnknownFields()
+	var a Announcement
+	if err := decoder.Decode(&a); err != nil {
+		return errors.Wrap(err, "announcement")
+	}
+	if err := a.check(); err != nil {
+		return err
+	}
+	return agent.Announce(r.Context(), fleet.Endpoint{
+		Name: a.Endpoint, Service: a.Service, Address: a.Address, VM: a.VM, Epoch: a.Epoch, Slots: a.Slots,
+		Domain: fleet.Domain{DataCentre: a.DataCentre, Rack: a.Rack}, Sequence: a.Sequence, Leaving: a.Leaving,
+	})
+}
+
+func (a Announcement) check() error {
+	if a.Service == "" || a.Endpoint == "" || a.VM == "" {
+		return errors.New("announcement: service, endpoint and vm are needed")
+	}
+	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+		return errors.Wrap(err, "announcement: address")
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return errors.Newf("announcement: slots is %d; allowed are 1 to %d", a.Slots, maxSlots)
+	}
+	if a.Sequence == 0 {
+		return errors.New("announcement: sequence is 0; it starts at 1 and rises")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/route/doc.go
@@ -0,0 +1,4 @@
+// Package route holds the immutable view by which requests are routed, and
+// the choice among a service's endpoints. It is pure: the time and random
+// numbers come in as arguments.
+package route
--- /dev/null
+++ b/internal/wire/codec/record.go
@@ -0,0 +1,136 @@
+package codec
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Codec encodes commands and log entries as protobuf; its zero value is ready to use.
+type Codec struct{}
+
+// EncodeCommand returns a command's bytes; equal commands give equal bytes.
+func (Codec) EncodeCommand(c record.Command) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(CommandToWire(c))
+	return data, errors.Wrap(err, "encode command")
+}
+
+// DecodeCommand returns the command that the bytes hold.
+func (Codec) DecodeCommand(data []byte) (record.Command, error) {
+	var w peer.Command
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return record.Command{}, errors.Wrap(err, "decode command")
+	}
+	return CommandFromWire(&w), nil
+}
+
+// EncodeEntry returns a log entry's bytes.
+func (Codec) EncodeEntry(e quorum.Entry) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(entryToWire(e))
+	return data, errors.Wrap(err, "encode log entry")
+}
+
+// DecodeEntry returns the log entry that the bytes hold.
+func (Codec) DecodeEntry(data []byte) (quorum.Entry, error) {
+	var w peer.LogEntry
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return quorum.Entry{}, errors.Wrap(err, "decode log entry")
+	}
+	return entryFromWire(&w), nil
+}
+
+// CommandToWire returns the message of a command.
+func CommandToWire(c record.Command) *peer.Command {
+	w := &peer.Command{RequestId: c.RequestID, TimeNs: timeToWire(c.Time)}
+	switch {
+	case c.Document != nil:
+		w.Change = &peer.Command_Document{Document: &peer.DocumentChange{
+			Environment: c.Document.Environment, BaseRevision: c.Document.BaseRevision,
+			Text: c.Document.Text, Digest: c.Document.Digest,
+		}}
+	case c.Claim != nil:
+		w.Change = &peer.Command_Claim{Claim: &peer.ClaimChange{
+			Key: c.Claim.Key, Entry: c.Claim.Entry, Attempt: c.Claim.Attempt,
+			IssuedNs: timeToWire(c.Claim.Issued), Step: uint32(c.Claim.Step), Digest: c.Claim.Digest,
+		}}
+	case c.VM != nil:
+		w.Change = &peer.Command_Vm{Vm: vmToWire(*c.VM)}
+	}
+	return w
+}
+
+// CommandFromWire returns the command of a message; an unknown change is left unset.
+func CommandFromWire(w *peer.Command) record.Command {
+	c := record.Command{RequestID: w.GetRequestId(), Time: timeFromWire(w.GetTimeNs())}
+	switch change := w.GetChange().(type) {
+	case *peer.Command_Document:
+		c.Document = &record.DocumentChange{
+			Environment: change.Document.GetEnvironment(), BaseRevision: change.Document.GetBaseRevision(),
+			Text: change.Document.GetText(), Digest: change.Document.GetDigest(),
+		}
+	case *peer.Command_Claim:
+		c.Claim = &record.ClaimChange{
+			Key: change.Claim.GetKey(), Entry: change.Claim.GetEntry(), Attempt: change.Claim.GetAttempt(),
+			Issued: timeFromWire(change.Claim.GetIssuedNs()), Step: record.ClaimStep(change.Claim.GetStep()),
+			Digest: change.Claim.GetDigest(),
+		}
+	case *peer.Command_Vm:
+		c.VM = vmFromWire(change.Vm)
+	}
+	return c
+}
+
+// ResultToWire returns the message of a result.
+func ResultToWire(r record.Result) *peer.Result {
+	return &peer.Result{
+		Code: uint32(r.Code), Message: r.Message, Revision: r.Revision, Digest: r.Digest,
+		Epoch: r.Epoch, Entry: r.Entry, ClaimStep: uint32(r.Step),
+	}
+}
+
+// ResultFromWire returns the result of a message.
+func ResultFromWire(w *peer.Result) record.Result {
+	return record.Result{
+		Code: record.Code(w.GetCode()), Message: w.GetMessage(), Revision: w.GetRevision(), Digest: w.GetDigest(),
+		Epoch: w.GetEpoch(), Entry: w.GetEntry(), Step: record.ClaimStep(w.GetClaimStep()),
+	}
+}
+
+func vmToWire(c record.VMChange) *peer.VmChange {
+	return &peer.VmChange{
+		Vm: c.VM, Epoch: c.Epoch, Step: uint32(c.Step), Pool: c.Pool,
+		DataCentre: c.Domain.DataCentre, Rack: c.Domain.Rack, Switch: c.Domain.Switch,
+		Cores: c.Size.Cores, MemoryMb: c.Size.MemoryMB, Accelerators: c.Size.Accelerators,
+		Cause: c.Cause,
+	}
+}
+
+func vmFromWire(w *peer.VmChange) *record.VMChange {
+	return &record.VMChange{
+		Step: record.VMStep(w.GetStep()), VM: w.GetVm(), Epoch: w.GetEpoch(), Pool: w.GetPool(),
+		Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Rack: w.GetRack(), Switch: w.GetSwitch()},
+		Size:   fleet.Size{Cores: w.GetCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
+		Cause:  w.GetCause(),
+	}
+}
+
+// timeToWire returns Unix nanoseconds; the zero time is 0.
+func timeToWire(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeFromWire(ns int64) time.Time {
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns).UTC()
+}
--- /dev/null
+++ b/internal/wire/serve/control.go
@@ -0,0 +1,112 @@
+package serve
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/lease"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Node is the replicated state as the handlers use it.
+type Node interface {
+	Deliver(context.Context, []quorum.Message) error
+	Submit(context.Context, record.Command) (record.Result, error)
+	Confirm(context.Context) error
+	View(context.Context, func(*state.State)) error
+	Leader(context.Context) (quorum.ReplicaID, error)
+}
+
+// Keeper grants leases to entries.
+type Keeper interface {
+	Renew(context.Context, lease.Renewal) (lease.Grant, error)
+	Holders() []lease.Holder
+}
+
+// Replica serves messages between replicas.
+type Replica struct {
+	// Node takes the messages.
+	Node Node
+}
+
+// Deliver hands messages to the node.
+func (s *Replica) Deliver(ctx context.Context, r *connect.Request[peer.DeliverRequest]) (*connect.Response[peer.DeliverResponse], error) {
+	if err := s.Node.Deliver(ctx, codec.MessagesFromWire(r.Msg.GetMessages())); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peer.DeliverResponse{}), nil
+}
+
+// Control serves what entries and operators' processes ask of the control role.
+type Control struct {
+	// Node holds the replicated state.
+	Node Node
+	// Keeper grants leases.
+	Keeper Keeper
+	// Clock gives the time.
+	Clock clock.Clock
+	// Names are the replicas' names.
+	Names map[quorum.ReplicaID]string
+}
+
+// Submit proposes a command and waits for its result.
+func (s *Control) Submit(ctx context.Context, r *connect.Request[peer.SubmitRequest]) (*connect.Response[peer.SubmitResponse], error) {
+	c := codec.CommandFromWire(r.Msg.GetCommand())
+	c.Time = s.Clock.Now()
+	result, err := s.Node.Submit(ctx, c)
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return connect.NewResponse(&peer.SubmitResponse{Result: codec.ResultToWire(result)}), nil
+}
+
+// Renew renews an entry's lease.
+func (s *Control) Renew(ctx context.Context, r *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error) {
+	g, err := s.Keeper.Renew(ctx, lease.Renewal{Entry: r.Msg.GetEntry(), Revision: r.Msg.GetRevision()})
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return connect.NewResponse(&peer.RenewResponse{Revision: g.Revision, Document: g.Document}), nil
+}
+
+// State tells the replicated state, confirmed by a quorum.
+func (s *Control) State(ctx context.Context, _ *connect.Request[peer.StateRequest]) (*connect.Response[peer.StateResponse], error) {
+	if err := s.Node.Confirm(ctx); err != nil {
+		return nil, controlError(err)
+	}
+	leader, err := s.Node.Leader(ctx)
+	if err != nil {
+		return nil, controlError(err)
+	}
+	response := &peer.StateResponse{Leader: s.Names[leader]}
+	read := func(st *state.State) {
+		response.Revision, response.Digest = st.Document.Revision, st.Document.Digest
+		response.Environment, response.Document = st.Document.Environment, st.Document.Text
+		response.Applied = st.Applied
+	}
+	if err := s.Node.View(ctx, read); err != nil {
+		return nil, controlError(err)
+	}
+	now := s.Clock.Now()
+	for _, h := range s.Keeper.Holders() {
+		response.Entries = append(response.Entries, &peer.EntryState{
+			Name: h.Name, Revision: h.Revision, RenewedMs: now.Sub(h.Renewed).Milliseconds(),
+		})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// controlError says by its code whether the call had no effect: only then another replica may be asked.
+func controlError(err error) error {
+	if errors.Is(err, quorum.ErrNotLeader) {
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
