--- a/doc.go
+++ b/doc.go
@@ -9,3 +9,4 @@
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
+//go:generate go tool -modfile=tools/go.mod stringer -type=Reason -linecomment -output=internal/edge/route/enums_gen.go ./internal/edge/route
--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -16,13 +16,14 @@
 	"cowslipstack/internal/edge/enrol"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
+	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/serve"
 )
 
 // entryModule holds the parts of the entry role.
 var entryModule = fx.Options(
-	fx.Provide(newAgent, newEntrySender, newEntryService, newRelay, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Provide(newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newFront, newCallersHandler, newEndpointsHandler),
 	fx.Invoke(startEntry),
 )
 
@@ -55,9 +56,13 @@
 	return r
 }
 
-func newFront(settings conf.Daemon, a *agent.Agent, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
+func newDispatcher(a *agent.Agent, c clock.Clock) front.Dispatcher {
+	return route.NewDirect(a, c)
+}
+
+func newFront(settings conf.Daemon, a *agent.Agent, d front.Dispatcher, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
 	return front.New(front.Options{
-		Views: a, Relay: r, Clock: c, Logger: logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
+		Views: a, Dispatcher: d, Relay: r, Clock: c, Logger: logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
 	})
 }
 
