Know from the connection whether a byte of a request was written

Cause: not_run was guessed from httptrace (a connection was had), so a request that waited for a connection and one that was written looked alike, and a lease that lapsed between routing and writing was not seen. Now the dialled connection asks its attempt before each write: the attempt is open, begun or closed, and only moves forward; Send closes it before it says not_run, so that no byte can follow. The lease is asked again right before the first byte. Answers with another identity end their connection; declined ones (503, Cowslip-Declined) are not_run; answers without length and chunks, and ones longer than declared, are not taken for whole.

--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -50,8 +50,11 @@
 	return &serve.Entry{Agent: a, Clock: c}
 }
 
-func newRelay(lc fx.Lifecycle) *relay.Relay {
-	r := relay.New()
+// endpointConnections is the most connections to one endpoint from all entries together.
+const endpointConnections = 64
+
+func newRelay(settings conf.Daemon, lc fx.Lifecycle) *relay.Relay {
+	r := relay.New(relay.Options{Connections: max(1, endpointConnections/len(settings.EntryPeers()))})
 	lc.Append(fx.StopHook(r.Close))
 	return r
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -109,7 +109,9 @@
 	}
 	result := route.Result{Outcome: fleet.OutcomeUnknown, Load: route.NoLoad}
 	defer func() { f.options.Dispatcher.Release(ticket, result) }()
-	refused := f.forward(ctx, w, ticket.Endpoint, attemptOf(r, name, body))
+	attempt := attemptOf(r, name, body)
+	attempt.Permit = func() bool { return f.options.Views.View().Lease.Valid(f.options.Clock.Now()) }
+	refused := f.forward(ctx, w, ticket.Endpoint, attempt)
 	result.Elapsed = f.options.Clock.Now().Sub(start)
 	result.Outcome = fleet.OutcomeAnswered
 	if refused != nil {
--- a/internal/edge/front/header.go
+++ b/internal/edge/front/header.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,28 +49,39 @@
 // maxDeadlineMs is the longest time that a request may take.
 const maxDeadlineMs = 600_000
 
+// attemptOf returns the attempt that passes the caller's request on.
 func attemptOf(r *http.Request, service string, body []byte) relay.Attempt {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/"+service)
-	if path == "" {
-		path = "/"
-	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+	a := relay.Attempt{
+		ID: uuid.NewString(), Method: r.Method, RawQuery: r.URL.RawQuery, Header: http.Header{},
+		Path: behind(r.URL.Path, service), RawPath: behind(r.URL.RawPath, service),
 	}
-	header := http.Header{}
 	for name, values := range r.Header {
 		if !isHop(name) {
-			header[name] = values
+			a.Header[name] = values
 		}
 	}
-	return relay.Attempt{ID: uuid.NewString(), Method: r.Method, Path: path, Header: header, Body: body}
+	if len(body) > 0 {
+		a.Body, a.Length = bytes.NewReader(body), int64(len(body))
+	}
+	return a
+}
+
+// behind returns what follows the service's name in a path.
+func behind(path, service string) string {
+	if path == "" {
+		return ""
+	}
+	if rest := strings.TrimPrefix(path, "/"+service); rest != "" {
+		return rest
+	}
+	return "/"
 }
 
 // isHop says whether a header belongs to one connection, or must not reach an endpoint.
 func isHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Content-Length", "Idempotency-Key", "X-Idempotency-Key", relay.HeaderAttempt:
+		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Idempotency-Key", "X-Idempotency-Key", relay.HeaderAttempt:
 		return true
 	default:
 		return false
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
+	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,42 +16,19 @@
 	"cowslipstack/internal/model/fleet"
 )
 
-// HeaderAttempt carries the identity of an attempt; the endpoint echoes it.
-const HeaderAttempt = "Cowslip-Attempt"
-
 const (
 	idleTimeout = 30 * time.Second
+	// connectTimeout leaves time to try another endpoint.
+	connectTimeout = time.Second
+	keepAlive      = 5 * time.Second
 	// answerHeadBytes is the most header bytes taken from an endpoint.
 	answerHeadBytes = 64 << 10
-	// connectionsPerEndpoint is below an endpoint's 64 for each entry of a fleet.
-	connectionsPerEndpoint = 5
 )
 
-// ErrCrossed says that an answer carried another attempt's identity.
-var ErrCrossed = errors.New("the answer belongs to another attempt")
-
-// Attempt is one sending of a request to an endpoint.
-type Attempt struct {
-	// ID is the attempt's identity.
-	ID string
-	// Method is the HTTP method.
-	Method string
-	// Path is the path and query behind the service's name, starting with a slash.
-	Path string
-	// Header holds the headers to pass on.
-	Header http.Header
-	// Body is the whole body.
-	Body []byte
-}
-
-// Answer is what came of an attempt.
-type Answer struct {
-	// Outcome is answered, not_run or unknown.
-	Outcome fleet.Outcome
-	// Response is the endpoint's answer where the outcome is answered; its body must be closed.
-	Response *http.Response
-	// Err tells why there is no answer.
-	Err error
+// Options says how a relay reaches endpoints.
+type Options struct {
+	// Connections is the most connections to one endpoint.
+	Connections int
 }
 
 // Relay sends attempts to endpoints; it is safe for concurrent use.
@@ -58,10 +37,18 @@
 }
 
 // New returns a relay without connections.
-func New() *Relay {
+func New(o Options) *Relay {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlive}
 	return &Relay{transport: &http.Transport{
-		MaxConnsPerHost:        connectionsPerEndpoint,
-		MaxIdleConnsPerHost:    connectionsPerEndpoint,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxConnsPerHost:        o.Connections,
+		MaxIdleConnsPerHost:    o.Connections,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: answerHeadBytes,
 		DisableCompression:     true,
@@ -75,30 +62,77 @@
 
 // Send sends one attempt and returns what came of it; the transport never sends it a second time.
 func (r *Relay) Send(ctx context.Context, e fleet.Endpoint, a Attempt) Answer {
-	var written atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+e.Address+a.Path, nil)
+	s := &sending{permit: a.Permit}
+	var used *conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok && used == nil {
+			used = c
+			c.attach(s)
+		} else if ok {
+			// A second connection for one attempt would be a hidden retry.
+			c.attach(&sending{permit: never})
+		}
+	}}
+	response, err := r.transport.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), e, a)) //nolint:bodyclose // judge and its caller close it
 	if err != nil {
-		return Answer{Outcome: fleet.OutcomeNotRun, Err: errors.Wrap(err, "make request")}
+		return failure(s, errors.Wrap(err, "send to endpoint"))
 	}
-	request.Header = a.Header.Clone()
-	request.Header.Set(HeaderAttempt, a.ID)
-	// A body without GetBody keeps the transport from sending again on its own.
-	request.Body = io.NopCloser(bytes.NewReader(a.Body))
-	request.ContentLength = int64(len(a.Body))
-	response, err := r.transport.RoundTrip(request)
-	if err != nil {
-		return Answer{Outcome: unsentOutcome(written.Load()), Err: errors.Wrap(err, "send to endpoint")}
+	return judge(a, response, s, used)
+}
+
+// failure tells what came of an attempt without an answer. From here on no first byte is written.
+func failure(s *sending, err error) Answer {
+	if s.close() {
+		return Answer{Outcome: fleet.OutcomeNotRun, Err: err}
+	}
+	return Answer{Outcome: fleet.OutcomeUnknown, Err: err}
+}
+
+// judge says whether the response is the attempt's own and can be told whole.
+func judge(a Attempt, response *http.Response, s *sending, used *conn) Answer {
+	drop := func(outcome fleet.Outcome, err error) Answer {
+		// The connection may already be free for another attempt: it is ended whatever its state.
+		return Answer{Outcome: outcome, Err: errors.CombineErrors(err, errors.CombineErrors(response.Body.Close(), used.Close()))}
 	}
 	if response.Header.Get(HeaderAttempt) != a.ID {
-		return Answer{Outcome: fleet.OutcomeUnknown, Err: errors.CombineErrors(ErrCrossed, response.Body.Close())}
+		return drop(fleet.OutcomeUnknown, ErrCrossed)
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderDeclined) == "1" {
+		return drop(fleet.OutcomeNotRun, ErrDeclined)
+	}
+	declared := declaredLength(a.Method, response)
+	if isUnbounded(declared, response) {
+		return drop(fleet.OutcomeUnknown, ErrUnbounded)
+	}
+	if declared != unknownLength && s.scan.bodyBytes() > declared {
+		return drop(fleet.OutcomeUnknown, ErrTooLong)
 	}
+	response.Body = &body{ReadCloser: response.Body, scan: &s.scan, declared: declared, conn: used}
 	return Answer{Outcome: fleet.OutcomeAnswered, Response: response}
 }
 
-func unsentOutcome(written bool) fleet.Outcome {
-	if written {
-		return fleet.OutcomeUnknown
+// newRequest returns a request that the transport can't send again on its own: its body has no GetBody.
+func newRequest(ctx context.Context, e fleet.Endpoint, a Attempt) *http.Request {
+	header := maps.Clone(a.Header)
+	if header == nil {
+		header = http.Header{}
 	}
-	return fleet.OutcomeNotRun
+	header[HeaderAttempt] = []string{a.ID}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil
+	}
+	request := &http.Request{
+		Method: a.Method, Host: e.Address, Header: header, ContentLength: a.Length,
+		URL: &url.URL{Scheme: "http", Host: e.Address, Path: a.Path, RawPath: a.RawPath, RawQuery: a.RawQuery},
+	}
+	if a.Body == nil {
+		// An empty body of unknown length that is not sent in chunks: no header, no bytes.
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(nil)), unknownLength
+		request.TransferEncoding = []string{"identity"}
+	} else {
+		request.Body = io.NopCloser(a.Body)
+	}
+	return request.WithContext(ctx)
 }
+
+func never() bool { return false }
--- /dev/null
+++ b/internal/edge/relay/relay_test.go
@@ -0,0 +1,135 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"cowslipstack/internal/edge/relay"
+	"cowslipstack/internal/model/fleet"
+)
+
+// rawEndpoint answers each request with the same raw bytes, and counts the requests it read.
+type rawEndpoint struct {
+	listener net.Listener
+	requests chan *http.Request
+	answers  chan string
+}
+
+func newRawEndpoint(t *testing.T) *rawEndpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	e := &rawEndpoint{listener: listener, requests: make(chan *http.Request, 16), answers: make(chan string, 16)}
+	go e.run()
+	t.Cleanup(func() { _ = listener.Close() })
+	return e
+}
+
+func (e *rawEndpoint) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
+// serve reads a request and takes the answer from the script; an empty one closes the connection.
+func (e *rawEndpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		e.requests <- request
+		answer := <-e.answers
+		answer, cut := strings.CutSuffix(answer, "{cut}")
+		answer = strings.ReplaceAll(strings.ReplaceAll(answer, "\n", "\r\n"), "{id}", request.Header.Get(relay.HeaderAttempt))
+		if _, err := io.WriteString(c, answer); err != nil || cut || answer == "" {
+			return
+		}
+	}
+}
+
+func (e *rawEndpoint) fleet() fleet.Endpoint {
+	return fleet.Endpoint{Name: "raw", Service: "s", Address: e.listener.Addr().String()}
+}
+
+// TestAnswers sends one attempt for each case and tells what came of it and how often it reached the endpoint.
+func TestAnswers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	datadriven.Walk(t, "testdata/answers", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			r := relay.New(relay.Options{Connections: 1})
+			defer r.Close()
+			e := newRawEndpoint(t)
+			defer func() { _ = e.listener.Close() }()
+			var method, body string
+			d.MaybeScanArgs(t, "method", &method)
+			d.MaybeScanArgs(t, "body", &body)
+			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: func() bool { return !d.HasArg("lapsed") }}
+			if body != "" {
+				a.Body, a.Length = strings.NewReader(body), int64(len(body))
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if d.HasArg("kept") {
+				// A first request leaves its connection open for the second.
+				e.answers <- "HTTP/1.1 200 OK\nCowslip-Attempt: {id}\nContent-Length: 0\n\n"
+				first := r.Send(ctx, e.fleet(), relay.Attempt{ID: "a-0", Method: "GET", Path: "/", Permit: func() bool { return true }})
+				is.New(t).NoErr(errors.CombineErrors(first.Err, first.Response.Body.Close()))
+				<-e.requests
+			}
+			if d.HasArg("refused") {
+				_ = e.listener.Close()
+			}
+			if d.HasArg("late") {
+				go func() { e.requests <- <-e.requests; cancel() }()
+			} else {
+				e.answers <- strings.TrimSuffix(d.Input, "{end}")
+			}
+			text := describe(r.Send(ctx, e.fleet(), a))
+			if d.HasArg("late") {
+				e.answers <- d.Input
+			}
+			return fmt.Sprintf("%s\nrequests read by the endpoint: %d\n", text, len(e.requests))
+		})
+	})
+}
+
+func describe(a relay.Answer) string {
+	if a.Outcome != fleet.OutcomeAnswered {
+		for _, known := range []error{
+			relay.ErrCrossed, relay.ErrDeclined, relay.ErrUnbounded, relay.ErrTooLong, relay.ErrNotPermitted, context.Canceled,
+		} {
+			if errors.Is(a.Err, known) {
+				return a.Outcome.String() + ": " + known.Error()
+			}
+		}
+		return a.Outcome.String()
+	}
+	data, err := io.ReadAll(a.Response.Body)
+	_ = a.Response.Body.Close()
+	text := "answered " + strconv.Itoa(a.Response.StatusCode) + " " + strconv.Quote(string(data))
+	if err != nil {
+		text += ": " + err.Error()
+	}
+	return text
+}
