Encrypt the system's own connections and operators' calls

Cause: peers and operators spoke plain HTTP on any address. Now tls.* names three PEM files, read again when they change; both sides show certificates; operators are listened for on a public address only with them.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"cowslipstack/internal/base/logs"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/wire/certs"
 	"cowslipstack/internal/wire/dial"
 )
 
@@ -39,7 +40,7 @@
 func Module(settings conf.Daemon) fx.Option {
 	options := []fx.Option{
 		fx.Supply(settings),
-		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler),
+		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler),
 	}
 	if settings.HasRole(conf.RoleControl) {
 		options = append(options, controlModule)
@@ -86,6 +87,17 @@
 	return g
 }
 
+// newCertificates returns the source of certificates, nil where the settings name none.
+func newCertificates(settings conf.Daemon, c clock.Clock) (*certs.Source, error) {
+	files := certs.Files{
+		Authority: settings.TLS.AuthorityFile, Certificate: settings.TLS.CertificateFile, Key: settings.TLS.KeyFile,
+	}
+	if !files.Enabled() {
+		return nil, nil
+	}
+	return certs.Load(files, c)
+}
+
 func newControlClient(settings conf.Daemon, client *http.Client) *dial.Control {
 	return dial.NewControl(client, addresses(settings.ControlPeers()))
 }
--- a/internal/app/daemon/listen.go
+++ b/internal/app/daemon/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/wire/certs"
 )
 
 const (
@@ -30,7 +32,7 @@
 	operators net.Listener
 }
 
-func newListeners(settings conf.Daemon, lc fx.Lifecycle) (*listeners, error) {
+func newListeners(settings conf.Daemon, source *certs.Source, lc fx.Lifecycle) (*listeners, error) {
 	l := &listeners{}
 	var config net.ListenConfig
 	wanted := []struct {
@@ -55,6 +57,10 @@
 		*w.target = listener
 		lc.Append(fx.StopHook(func() { _ = listener.Close() }))
 	}
+	if source != nil {
+		l.peers = tls.NewListener(l.peers, source.Server())
+		l.operators = tls.NewListener(l.operators, source.Server())
+	}
 	return l, nil
 }
 
@@ -75,7 +81,7 @@
 			return
 		}
 		fields = append(fields, zap.Stringer(name, listener.Addr()))
-		server := newServer(handler)
+		server := newServer(handler, logger)
 		lc.Append(fx.StopHook(func(ctx context.Context) error { return server.Shutdown(ctx) }))
 		g.Start("serve_"+name, func(context.Context) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -92,9 +98,10 @@
 }
 
 // newServer returns a server for HTTP/1.1 and unencrypted HTTP/2.
-func newServer(handler http.Handler) *http.Server {
+func newServer(handler http.Handler, logger *zap.Logger) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
@@ -102,6 +109,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(logger),
 	}
 }
 
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -11,7 +11,10 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/wire/certs"
+	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/peer"
 )
 
@@ -34,6 +37,10 @@
 	Address string         `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
 	JSON    bool           `arg:"--json" help:"write JSON"`
 	Timeout time.Duration  `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
+
+	Authority   string `arg:"--authority,env:COWSLIP_AUTHORITY" help:"file of the certificates that sign the processes' ones; with --certificate and --key, calls use TLS"`
+	Certificate string `arg:"--certificate,env:COWSLIP_CERTIFICATE" help:"file of the operator's certificate"`
+	Key         string `arg:"--key,env:COWSLIP_KEY" help:"file of the operator's private key"`
 }
 
 // Description returns the text that heads the help.
@@ -71,13 +78,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	c := &call{arguments: a, client: peer.NewOperatorClient(http.DefaultClient, "http://"+a.Address), out: t.Out}
+	client, err := a.httpClient()
+	if err != nil {
+		return fail(t, &usageError{err: err})
+	}
+	c := &call{arguments: a, client: peer.NewOperatorClient(client, "http://"+a.Address, connect.WithInterceptors(retryUnavailable(clock.System{}))), out: t.Out}
 	if err := c.run(ctx); err != nil {
 		return fail(t, err)
 	}
 	return ExitOK
 }
 
+// httpClient returns the client of the operators' calls, with TLS where the files are given.
+func (a Arguments) httpClient() (*http.Client, error) {
+	files := certs.Files{Authority: a.Authority, Certificate: a.Certificate, Key: a.Key}
+	if !files.Enabled() {
+		return dial.NewClient(nil), nil
+	}
+	source, err := certs.Load(files, clock.System{})
+	if err != nil {
+		return nil, err
+	}
+	return dial.NewClient(source), nil
+}
+
 func (c *call) run(ctx context.Context) error {
 	switch {
 	case c.arguments.Env != nil:
--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -47,11 +47,13 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports":  ports,
-			"fetch":  fetch,
-			"await":  await,
-			"code":   code,
-			"expand": expand,
+			"ports":        ports,
+			"fetch":        fetch,
+			"await":        await,
+			"code":         code,
+			"expand":       expand,
+			"certificates": certificates,
+			"listening":    listening,
 		},
 	})
 }
@@ -106,6 +108,17 @@
 	ts.Fatalf("%s did not answer %s", args[0], args[1])
 }
 
+// listening ADDRESS waits until something listens on the address.
+func listening(ts *testscript.TestScript, _ bool, args []string) {
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", args[0]); err == nil {
+			ts.Check(conn.Close())
+			return
+		}
+	}
+	ts.Fatalf("nothing listens on %s", args[0])
+}
+
 // code N PROGRAM ARGS... runs a program and wants its exit code.
 func code(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
--- a/internal/base/conf/daemon.go
+++ b/internal/base/conf/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"time"
 )
@@ -36,6 +37,33 @@
 	return time.Duration(count) * time.Millisecond
 }
 
+// tlsFiles is how many files TLS needs.
+const tlsFiles = 3
+
+// fileCount returns how many of the TLS files are named.
+func (t TLS) fileCount() int {
+	count := 0
+	for _, file := range []string{t.AuthorityFile, t.CertificateFile, t.KeyFile} {
+		if file != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// isLoopback says whether an address can be reached from its own VM alone.
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	if host == "localhost" {
+		return true
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
 // checkDaemon checks what the schema can't: how keys go together.
 func checkDaemon(file string, d Daemon) error {
 	fault := func(key, problem string) error {
@@ -57,6 +85,12 @@
 	if len(d.ControlPeers()) == 0 {
 		return fault("peers", "no peer has the role control; at least one must")
 	}
+	if fileCount := d.TLS.fileCount(); fileCount != 0 && fileCount != tlsFiles {
+		return fault("tls", "authority_file, certificate_file and key_file go together: give all three or none")
+	}
+	if d.TLS.fileCount() == 0 && !isLoopback(d.Listen.Operators) {
+		return fault("listen.operators", fmt.Sprintf("%q is not a loopback address; that is allowed only with the files of tls", d.Listen.Operators))
+	}
 	if d.Entry.RenewMs*2 > d.Entry.LeaseMs {
 		return fault("entry.renew_ms", fmt.Sprintf("%d was given; at most half of entry.lease_ms (%d) is allowed", d.Entry.RenewMs, d.Entry.LeaseMs))
 	}
--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -96,6 +96,9 @@
 
 	// Roles are the parts that this process plays.
 	Roles []Role `json:"roles"`
+
+	// TLS corresponds to the JSON schema field "tls".
+	TLS TLS `json:"tls"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -131,6 +134,9 @@
 	if _, ok := raw["roles"]; raw != nil && !ok {
 		return fmt.Errorf("field roles in Daemon: required")
 	}
+	if _, ok := raw["tls"]; raw != nil && !ok {
+		return fmt.Errorf("field tls in Daemon: required")
+	}
 	type Plain Daemon
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -489,3 +495,41 @@
 	*j = Role(v)
 	return nil
 }
+
+// TLS names the PEM files of this process; all three or none. They are read again
+// when they change.
+type TLS struct {
+	// AuthorityFile holds the certificates that sign those of processes and
+	// operators.
+	AuthorityFile string `json:"authority_file,omitempty,omitzero"`
+
+	// CertificateFile is the process's own certificate chain.
+	CertificateFile string `json:"certificate_file,omitempty,omitzero"`
+
+	// KeyFile is the process's private key.
+	KeyFile string `json:"key_file,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TLS) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	type Plain TLS
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["authority_file"]; !ok || v == nil {
+		plain.AuthorityFile = ""
+	}
+	if v, ok := raw["certificate_file"]; !ok || v == nil {
+		plain.CertificateFile = ""
+	}
+	if v, ok := raw["key_file"]; !ok || v == nil {
+		plain.KeyFile = ""
+	}
+	*j = TLS(plain)
+	return nil
+}
--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return Daemon{}, errors.Wrap(err, "read settings")
 	}
-	shape := Shape{Schema: schema.Daemon, Tables: []string{"control", "entry", "platform", "log"}}
+	shape := Shape{Schema: schema.Daemon, Tables: []string{"control", "entry", "platform", "log", "tls"}}
 	var d Daemon
 	if err := Decode(Source{File: path, Text: text}, shape, &d); err != nil {
 		return Daemon{}, err
--- a/internal/wire/dial/client.go
+++ b/internal/wire/dial/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"cowslipstack/internal/wire/certs"
 )
 
 const (
@@ -13,17 +15,33 @@
 	writeTimeout   = 2 * time.Second
 )
 
-// NewClient returns an HTTP/2 client for the system's own processes; it is safe for concurrent use.
-func NewClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+// NewClient returns an HTTP/2 client for the system's own processes, with TLS where a source
+// is given; it is safe for concurrent use.
+func NewClient(source *certs.Source) *http.Client {
+	transport := &http.Transport{
 		DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		Protocols:   protocols,
+		Protocols:   new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingAfter,
 			PingTimeout:      pingTimeout,
 			WriteByteTimeout: writeTimeout,
 		},
-	}}
+	}
+	if source == nil {
+		transport.Protocols.SetUnencryptedHTTP2(true)
+		return &http.Client{Transport: transport}
+	}
+	transport.Protocols.SetHTTP2(true)
+	transport.DialTLSContext = source.Dial
+	return &http.Client{Transport: secured{transport: transport}}
+}
+
+// secured sends every request with TLS, so that callers name processes by address alone.
+type secured struct{ transport *http.Transport }
+
+// RoundTrip sends a request with TLS.
+func (s secured) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.URL.Scheme = "https"
+	return s.transport.RoundTrip(r)
 }
