--- a/doc.go
+++ b/doc.go
@@ -9,3 +9,5 @@
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
+//go:generate sh -c "go run ./cmd/cowslipd --reference > docs/SETTINGS.md"
+//go:generate sh -c "go run ./cmd/cowslip reference > docs/DOCUMENT.md"
--- a/internal/app/daemon/command.go
+++ b/internal/app/daemon/command.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cowslipstack/internal/base/conf"
+	"cowslipstack/schema"
 )
 
 // Exit codes of cowslipd.
@@ -23,8 +24,9 @@
 
 // Arguments are the flags of cowslipd.
 type Arguments struct {
-	Settings string `arg:"--settings,required" help:"path of the settings file (TOML)"`
-	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	Settings  string `arg:"--settings" help:"path of the settings file (TOML)"`
+	Check     bool   `arg:"--check" help:"check the settings and exit"`
+	Reference bool   `arg:"--reference" help:"write the reference page of the settings to stdout and exit"`
 }
 
 // Description returns the text that heads the help.
@@ -32,28 +34,54 @@
 	return "cowslipd serves callers (role entry) and holds the replicated state (role control)."
 }
 
+// Terminal is where the daemon's command writes; its log goes to stderr.
+type Terminal struct {
+	// Out takes pages that were asked for.
+	Out io.Writer
+	// Err takes errors, one line each.
+	Err io.Writer
+}
+
 // Command parses the arguments, without the program's name, runs the daemon and returns the exit code.
-func Command(ctx context.Context, args []string, out io.Writer) int {
+func Command(ctx context.Context, args []string, t Terminal) int {
 	var a Arguments
 	parser, err := arg.NewParser(arg.Config{Program: "cowslipd"}, &a)
 	if err != nil {
-		return fail(out, err, ExitFailure)
+		return fail(t.Err, err, ExitFailure)
 	}
 	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
-		parser.WriteHelp(out)
+		parser.WriteHelp(t.Out)
 		return ExitOK
 	} else if err != nil {
-		return fail(out, err, ExitSettings)
+		return fail(t.Err, err, ExitSettings)
+	}
+	if a.Reference {
+		return reference(t)
+	}
+	if a.Settings == "" {
+		return fail(t.Err, errors.New("--settings is required"), ExitSettings)
 	}
 	settings, err := conf.LoadDaemon(a.Settings)
 	if err != nil {
-		return fail(out, err, ExitSettings)
+		return fail(t.Err, err, ExitSettings)
 	}
 	if a.Check {
 		return ExitOK
 	}
 	if err := Run(ctx, settings); err != nil {
-		return fail(out, err, ExitFailure)
+		return fail(t.Err, err, ExitFailure)
+	}
+	return ExitOK
+}
+
+// reference writes the page that docs/SETTINGS.md holds.
+func reference(t Terminal) int {
+	page, err := conf.Reference(schema.Daemon)
+	if err != nil {
+		return fail(t.Err, err, ExitFailure)
+	}
+	if _, err := io.WriteString(t.Out, page); err != nil {
+		return fail(t.Err, err, ExitFailure)
 	}
 	return ExitOK
 }
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -32,11 +32,13 @@
 
 // Arguments are the flags and commands of cowslip.
 type Arguments struct {
-	Env     *EnvCommand    `arg:"subcommand:env" help:"try, promote and compare environment documents"`
-	Status  *StatusCommand `arg:"subcommand:status" help:"show the state of the fleet"`
-	Address string         `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
-	JSON    bool           `arg:"--json" help:"write JSON"`
-	Timeout time.Duration  `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
+	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
+	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
+	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
+	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
+	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
+	JSON      bool              `arg:"--json" help:"write JSON"`
+	Timeout   time.Duration     `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
 
 	Authority   string `arg:"--authority,env:COWSLIP_AUTHORITY" help:"file of the certificates that sign the processes' ones; with --certificate and --key, calls use TLS"`
 	Certificate string `arg:"--certificate,env:COWSLIP_CERTIFICATE" help:"file of the operator's certificate"`
@@ -108,6 +110,10 @@
 		return c.arguments.Env.run(ctx, c)
 	case c.arguments.Status != nil:
 		return c.status(ctx)
+	case c.arguments.Version != nil:
+		return c.version()
+	case c.arguments.Reference != nil:
+		return c.reference()
 	default:
 		return &usageError{err: errors.New("a command is needed; see cowslip --help")}
 	}
--- /dev/null
+++ b/internal/app/opcli/version.go
@@ -0,0 +1,35 @@
+package opcli
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/conf"
+	"cowslipstack/schema"
+)
+
+// VersionCommand shows which build this is.
+type VersionCommand struct{}
+
+// ReferenceCommand writes the reference page of the environment document.
+type ReferenceCommand struct{}
+
+func (c *call) version() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this build carries no version")
+	}
+	_, err := fmt.Fprintf(c.out, "cowslip %s %s\n", info.Main.Version, info.GoVersion)
+	return errors.Wrap(err, "write version")
+}
+
+func (c *call) reference() error {
+	page, err := conf.Reference(schema.Environment)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(c.out, page)
+	return errors.Wrap(err, "write page")
+}
