--- a/internal/ctrl/state/document.go
+++ b/internal/ctrl/state/document.go
@@ -2,14 +2,28 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/record"
 )
 
+const (
+	// historyKept bounds the revisions that are remembered; at 4,200 changes a day it covers about one.
+	historyKept = 4096
+	// textsKept bounds the revisions whose text is remembered.
+	textsKept = 8
+	// trialsKept bounds the trials that can still be promoted.
+	trialsKept = 16
+)
+
 // Document is an accepted environment document.
 type Document struct {
-	// Environment is the environment's name.
+	// Environment is the environment's name as the document gives it.
 	Environment string
 	// Revision counts accepted documents; it only rises.
 	Revision uint64
@@ -19,26 +33,109 @@
 	Text []byte
 }
 
+// Trial is a document that was tried.
+type Trial struct {
+	// Environment is the name of the trial environment.
+	Environment string
+	// BaseRevision is the revision of production that it was tried on.
+	BaseRevision uint64
+	// Digest names the text.
+	Digest string
+	// Text is the document as TOML.
+	Text []byte
+	// Time is when it was tried.
+	Time time.Time
+}
+
+// Revision is one accepted revision of production.
+type Revision struct {
+	// Revision is its number.
+	Revision uint64
+	// Digest names its text.
+	Digest string
+	// Time is when it was accepted.
+	Time time.Time
+	// RequestID is the identity of the change that brought it.
+	RequestID string
+	// Text is the document as TOML; only the latest revisions keep theirs.
+	Text []byte
+}
+
 // applyDocument accepts a document that builds on the revision in force; of racing ones the first wins.
-func (m *Machine) applyDocument(c record.DocumentChange) record.Result {
-	d := &m.state.Document
-	if c.BaseRevision != d.Revision {
-		return record.Result{
-			Code:     record.CodeConflict,
-			Message:  fmt.Sprintf("the change builds on revision %d, but revision %d is in force", c.BaseRevision, d.Revision),
-			Revision: d.Revision,
-			Digest:   d.Digest,
-		}
-	}
-	digest := docs.Digest(c.Text)
-	if c.Digest != "" && c.Digest != digest {
-		return record.Result{
-			Code:     record.CodeInvalid,
-			Message:  fmt.Sprintf("the document's digest is %s, not %s as tried", digest, c.Digest),
-			Revision: d.Revision,
-			Digest:   d.Digest,
-		}
-	}
-	*d = Document{Environment: c.Environment, Revision: d.Revision + 1, Digest: digest, Text: c.Text}
-	return record.Result{Code: record.CodeOK, Revision: d.Revision, Digest: digest}
+func (m *Machine) applyDocument(c record.Command, change record.DocumentChange) record.Result {
+	if r, ok := m.conflict(change.BaseRevision); ok {
+		return r
+	}
+	digest := docs.Digest(change.Text)
+	if change.Digest != "" && change.Digest != digest {
+		return m.refused(record.CodeInvalid, fmt.Sprintf("the document's digest is %s, not %s as tried", digest, change.Digest))
+	}
+	return m.accept(c, Document{Environment: change.Environment, Digest: digest, Text: change.Text})
+}
+
+// applyTrial remembers a document that was tried on the revision in force; an equal one counts as tried again.
+func (m *Machine) applyTrial(c record.Command, change record.TrialChange) record.Result {
+	if r, ok := m.conflict(change.BaseRevision); ok {
+		return r
+	}
+	s := &m.state
+	digest := docs.Digest(change.Text)
+	s.Trials = slices.DeleteFunc(s.Trials, func(t Trial) bool {
+		return t.Digest == digest && t.Environment == change.Environment
+	})
+	s.Trials = append(s.Trials, Trial{
+		Environment: change.Environment, BaseRevision: change.BaseRevision,
+		Digest: digest, Text: change.Text, Time: c.Time,
+	})
+	if len(s.Trials) > trialsKept {
+		s.Trials = slices.Delete(s.Trials, 0, len(s.Trials)-trialsKept)
+	}
+	return record.Result{Code: record.CodeOK, Revision: s.Document.Revision, Digest: digest}
+}
+
+// applyPromote puts a document into production whose digest was tried on the revision in force.
+func (m *Machine) applyPromote(c record.Command, change record.PromoteChange) record.Result {
+	if r, ok := m.conflict(change.BaseRevision); ok {
+		return r
+	}
+	i := slices.IndexFunc(m.state.Trials, func(t Trial) bool { return t.Digest == change.Digest })
+	if i < 0 {
+		return m.refused(record.CodeNotFound, fmt.Sprintf("no trial has the digest %q; the latest %d are kept", change.Digest, trialsKept))
+	}
+	t := m.state.Trials[i]
+	return m.accept(c, Document{Environment: t.Environment, Digest: t.Digest, Text: t.Text})
+}
+
+// accept puts a document into force under the next revision.
+func (m *Machine) accept(c record.Command, d Document) record.Result {
+	s := &m.state
+	before := s.Document.Revision
+	d.Revision = before + 1
+	s.Document = d
+	s.History = append(s.History, Revision{
+		Revision: d.Revision, Digest: d.Digest, Time: c.Time, RequestID: c.RequestID, Text: d.Text,
+	})
+	if old := len(s.History) - textsKept - 1; old >= 0 {
+		s.History[old].Text = nil
+	}
+	if len(s.History) > historyKept {
+		s.History = slices.Delete(s.History, 0, len(s.History)-historyKept)
+	}
+	check.That(s.Document.Revision == before+1, "document_revision_only_rises",
+		zap.Uint64("before", before), zap.Uint64("after", s.Document.Revision))
+	return record.Result{Code: record.CodeOK, Revision: d.Revision, Digest: d.Digest}
+}
+
+func (m *Machine) conflict(base uint64) (record.Result, bool) {
+	d := m.state.Document
+	if base == d.Revision {
+		return record.Result{}, false
+	}
+	message := fmt.Sprintf("the change builds on revision %d, but revision %d is in force", base, d.Revision)
+	return m.refused(record.CodeConflict, message), true
+}
+
+// refused returns the result of a change that was not made.
+func (m *Machine) refused(code record.Code, message string) record.Result {
+	return record.Result{Code: code, Message: message, Revision: m.state.Document.Revision, Digest: m.state.Document.Digest}
 }
--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -13,8 +13,12 @@
 	Applied uint64
 	// Time is the latest time that a command carried.
 	Time time.Time
-	// Document is the environment document in force.
+	// Document is the document in force in production.
 	Document Document
+	// Trials are the documents that were tried, oldest first.
+	Trials []Trial
+	// History is the latest accepted revisions of production, oldest first.
+	History []Revision
 	// VMs are the platform's VMs by name; each belongs to exactly one pool.
 	VMs map[string]fleet.VM
 	// Requests are the results kept for resends, oldest first.
@@ -48,6 +52,18 @@
 	return &m.state
 }
 
+// Restore replaces the state by that of a snapshot.
+func (m *Machine) Restore(s State) {
+	if s.VMs == nil {
+		s.VMs = map[string]fleet.VM{}
+	}
+	m.state = s
+	m.results = make(map[string]record.Result, len(s.Requests))
+	for _, r := range s.Requests {
+		m.results[r.ID] = r.Result
+	}
+}
+
 // Apply makes the change of the log entry at index and returns its result.
 func (m *Machine) Apply(index uint64, c record.Command) record.Result {
 	m.state.Applied = index
@@ -65,7 +81,11 @@
 func (m *Machine) change(c record.Command) record.Result {
 	switch {
 	case c.Document != nil:
-		return m.applyDocument(*c.Document)
+		return m.applyDocument(c, *c.Document)
+	case c.Trial != nil:
+		return m.applyTrial(c, *c.Trial)
+	case c.Promote != nil:
+		return m.applyPromote(c, *c.Promote)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -14,6 +14,10 @@
 	Time time.Time
 	// Document puts an environment document into force.
 	Document *DocumentChange
+	// Trial records that a document was tried.
+	Trial *TrialChange
+	// Promote puts a document that was tried into production.
+	Promote *PromoteChange
 	// Claim opens or settles a claim.
 	Claim *ClaimChange
 	// VM moves a VM through its life.
@@ -32,6 +36,24 @@
 	Digest string
 }
 
+// TrialChange records that a document was tried.
+type TrialChange struct {
+	// Environment is the name of the trial environment.
+	Environment string
+	// BaseRevision is the revision of production that the document was tried on.
+	BaseRevision uint64
+	// Text is the document as TOML.
+	Text []byte
+}
+
+// PromoteChange puts exactly what was tried into production.
+type PromoteChange struct {
+	// BaseRevision is the revision of production that the change builds on.
+	BaseRevision uint64
+	// Digest names the document that was tried.
+	Digest string
+}
+
 // ClaimStep is what a change does to a claim; the zero value is not valid.
 type ClaimStep int
 
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -54,6 +54,14 @@
 			Environment: c.Document.Environment, BaseRevision: c.Document.BaseRevision,
 			Text: c.Document.Text, Digest: c.Document.Digest,
 		}}
+	case c.Trial != nil:
+		w.Change = &peer.Command_Trial{Trial: &peer.TrialChange{
+			Environment: c.Trial.Environment, BaseRevision: c.Trial.BaseRevision, Text: c.Trial.Text,
+		}}
+	case c.Promote != nil:
+		w.Change = &peer.Command_Promote{Promote: &peer.PromoteChange{
+			BaseRevision: c.Promote.BaseRevision, Digest: c.Promote.Digest,
+		}}
 	case c.Claim != nil:
 		w.Change = &peer.Command_Claim{Claim: &peer.ClaimChange{
 			Key: c.Claim.Key, Entry: c.Claim.Entry, Attempt: c.Claim.Attempt,
@@ -74,6 +82,14 @@
 			Environment: change.Document.GetEnvironment(), BaseRevision: change.Document.GetBaseRevision(),
 			Text: change.Document.GetText(), Digest: change.Document.GetDigest(),
 		}
+	case *peer.Command_Trial:
+		c.Trial = &record.TrialChange{
+			Environment: change.Trial.GetEnvironment(), BaseRevision: change.Trial.GetBaseRevision(), Text: change.Trial.GetText(),
+		}
+	case *peer.Command_Promote:
+		c.Promote = &record.PromoteChange{
+			BaseRevision: change.Promote.GetBaseRevision(), Digest: change.Promote.GetDigest(),
+		}
 	case *peer.Command_Claim:
 		c.Claim = &record.ClaimChange{
 			Key: change.Claim.GetKey(), Entry: change.Claim.GetEntry(), Attempt: change.Claim.GetAttempt(),
--- /dev/null
+++ b/internal/wire/codec/state.go
@@ -0,0 +1,146 @@
+package codec
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/wire/peer"
+)
+
+// EncodeState returns a snapshot of the state; equal states give equal bytes.
+func (Codec) EncodeState(s *state.State) ([]byte, error) {
+	w := &peer.State{
+		Applied: s.Applied, TimeNs: timeToWire(s.Time),
+		Environments: environmentsToWire(s),
+		Vms:          vmsToWire(s.VMs),
+		Requests:     requestsToWire(s.Requests),
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w)
+	return data, errors.Wrap(err, "encode state")
+}
+
+// DecodeState returns the state of a snapshot.
+func (Codec) DecodeState(data []byte) (state.State, error) {
+	var w peer.State
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return state.State{}, errors.Wrap(err, "decode state")
+	}
+	s := state.State{
+		Applied: w.GetApplied(), Time: timeFromWire(w.GetTimeNs()),
+		VMs:      vmsFromWire(w.GetVms()),
+		Requests: requestsFromWire(w.GetRequests()),
+	}
+	environmentsFromWire(w.GetEnvironments(), &s)
+	return s, nil
+}
+
+// Machine is the state machine with snapshots as bytes.
+type Machine struct {
+	*state.Machine
+	codec Codec
+}
+
+// NewMachine returns a machine on an empty state.
+func NewMachine() *Machine {
+	return &Machine{Machine: state.NewMachine()}
+}
+
+// Snapshot returns the state as bytes; replicas that applied the same entries give the same.
+func (m *Machine) Snapshot() ([]byte, error) {
+	return m.codec.EncodeState(m.State())
+}
+
+// Restore replaces the state by that of a snapshot, or leaves it where the bytes are no snapshot.
+func (m *Machine) Restore(data []byte) error {
+	s, err := m.codec.DecodeState(data)
+	if err != nil {
+		return err
+	}
+	m.Machine.Restore(s)
+	return nil
+}
+
+func environmentsToWire(s *state.State) *peer.Environments {
+	w := &peer.Environments{Production: &peer.DocumentState{
+		Environment: s.Document.Environment, Revision: s.Document.Revision,
+		Digest: s.Document.Digest, Text: s.Document.Text,
+	}}
+	for _, t := range s.Trials {
+		w.Trials = append(w.Trials, &peer.TrialState{
+			Environment: t.Environment, BaseRevision: t.BaseRevision, Digest: t.Digest, Text: t.Text, TimeNs: timeToWire(t.Time),
+		})
+	}
+	for _, r := range s.History {
+		w.History = append(w.History, &peer.RevisionState{
+			Revision: r.Revision, Digest: r.Digest, TimeNs: timeToWire(r.Time), RequestId: r.RequestID, Text: r.Text,
+		})
+	}
+	return w
+}
+
+func environmentsFromWire(w *peer.Environments, s *state.State) {
+	p := w.GetProduction()
+	s.Document = state.Document{
+		Environment: p.GetEnvironment(), Revision: p.GetRevision(), Digest: p.GetDigest(), Text: p.GetText(),
+	}
+	for _, t := range w.GetTrials() {
+		s.Trials = append(s.Trials, state.Trial{
+			Environment: t.GetEnvironment(), BaseRevision: t.GetBaseRevision(), Digest: t.GetDigest(),
+			Text: t.GetText(), Time: timeFromWire(t.GetTimeNs()),
+		})
+	}
+	for _, r := range w.GetHistory() {
+		s.History = append(s.History, state.Revision{
+			Revision: r.GetRevision(), Digest: r.GetDigest(), Time: timeFromWire(r.GetTimeNs()),
+			RequestID: r.GetRequestId(), Text: r.GetText(),
+		})
+	}
+}
+
+func vmsToWire(vms map[string]fleet.VM) []*peer.VmState {
+	wire := make([]*peer.VmState, 0, len(vms))
+	for _, name := range slices.Sorted(maps.Keys(vms)) {
+		v := vms[name]
+		wire = append(wire, &peer.VmState{
+			Name: v.Name, Pool: v.Pool, Epoch: v.Epoch, Phase: uint32(v.Phase),
+			PhaseSinceNs: timeToWire(v.PhaseSince), MaintainedNs: timeToWire(v.Maintained),
+			DataCentre: v.Domain.DataCentre, Switch: v.Domain.Switch, Rack: v.Domain.Rack,
+			Cores: v.Size.Cores, MemoryMb: v.Size.MemoryMB, Accelerators: v.Size.Accelerators,
+		})
+	}
+	return wire
+}
+
+func vmsFromWire(wire []*peer.VmState) map[string]fleet.VM {
+	vms := make(map[string]fleet.VM, len(wire))
+	for _, w := range wire {
+		vms[w.GetName()] = fleet.VM{
+			Name: w.GetName(), Pool: w.GetPool(), Epoch: w.GetEpoch(), Phase: fleet.Phase(w.GetPhase()),
+			PhaseSince: timeFromWire(w.GetPhaseSinceNs()), Maintained: timeFromWire(w.GetMaintainedNs()),
+			Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Switch: w.GetSwitch(), Rack: w.GetRack()},
+			Size:   fleet.Size{Cores: w.GetCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
+		}
+	}
+	return vms
+}
+
+func requestsToWire(requests []state.Request) []*peer.KeptRequest {
+	wire := make([]*peer.KeptRequest, 0, len(requests))
+	for _, r := range requests {
+		wire = append(wire, &peer.KeptRequest{Id: r.ID, Result: ResultToWire(r.Result)})
+	}
+	return wire
+}
+
+func requestsFromWire(wire []*peer.KeptRequest) []state.Request {
+	requests := make([]state.Request, 0, len(wire))
+	for _, w := range wire {
+		requests = append(requests, state.Request{ID: w.GetId(), Result: ResultFromWire(w.GetResult())})
+	}
+	return requests
+}
