Keep each VM in exactly one pool through its life

Cause: the state machine knew no VM changes. A VM now joins, drains, stops, moves, returns on probation, activates and fails by a table of rules. A change builds on an epoch, which rises with each change of pool and each repair, and may build on a version, which rises with each change: without it a late stop of a cancelled drain would stop the next drain's VM before it had drained.

Ruled out: raising the epoch with each drain, as a cancelled drain would then fence the VM's own running endpoints off.

--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -66,6 +66,8 @@
 	switch {
 	case c.Document != nil:
 		return m.applyDocument(*c.Document)
+	case c.VM != nil:
+		return m.applyVM(*c.VM, m.state.Time)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
--- a/internal/model/fleet/vm.go
+++ b/internal/model/fleet/vm.go
@@ -44,14 +44,24 @@
 	Name string
 	// Pool is the one pool that the VM belongs to.
 	Pool string
-	// Epoch rises with each change of pool; what carries an older one is fenced off.
+	// Epoch rises with each change of pool and each repair; what carries an older one is fenced off.
 	Epoch uint64
+	// Version rises with each change of the VM; a change that builds on an older one is refused.
+	Version uint64
 	// Phase is where the VM is in its life.
 	Phase Phase
 	// PhaseSince is when the phase began.
 	PhaseSince time.Time
 	// Maintained is when the VM was last maintained; zero for never.
 	Maintained time.Time
+	// Failed is when the VM was last lost; zero for never.
+	Failed time.Time
+	// Target is the pool that the VM is on its way to; empty where it stays.
+	Target string
+	// Work names what took the VM out: a wave, a move or an operator's drain.
+	Work string
+	// Cause tells an operator why the VM is in its phase.
+	Cause string
 	// Domain is where the VM stands.
 	Domain Domain
 	// Size is what the VM has.
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -90,8 +90,12 @@
 	VM string
 	// Epoch is the epoch that the change builds on; 0 for a VM that is not known yet.
 	Epoch uint64
-	// Pool is the pool to join or move to.
+	// Version is the VM's version that the change builds on; 0 for any.
+	Version uint64
+	// Pool is the pool to join or move to; on a drain, where the VM goes after it.
 	Pool string
+	// Work names what the change is part of: a wave, a move or an operator's drain.
+	Work string
 	// Domain is where the VM stands, for a join.
 	Domain fleet.Domain
 	// Size is what the VM has, for a join.
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -107,7 +107,7 @@
 		Vm: c.VM, Epoch: c.Epoch, Step: uint32(c.Step), Pool: c.Pool,
 		DataCentre: c.Domain.DataCentre, Rack: c.Domain.Rack, Switch: c.Domain.Switch,
 		Cores: c.Size.Cores, MemoryMb: c.Size.MemoryMB, Accelerators: c.Size.Accelerators,
-		Cause: c.Cause,
+		Cause: c.Cause, Version: c.Version, Work: c.Work,
 	}
 }
 
@@ -116,7 +116,7 @@
 		Step: record.VMStep(w.GetStep()), VM: w.GetVm(), Epoch: w.GetEpoch(), Pool: w.GetPool(),
 		Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Rack: w.GetRack(), Switch: w.GetSwitch()},
 		Size:   fleet.Size{Cores: w.GetCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
-		Cause:  w.GetCause(),
+		Cause:  w.GetCause(), Version: w.GetVersion(), Work: w.GetWork(),
 	}
 }
 
