--- a/doc.go
+++ b/doc.go
@@ -8,4 +8,5 @@
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
+//go:generate go tool -modfile=tools/go.mod stringer -type=Class,Verdict -linecomment -output=internal/edge/queue/enums_gen.go ./internal/edge/queue
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
