--- /dev/null
+++ b/internal/wire/codec/fields_test.go
@@ -0,0 +1,107 @@
+package codec_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/codec"
+)
+
+// TestStateHoldsEveryField checks that a snapshot loses no field, also one that was added later.
+func TestStateHoldsEveryField(t *testing.T) {
+	is := is.New(t)
+	var want state.State
+	fill(reflect.ValueOf(&want).Elem(), new(int64))
+	data, err := codec.Codec{}.EncodeState(&want)
+	is.NoErr(err)
+	got, err := codec.Codec{}.DecodeState(data)
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// TestCommandHoldsEveryField checks the same of each change that a log entry can hold.
+func TestCommandHoldsEveryField(t *testing.T) {
+	is := is.New(t)
+	kind := reflect.TypeFor[record.Command]()
+	for i := range kind.NumField() {
+		if kind.Field(i).Type.Kind() != reflect.Pointer {
+			continue
+		}
+		want := record.Command{RequestID: "request", Time: time.Unix(5, 0).UTC()}
+		fill(reflect.ValueOf(&want).Elem().Field(i), new(int64))
+		data, err := codec.Codec{}.EncodeCommand(want)
+		is.NoErr(err)
+		got, err := codec.Codec{}.DecodeCommand(data)
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+}
+
+// TestMessageHoldsEveryField checks the same of messages between replicas and of results.
+func TestMessageHoldsEveryField(t *testing.T) {
+	is := is.New(t)
+	var message quorum.Message
+	fill(reflect.ValueOf(&message).Elem(), new(int64))
+	is.Equal(codec.MessagesFromWire(codec.MessagesToWire([]quorum.Message{message})), []quorum.Message{message})
+	var result record.Result
+	fill(reflect.ValueOf(&result).Elem(), new(int64))
+	is.Equal(codec.ResultFromWire(codec.ResultToWire(result)), result)
+}
+
+// fill sets every field to a value that no other has; slices and maps get one element.
+func fill(v reflect.Value, next *int64) {
+	*next++
+	if v.Type() == reflect.TypeFor[time.Time]() {
+		v.Set(reflect.ValueOf(time.Unix(*next, 0).UTC()))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), next)
+		}
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), next)
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0), next)
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i), next)
+		}
+	case reflect.Map:
+		fillMap(v, next)
+	case reflect.String:
+		v.SetString(string(rune('A'+*next%26)) + time.Unix(*next, 0).UTC().Format("150405"))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64, reflect.Int32:
+		v.SetInt(*next)
+	case reflect.Uint, reflect.Uint64, reflect.Uint32, reflect.Uint8:
+		v.SetUint(uint64(*next))
+	case reflect.Float64:
+		v.SetFloat(float64(*next))
+	default:
+		panic("fill: " + v.Type().String())
+	}
+}
+
+// fillMap sets one element under its own first string field, which is its name.
+func fillMap(v reflect.Value, next *int64) {
+	element := reflect.New(v.Type().Elem()).Elem()
+	fill(element, next)
+	key := reflect.New(v.Type().Key()).Elem()
+	fill(key, next)
+	if element.Kind() == reflect.Struct && key.Kind() == reflect.String {
+		key.SetString(element.Field(0).String())
+	}
+	v.Set(reflect.MakeMap(v.Type()))
+	v.SetMapIndex(key, element)
+}
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -110,6 +110,7 @@
 			Name: v.Name, Pool: v.Pool, Epoch: v.Epoch, Phase: uint32(v.Phase),
 			PhaseSinceNs: timeToWire(v.PhaseSince), MaintainedNs: timeToWire(v.Maintained),
 			DataCentre: v.Domain.DataCentre, Switch: v.Domain.Switch, Rack: v.Domain.Rack,
+			Version: v.Version, FailedNs: timeToWire(v.Failed), Target: v.Target, Work: v.Work, Cause: v.Cause,
 			Cores: v.Size.Cores, MemoryMb: v.Size.MemoryMB, Accelerators: v.Size.Accelerators,
 		})
 	}
@@ -122,6 +123,8 @@
 		vms[w.GetName()] = fleet.VM{
 			Name: w.GetName(), Pool: w.GetPool(), Epoch: w.GetEpoch(), Phase: fleet.Phase(w.GetPhase()),
 			PhaseSince: timeFromWire(w.GetPhaseSinceNs()), Maintained: timeFromWire(w.GetMaintainedNs()),
+			Version: w.GetVersion(), Failed: timeFromWire(w.GetFailedNs()),
+			Target: w.GetTarget(), Work: w.GetWork(), Cause: w.GetCause(),
 			Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Switch: w.GetSwitch(), Rack: w.GetRack()},
 			Size:   fleet.Size{Cores: w.GetCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
 		}
