--- a/internal/app/daemon/listen.go
+++ b/internal/app/daemon/listen.go
@@ -14,6 +14,7 @@
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/wire/certs"
+	"cowslipstack/internal/wire/dial"
 )
 
 const (
@@ -57,6 +58,7 @@
 		*w.target = listener
 		lc.Append(fx.StopHook(func() { _ = listener.Close() }))
 	}
+	l.peers = dial.CountListener(l.peers)
 	if source != nil {
 		l.peers = tls.NewListener(l.peers, source.Server())
 		l.operators = tls.NewListener(l.operators, source.Server())
--- a/internal/wire/certs/files.go
+++ b/internal/wire/certs/files.go
@@ -17,9 +17,6 @@
 // reloadInterval is the shortest time between two looks at the files.
 const reloadInterval = 5 * time.Second
 
-// dialTimeout bounds a TCP connect and the TLS handshake.
-const dialTimeout = 2 * time.Second
-
 // Files names the PEM files of one process; the zero value means no TLS.
 type Files struct {
 	// Authority holds the certificates that sign all processes' and operators' certificates.
@@ -70,26 +67,39 @@
 	}
 }
 
-// Dial opens a connection to a server whose certificate the authority signed for the address's host.
-func (s *Source) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Wrap(err, "split address")
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that opens connections by dial and secures them: the server's
+// certificate must be signed by the authority for the address's host.
+func (s *Source) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Wrap(err, "split address")
+		}
+		plain, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(plain, s.client(host))
+		if err := secured.HandshakeContext(ctx); err != nil {
+			return nil, errors.CombineErrors(errors.Wrap(err, "dial with TLS"), plain.Close())
+		}
+		return secured, nil
 	}
-	// Each connection takes the present files, so that none is checked against old ones.
+}
+
+// client returns settings for one connection, so that none is checked against old files.
+func (s *Source) client(host string) *tls.Config {
 	pair, pool := s.current()
-	dialer := &tls.Dialer{
-		NetDialer: &net.Dialer{Timeout: dialTimeout},
-		Config: &tls.Config{
-			MinVersion:   tls.VersionTLS13,
-			ServerName:   host,
-			RootCAs:      pool,
-			Certificates: []tls.Certificate{*pair},
-			NextProtos:   []string{"h2", "http/1.1"},
-		},
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		ServerName:   host,
+		RootCAs:      pool,
+		Certificates: []tls.Certificate{*pair},
+		NextProtos:   []string{"h2", "http/1.1"},
 	}
-	conn, err := dialer.DialContext(ctx, network, address)
-	return conn, errors.Wrap(err, "dial with TLS")
 }
 
 // current returns the present certificate and authority, read again where the files have changed.
--- a/internal/wire/dial/client.go
+++ b/internal/wire/dial/client.go
@@ -18,9 +18,11 @@
 // NewClient returns an HTTP/2 client for the system's own processes, with TLS where a source
 // is given; it is safe for concurrent use.
 func NewClient(source *certs.Source) *http.Client {
+	dialPlain := dialCounted((&net.Dialer{Timeout: connectTimeout}).DialContext)
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		Protocols:   new(http.Protocols),
+		DialContext:         dialPlain,
+		TLSHandshakeTimeout: connectTimeout,
+		Protocols:           new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingAfter,
 			PingTimeout:      pingTimeout,
@@ -32,7 +34,7 @@
 		return &http.Client{Transport: transport}
 	}
 	transport.Protocols.SetHTTP2(true)
-	transport.DialTLSContext = source.Dial
+	transport.DialTLSContext = source.Dialer(dialPlain)
 	return &http.Client{Transport: secured{transport: transport}}
 }
 
