--- a/doc.go
+++ b/doc.go
@@ -8,6 +8,6 @@
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
-//go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
+//go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role,ChangeKind -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
 //go:generate sh -c "go run ./cmd/cowslipd --reference > docs/SETTINGS.md"
 //go:generate sh -c "go run ./cmd/cowslip reference > docs/DOCUMENT.md"
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -1,7 +1,11 @@
 package daemon
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -25,64 +29,58 @@
 	fx.Invoke(startControl),
 )
 
+// ticksPerHeartbeat divides the time between heartbeats into ticks of the log.
+const ticksPerHeartbeat = 5
+
 func newNode(settings conf.Daemon, lc fx.Lifecycle, l *loop.Loop, c clock.Clock, logger *zap.Logger, sender *dial.Replicas) (*node.Node, error) {
-	log, entries, err := store.Open(settings.Control.DataFolder, codec.Codec{})
+	log, found, err := store.Open(settings.Control.DataFolder, string(settings.Name), codec.Codec{})
 	if err != nil {
 		return nil, err
 	}
 	lc.Append(fx.StopHook(log.Close))
-	options := quorum.Options{Entries: entries}
-	for id, name := range replicaNames(settings) {
-		options.Voters = append(options.Voters, id)
-		if name == string(settings.Name) {
-			options.ID = id
-		}
-	}
+	logger.Info("data_folder_opened", zap.String("identity", fmt.Sprintf("%016x", uint64(found.Identity.ID))),
+		zap.Uint64("snapshot", found.Snapshot.Index), zap.Int("entries", len(found.Entries)), zap.Int("torn_bytes", found.Torn))
+	tick := conf.Milliseconds(settings.Control.HeartbeatMs) / ticksPerHeartbeat
 	return node.New(node.Options{
-		Loop: l, Clock: c, Logger: logger, Replica: quorum.New(options),
-		Transport: sender, Codec: codec.Codec{}, Disk: log,
-		Heartbeat: conf.Milliseconds(settings.Control.HeartbeatMs),
-	}), nil
+		Self: quorum.Member{ID: found.Identity.ID, Name: found.Identity.Name}, Agreed: found.Identity.Agreed,
+		Loop: l, Clock: c, Logger: logger, Snapshot: found.Snapshot,
+		Replica: quorum.New(quorum.Options{
+			ID: found.Identity.ID, Hard: found.Hard, Snapshot: found.Snapshot, Entries: found.Entries,
+			HeartbeatTicks: ticksPerHeartbeat,
+			ElectionTicks:  int(conf.Milliseconds(settings.Control.ElectionMs) / tick),
+			Random:         rand.IntN,
+		}),
+		Transport: sender, Codec: codec.Codec{}, Disk: log, Tick: tick,
+		SnapshotRecords: uint64(settings.Control.SnapshotRecords),
+	})
 }
 
 func newKeeper(n *node.Node, c clock.Clock) *lease.Keeper {
 	return lease.NewKeeper(n, c)
 }
 
-func newReplicaSender(settings conf.Daemon, client *http.Client, logger *zap.Logger) *dial.Replicas {
-	others := map[quorum.ReplicaID]string{}
-	for i, p := range settings.ControlPeers() {
-		if p.Name != settings.Name {
-			others[replicaID(i)] = p.Address
-		}
-	}
-	return dial.NewReplicas(client, others, logger)
+func newReplicaSender(settings conf.Daemon, client *http.Client, control *dial.Control, logger *zap.Logger) *dial.Replicas {
+	others := slices.DeleteFunc(targets(settings.ControlPeers()), func(t dial.Target) bool { return t.Name == string(settings.Name) })
+	return dial.NewReplicas(client, string(settings.Name), others, control, logger)
 }
 
-func newReplicaService(n *node.Node) *serve.Replica {
-	return &serve.Replica{Node: n}
+func newReplicaService(settings conf.Daemon, n *node.Node) *serve.Replica {
+	s := &serve.Replica{Group: n}
+	for _, p := range settings.ControlPeers() {
+		s.Names = append(s.Names, string(p.Name))
+	}
+	return s
 }
 
-func newControlService(settings conf.Daemon, n *node.Node, k *lease.Keeper, c clock.Clock) *serve.Control {
-	return &serve.Control{Node: n, Keeper: k, Clock: c, Names: replicaNames(settings)}
+func newControlService(n *node.Node, k *lease.Keeper, c clock.Clock) *serve.Control {
+	return &serve.Control{Node: n, Keeper: k, Clock: c}
 }
 
 func startControl(n *node.Node, sender *dial.Replicas, g *tasks.Group) {
 	g.Start("disk", n.RunDisk)
 	g.Start("node", n.Run)
-	for _, id := range sender.IDs() {
-		g.Start("replica_sender", senderRun(sender, id))
+	g.Start("join", func(ctx context.Context) error { return n.RunJoin(ctx, sender) })
+	for _, name := range sender.Names() {
+		g.Start("replica_sender", func(ctx context.Context) error { return sender.Run(ctx, name) })
 	}
 }
-
-func replicaNames(settings conf.Daemon) map[quorum.ReplicaID]string {
-	names := map[quorum.ReplicaID]string{}
-	for i, p := range settings.ControlPeers() {
-		names[replicaID(i)] = string(p.Name)
-	}
-	return names
-}
-
-func replicaID(index int) quorum.ReplicaID {
-	return quorum.ReplicaID(index + 1)
-}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -99,17 +99,17 @@
 }
 
 func newControlClient(settings conf.Daemon, client *http.Client) *dial.Control {
-	return dial.NewControl(client, addresses(settings.ControlPeers()))
+	return dial.NewControl(client, targets(settings.ControlPeers()))
 }
 
 func startLoop(l *loop.Loop, g *tasks.Group) {
 	g.Start("control_loop", l.Run)
 }
 
-func addresses(peers []conf.Peer) []string {
-	all := make([]string, 0, len(peers))
+func targets(peers []conf.Peer) []dial.Target {
+	all := make([]dial.Target, 0, len(peers))
 	for _, p := range peers {
-		all = append(all, p.Address)
+		all = append(all, dial.Target{Name: string(p.Name), Address: p.Address})
 	}
 	return all
 }
--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -11,7 +11,6 @@
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
-	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/edge/agent"
 	"cowslipstack/internal/edge/enrol"
 	"cowslipstack/internal/edge/front"
@@ -89,8 +88,3 @@
 		g.Start("entry_sender", func(ctx context.Context) error { return others.Run(ctx, i) })
 	}
 }
-
-// senderRun returns the goroutine that delivers to one replica.
-func senderRun(sender *dial.Replicas, id quorum.ReplicaID) func(context.Context) error {
-	return func(ctx context.Context) error { return sender.Run(ctx, id) }
-}
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -34,6 +34,7 @@
 	handler := http.NewServeMux()
 	if parts.Replica != nil {
 		handler.Handle(peer.NewReplicaHandler(parts.Replica))
+		handler.Handle(peer.NewMembersHandler(parts.Replica))
 	}
 	if parts.Control != nil {
 		handler.Handle(peer.NewControlHandler(parts.Control))
@@ -68,6 +69,8 @@
 	router := mux.NewRouter()
 	path, handler := peer.NewOperatorHandler(service)
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewMembersHandler(parts.Control)
+	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
--- a/internal/ctrl/node/node.go
+++ b/internal/ctrl/node/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -14,69 +13,112 @@
 	"cowslipstack/internal/model/record"
 )
 
-// Transport sends messages to other replicas; it must not block and may lose them.
+// Transport sends messages to other replicas; its methods are called on the loop and must not block.
 type Transport interface {
-	Send(messages []quorum.Message)
+	// Send sends messages; they may be lost.
+	Send([]quorum.Message)
+	// Know tells which process holds a replica.
+	Know(quorum.ReplicaID, string)
 }
 
-// Codec turns commands into the bytes of log entries and back.
+// Codec turns commands and the state into bytes and back.
 type Codec interface {
 	EncodeCommand(record.Command) ([]byte, error)
 	DecodeCommand([]byte) (record.Command, error)
+	EncodeState(*state.State) ([]byte, error)
+	DecodeState([]byte) (state.State, error)
 }
 
-// Disk syncs log entries; it may block.
+// Disk keeps the log; it may block.
 type Disk interface {
-	Append([]quorum.Entry) error
+	// Save returns once writes are synced.
+	Save([]quorum.Write) error
+	// Agree returns once the first members of a group are synced.
+	Agree([]quorum.Member) error
 }
 
 // Options says what a node works with; all fields are needed.
 type Options struct {
+	// Self is this replica; whether it votes is for the log to say.
+	Self quorum.Member
+	// Agreed are the first members that this replica has agreed to, nil for none.
+	Agreed []quorum.Member
 	// Loop owns the node's state.
 	Loop *loop.Loop
-	// Clock gives the heartbeats.
+	// Clock gives the ticks.
 	Clock clock.Clock
 	// Logger takes the node's events.
 	Logger *zap.Logger
 	// Replica is the log, with what the disk held.
 	Replica *quorum.Replica
+	// Snapshot is what the disk held of the state; its index is 0 for nothing.
+	Snapshot quorum.Snapshot
 	// Transport reaches the other replicas.
 	Transport Transport
-	// Codec encodes commands.
+	// Codec encodes commands and the state.
 	Codec Codec
 	// Disk syncs the log.
 	Disk Disk
-	// Heartbeat is the time between ticks.
-	Heartbeat time.Duration
+	// Tick is the time between ticks of the log.
+	Tick time.Duration
+	// SnapshotRecords is the count of records between snapshots.
+	SnapshotRecords uint64
 }
 
 // Node is one control process's part in the replicated state; its exported methods are safe for concurrent use.
 type Node struct {
 	options Options
 	machine *state.Machine
-	// writes holds what waits for the disk; its room bounds what one node has in flight.
-	writes  chan []quorum.Entry
-	waiting map[uint64]chan record.Result
-	reads   map[uint64]chan struct{}
+	jobs    *jobs
+
+	// The fields below belong to the loop.
+	waiting map[uint64]waiter
+	reads   map[uint64]chan error
+	agreed  []quorum.Member
+	// applied and snapshotted are the last indexes that are in the machine and in a snapshot.
+	applied     uint64
+	snapshotted uint64
+	known       uint64
+	leader      quorum.ReplicaID
+	leaderTerm  uint64
+	deposed     chan struct{}
+	failure     error
+}
+
+// waiter waits for one entry to be applied.
+type waiter struct {
+	term uint64
+	done chan outcome
 }
 
-// writesWaiting is the most batches that wait for the disk.
-const writesWaiting = 1024
+// outcome is what a waiter hears.
+type outcome struct {
+	result record.Result
+	err    error
+}
 
-// New returns a node; it does nothing until it is run.
-func New(o Options) *Node {
-	return &Node{
+// New returns a node on what its disk held; it does nothing until it is run.
+func New(o Options) (*Node, error) {
+	n := &Node{
 		options: o,
 		machine: state.NewMachine(),
-		writes:  make(chan []quorum.Entry, writesWaiting),
-		waiting: map[uint64]chan record.Result{},
-		reads:   map[uint64]chan struct{}{},
+		jobs:    newJobs(),
+		waiting: map[uint64]waiter{},
+		reads:   map[uint64]chan error{},
+		agreed:  o.Agreed,
+		deposed: make(chan struct{}),
 	}
+	if o.Snapshot.Index > 0 {
+		if err := n.restore(o.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
 }
 
 // Run ticks the log until the context ends.
 func (n *Node) Run(ctx context.Context) error {
-	ticker := n.options.Clock.NewTicker(n.options.Heartbeat)
+	ticker := n.options.Clock.NewTicker(n.options.Tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -84,8 +126,7 @@
 			return nil
 		case <-ticker.C():
 			tick := func() {
-				n.options.Replica.Tick()
-				n.drive()
+				n.step(n.options.Replica.Tick)
 			}
 			if err := n.options.Loop.Post(ctx, tick); err != nil {
 				return nil
@@ -94,150 +135,134 @@
 	}
 }
 
-// RunDisk syncs the log until the context ends; it fails where the disk does.
-func (n *Node) RunDisk(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case entries := <-n.writes:
-			if err := n.sync(ctx, entries); err != nil {
-				return err
+// Deliver takes messages from the named process.
+func (n *Node) Deliver(ctx context.Context, name string, messages []quorum.Message) error {
+	return n.options.Loop.Post(ctx, func() {
+		n.step(func() {
+			for _, m := range messages {
+				n.options.Transport.Know(m.From, name)
+				n.options.Replica.Step(m)
 			}
-		}
-	}
+		})
+	})
 }
 
-// sync writes a batch and all others that wait under one sync.
-func (n *Node) sync(ctx context.Context, entries []quorum.Entry) error {
-	for len(n.writes) > 0 {
-		entries = append(entries, <-n.writes...)
-	}
-	if err := n.options.Disk.Append(entries); err != nil {
-		return errors.Wrap(err, "replicated log")
-	}
-	last := entries[len(entries)-1].Index
-	persisted := func() {
-		n.options.Replica.Persisted(last)
-		n.drive()
-	}
-	if err := n.options.Loop.Post(ctx, persisted); err != nil {
-		return nil
-	}
-	return nil
+// View runs a function on the loop with the state for reading; the function must copy what it keeps.
+func (n *Node) View(ctx context.Context, view func(*state.State)) error {
+	return n.options.Loop.Call(ctx, func() { view(n.machine.State()) })
 }
 
-// Deliver takes messages from another replica.
-func (n *Node) Deliver(ctx context.Context, messages []quorum.Message) error {
-	return n.options.Loop.Post(ctx, func() {
-		for _, m := range messages {
-			n.options.Replica.Step(m)
-		}
-		n.drive()
-	})
+// Leader returns the name of the process that leads, empty where none is known.
+func (n *Node) Leader(ctx context.Context) (string, error) {
+	var name string
+	err := n.options.Loop.Call(ctx, func() { name = n.leaderName() })
+	return name, err
 }
 
-// Submit proposes a command and waits for its result; it fails with quorum.ErrNotLeader on a follower.
-// Where it fails otherwise, the command may still be applied.
-func (n *Node) Submit(ctx context.Context, c record.Command) (record.Result, error) {
-	data, err := n.options.Codec.EncodeCommand(c)
-	if err != nil {
-		return record.Result{}, errors.Wrap(err, "encode command")
-	}
-	result := make(chan record.Result, 1)
-	var index uint64
-	var refused error
-	propose := func() {
-		if index, refused = n.options.Replica.Propose(data); refused == nil {
-			n.waiting[index] = result
-			n.drive()
-		}
-	}
-	if err := n.options.Loop.Call(ctx, propose); err != nil {
-		return record.Result{}, err
-	}
-	if refused != nil {
-		return record.Result{}, refused
+// step runs a step of the log and does what the log wants done; it runs on the loop.
+func (n *Node) step(step func()) {
+	if n.failure != nil {
+		return
 	}
-	select {
-	case r := <-result:
-		return r, nil
-	case <-ctx.Done():
-		return record.Result{}, errors.Wrap(ctx.Err(), "wait for the command to be applied")
+	step()
+	n.handle(n.options.Replica.Take())
+	if n.applied >= n.snapshotted+n.options.SnapshotRecords {
+		n.snapshot()
+		n.handle(n.options.Replica.Take())
 	}
+	n.observe()
 }
 
-// Confirm returns once a quorum has confirmed that this replica led when Confirm was called.
-func (n *Node) Confirm(ctx context.Context) error {
-	done := make(chan struct{})
-	var refused error
-	read := func() {
-		var id uint64
-		if id, refused = n.options.Replica.Read(); refused == nil {
-			n.reads[id] = done
-			n.drive()
-		}
-	}
-	if err := n.options.Loop.Call(ctx, read); err != nil {
-		return err
+func (n *Node) handle(out quorum.Output) {
+	if out.Deposed {
+		n.release(ErrUnknown)
+		close(n.deposed)
+		n.deposed = make(chan struct{})
 	}
-	if refused != nil {
-		return refused
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "wait for a quorum's confirmation")
-	}
-}
-
-// View runs a function on the loop with the state for reading; the function must copy what it keeps.
-func (n *Node) View(ctx context.Context, view func(*state.State)) error {
-	return n.options.Loop.Call(ctx, func() { view(n.machine.State()) })
-}
-
-// Leader returns the replica that leads, 0 where none is known.
-func (n *Node) Leader(ctx context.Context) (quorum.ReplicaID, error) {
-	var leader quorum.ReplicaID
-	err := n.options.Loop.Call(ctx, func() { leader = n.options.Replica.Leader() })
-	return leader, err
-}
-
-// drive does what the log wants done; it runs on the loop.
-func (n *Node) drive() {
-	out := n.options.Replica.Take()
-	if len(out.Append) > 0 {
-		n.writes <- out.Append
+	if out.Write != nil {
+		n.jobs.add(job{write: out.Write})
 	}
 	if len(out.Messages) > 0 {
 		n.options.Transport.Send(out.Messages)
 	}
+	if out.Restore != nil {
+		if err := n.restore(*out.Restore); err != nil {
+			n.fail(err)
+			return
+		}
+	}
 	for _, e := range out.Committed {
 		n.apply(e)
 	}
 	for _, id := range out.Reads {
 		if done, ok := n.reads[id]; ok {
-			close(done)
+			done <- nil
 			delete(n.reads, id)
 		}
 	}
 }
 
 func (n *Node) apply(e quorum.Entry) {
-	if e.Kind != quorum.EntryCommand {
-		return
-	}
-	c, err := n.options.Codec.DecodeCommand(e.Data)
-	if err != nil {
-		n.options.Logger.Error("command_not_decoded", zap.Uint64("index", e.Index), zap.Error(err))
-		return
+	n.applied = e.Index
+	var o outcome
+	if e.Kind == quorum.EntryCommand {
+		c, err := n.options.Codec.DecodeCommand(e.Data)
+		if err != nil {
+			n.options.Logger.Error("command_not_decoded", zap.Uint64("index", e.Index), zap.Error(err))
+		}
+		o.result = n.machine.Apply(e.Index, c)
+		n.options.Logger.Debug("command_applied", zap.Uint64("index", e.Index), zap.String("request_id", c.RequestID),
+			zap.Stringer("code", o.result.Code), zap.Uint64("revision", o.result.Revision))
 	}
-	result := n.machine.Apply(e.Index, c)
-	n.options.Logger.Info("command_applied", zap.Uint64("index", e.Index), zap.String("request_id", c.RequestID),
-		zap.Stringer("code", result.Code), zap.Uint64("revision", result.Revision))
-	if waiting, ok := n.waiting[e.Index]; ok {
-		waiting <- result
+	if w, ok := n.waiting[e.Index]; ok {
+		if w.term != e.Term {
+			o = outcome{err: ErrUnknown}
+		}
+		w.done <- o
 		delete(n.waiting, e.Index)
 	}
 }
+
+// observe passes on who the members are and logs a change of leader.
+func (n *Node) observe() {
+	r := n.options.Replica
+	if index := r.MembersIndex(); index != n.known {
+		n.known = index
+		for _, m := range r.Members() {
+			n.options.Transport.Know(m.ID, m.Name)
+		}
+	}
+	if leader := r.Leader(); leader != n.leader || r.Term() != n.leaderTerm {
+		n.leader, n.leaderTerm = leader, r.Term()
+		n.options.Logger.Info("leader_changed", zap.String("leader", n.leaderName()), zap.Uint64("term", r.Term()),
+			zap.Stringer("role", r.Role()))
+	}
+}
+
+func (n *Node) leaderName() string {
+	for _, m := range n.options.Replica.Members() {
+		if m.ID == n.options.Replica.Leader() {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// release tells all that wait that they wait in vain.
+func (n *Node) release(err error) {
+	for _, w := range n.waiting {
+		w.done <- outcome{err: err}
+	}
+	for _, done := range n.reads {
+		done <- err
+	}
+	clear(n.waiting)
+	clear(n.reads)
+}
+
+// fail ends this replica's part in the log; the process goes on, so that its other roles do.
+func (n *Node) fail(err error) {
+	n.failure = err
+	n.options.Logger.Error("replica_stopped", zap.Error(err))
+	n.release(err)
+}
--- a/internal/ctrl/quorum/replica.go
+++ b/internal/ctrl/quorum/replica.go
@@ -4,227 +4,324 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
 )
 
-// ErrNotLeader says that a proposal went to a replica that doesn't lead.
-var ErrNotLeader = errors.New("this replica does not lead")
+var (
+	// ErrNotLeader says that a proposal went to a replica that doesn't lead.
+	ErrNotLeader = errors.New("this replica does not lead")
+	// ErrBusy says that the leader takes no proposal at present; nothing was done.
+	ErrBusy = errors.New("the leader takes no proposal at present")
+)
 
-// Options says who a replica is and who the others are.
+const (
+	// maxUncommittedBytes bounds what a leader takes on before a quorum has synced it.
+	maxUncommittedBytes = 16 << 20
+	// keptEntries is the count of entries before a snapshot that are kept for followers that lag a little.
+	keptEntries = 1024
+	// maxHeld bounds the messages that wait for the hard state; beyond it they are lost.
+	maxHeld = 1024
+)
+
+// Options says who a replica is and what its disk held.
 type Options struct {
 	// ID is this replica.
 	ID ReplicaID
-	// Voters are all voters, this replica included where it votes.
-	Voters []ReplicaID
-	// Entries are the entries that the disk holds, from index 1.
+	// Hard is the synced hard state.
+	Hard HardState
+	// Snapshot is the latest synced snapshot; its index is 0 where there is none.
+	Snapshot Snapshot
+	// Entries are the synced entries after the snapshot.
 	Entries []Entry
+	// HeartbeatTicks is the count of ticks between heartbeats.
+	HeartbeatTicks int
+	// ElectionTicks is the least count of ticks without a leader before an election.
+	ElectionTicks int
+	// Random returns a number from 0 up to, but not including, its argument.
+	Random func(int) int
 }
 
-// Output is what a replica wants done: first sync Append, then send Messages and apply Committed.
-type Output struct {
-	// Append is to be synced; Persisted is called once it is.
-	Append []Entry
-	// Messages are to be sent.
-	Messages []Message
-	// Committed are newly committed entries, in order.
-	Committed []Entry
-	// Reads are the contexts of reads that a quorum has confirmed.
-	Reads []uint64
+// Position names one entry for good.
+type Position struct {
+	// Index is the entry's place in the log.
+	Index uint64
+	// Term is the entry's term.
+	Term uint64
 }
 
 // Replica is one replica of the log; it is not safe for concurrent use.
 type Replica struct {
 	id      ReplicaID
-	voters  []ReplicaID
-	entries []Entry
-	synced  uint64
+	options Options
+	role    Role
+	hard    HardState
+	leader  ReplicaID
+	log     memory
 	commit  uint64
-	match   map[ReplicaID]uint64
-	reads   uint64
-	heard   map[ReplicaID]uint64
-	out     Output
+	// given is the last committed index that Take has handed out.
+	given       uint64
+	memberships []membership
+
+	// saved is the last index that was handed to the disk, synced the last that it reported.
+	saved        uint64
+	synced       uint64
+	writtenHard  HardState
+	syncedHard   HardState
+	writes       []pendingWrite
+	sequence     uint64
+	snapshotWork *Write
+	// held are messages that wait for the hard state to be synced.
+	held []Message
+
+	// matched is the last index that is known to be as the leader of the term has it.
+	matched uint64
+	// echo is the context of the leader's latest heartbeat.
+	echo    uint64
+	elapsed int
+	timeout int
+	granted map[ReplicaID]bool
+	partial *partialSnapshot
+
+	// The fields below are a leader's.
+	peers       map[ReplicaID]*progress
+	uncommitted int
+	reads       uint64
+	readsSent   uint64
+	readsDone   uint64
+	transferee  ReplicaID
+	transferFor int
+
+	out Output
 }
 
-// New returns a replica with what its disk holds.
+// pendingWrite is a write that the disk has not reported yet.
+type pendingWrite struct {
+	sequence uint64
+	last     uint64
+	hard     HardState
+}
+
+// New returns a replica with what its disk held.
 func New(o Options) *Replica {
-	return &Replica{
-		id:      o.ID,
-		voters:  slices.Clone(o.Voters),
-		entries: slices.Clone(o.Entries),
-		synced:  uint64(len(o.Entries)),
-		match:   map[ReplicaID]uint64{},
-		heard:   map[ReplicaID]uint64{},
+	r := &Replica{
+		id: o.ID, options: o, hard: o.Hard, writtenHard: o.Hard, syncedHard: o.Hard,
+		log: newMemory(o.Snapshot, o.Entries), commit: o.Snapshot.Index, given: o.Snapshot.Index,
+		memberships: []membership{{index: o.Snapshot.Index, members: o.Snapshot.Members}},
+	}
+	r.saved, r.synced = r.log.last(), r.log.last()
+	for _, e := range o.Entries {
+		r.note(e)
+	}
+	r.rest()
+	return r
+}
+
+// Bootstrap makes the first members of a group; all of them must have synced that they agree to it.
+func (r *Replica) Bootstrap(members []Member) {
+	if !check.That(!r.HasState(), "bootstrap_of_an_empty_replica", r.fields()...) {
+		return
 	}
+	r.hard = HardState{Term: 1}
+	r.append(Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: slices.Clone(members)})
+}
+
+// HasState says whether the replica holds a log or has seen a term.
+func (r *Replica) HasState() bool {
+	return r.log.last() > 0 || r.hard.Term > 0
 }
 
 // Leader returns the replica that leads, 0 where none is known.
 func (r *Replica) Leader() ReplicaID {
-	return slices.Min(r.voters)
+	return r.leader
 }
 
 // Role returns what this replica does at present.
 func (r *Replica) Role() Role {
-	if r.Leader() == r.id {
-		return RoleLeader
-	}
-	return RoleFollower
+	return r.role
 }
 
-// Take returns what is to be done since the last call.
-func (r *Replica) Take() Output {
-	out := r.out
-	r.out = Output{}
-	return out
+// Term returns the latest term that the replica has seen.
+func (r *Replica) Term() uint64 {
+	return r.hard.Term
 }
 
-// Propose adds a command to the log and returns its index; it fails on a follower.
-func (r *Replica) Propose(data []byte) (uint64, error) {
-	if r.Role() != RoleLeader {
-		return 0, ErrNotLeader
-	}
-	e := Entry{Index: r.last() + 1, Term: 1, Kind: EntryCommand, Data: data}
-	r.append(e)
-	r.send(0)
-	return e.Index, nil
+// Commit returns the index of the last entry that is known to be committed.
+func (r *Replica) Commit() uint64 {
+	return r.commit
 }
 
-// Read asks for a quorum's confirmation that this replica still leads; the context comes back in Output.Reads.
-func (r *Replica) Read() (uint64, error) {
-	if r.Role() != RoleLeader {
-		return 0, ErrNotLeader
+// Propose adds a command to the log; it fails with ErrNotLeader on a follower and with ErrBusy under back-pressure.
+func (r *Replica) Propose(data []byte) (Position, error) {
+	if err := r.proposable(); err != nil {
+		return Position{}, err
 	}
-	r.reads++
-	r.heard[r.id] = r.reads
-	r.send(r.reads)
-	r.confirm(r.reads - 1)
-	return r.reads, nil
+	return r.propose(Entry{Kind: EntryCommand, Data: data}), nil
 }
 
-// Tick lets a leader send its heartbeats; it is called once in each heartbeat interval.
+// Tick moves the replica's time on by one tick.
 func (r *Replica) Tick() {
-	if r.Role() == RoleLeader {
-		r.send(r.reads)
-	}
-}
-
-// Persisted tells that the log is synced up to an index.
-func (r *Replica) Persisted(index uint64) {
-	r.synced = max(r.synced, index)
-	if r.Role() == RoleLeader {
-		r.match[r.id] = r.synced
-		r.advance()
+	r.elapsed++
+	if r.role == RoleLeader {
+		r.tickLeader()
 		return
 	}
-	r.ack()
+	if r.elapsed >= r.timeout && r.votes(r.id) {
+		r.preCampaign()
+	}
 }
 
 // Step takes a message from another replica.
 func (r *Replica) Step(m Message) {
+	if m.To != r.id || !r.admit(m) {
+		return
+	}
 	switch m.Kind {
 	case MessageAppend:
 		r.stepAppend(m)
 	case MessageAppended:
 		r.stepAppended(m)
+	case MessagePreVote, MessageVote:
+		r.stepVote(m)
+	case MessagePreVoted, MessageVoted:
+		r.stepVoted(m)
+	case MessageSnapshot:
+		r.stepSnapshot(m)
+	case MessageSnapshotted:
+		r.stepSnapshotted(m)
+	case MessageElect:
+		r.stepElect(m)
 	default:
 	}
 }
 
-func (r *Replica) stepAppend(m Message) {
-	if m.LogIndex > r.last() {
-		r.reply(Message{Reject: true, Hint: r.last()})
-		return
+// Take returns what is to be done since the last call.
+func (r *Replica) Take() Output {
+	if r.role == RoleLeader {
+		r.replicateAll()
 	}
-	for _, e := range m.Entries {
-		if e.Index == r.last()+1 {
-			r.append(e)
-		}
+	out := r.out
+	r.out = Output{}
+	out.Write = r.takeWrite()
+	if r.given < r.commit {
+		out.Committed = r.log.upTo(r.given, r.commit)
+		r.given = r.commit
 	}
-	r.commitTo(min(m.Commit, r.last()))
-	r.heard[r.id] = m.Context
-	r.ack()
+	return out
 }
 
-func (r *Replica) stepAppended(m Message) {
-	if r.Role() != RoleLeader {
-		return
+// Persisted tells that all writes up to a sequence are synced.
+func (r *Replica) Persisted(sequence uint64) {
+	for len(r.writes) > 0 && r.writes[0].sequence <= sequence {
+		r.synced = max(r.synced, r.writes[0].last)
+		r.syncedHard = r.writes[0].hard
+		r.writes = r.writes[1:]
 	}
-	if m.Reject {
-		r.match[m.From] = min(m.Hint, r.last())
-		r.sendTo(m.From, r.reads)
-		return
+	if r.hard == r.syncedHard {
+		r.out.Messages = append(r.out.Messages, r.held...)
+		r.held = nil
+	}
+	switch r.role {
+	case RoleLeader:
+		r.advance()
+	case RoleCandidate:
+		if r.syncedHard == r.hard {
+			r.count(r.id, true)
+		}
+	case RoleFollower:
+		r.acknowledge()
+	default:
 	}
-	r.match[m.From] = max(r.match[m.From], m.LogIndex)
-	before := r.confirmed()
-	r.heard[m.From] = max(r.heard[m.From], m.Context)
-	r.confirm(before)
-	r.advance()
-}
-
-func (r *Replica) append(e Entry) {
-	r.entries = append(r.entries, e)
-	r.out.Append = append(r.out.Append, e)
-}
-
-func (r *Replica) last() uint64 {
-	return uint64(len(r.entries))
-}
-
-func (r *Replica) ack() {
-	r.reply(Message{LogIndex: r.synced, Context: r.heard[r.id]})
 }
 
-func (r *Replica) reply(m Message) {
-	m.Kind, m.From, m.To, m.Term = MessageAppended, r.id, r.Leader(), 1
-	r.out.Messages = append(r.out.Messages, m)
+// Compact takes the state machine's state at an applied index, and drops entries that it stands for.
+func (r *Replica) Compact(index uint64, data []byte) {
+	term, ok := r.log.term(index)
+	if !check.That(ok && index <= r.given, "snapshot_of_applied_entries", r.fields(zap.Uint64("index", index))...) {
+		return
+	}
+	s := Snapshot{Index: index, Term: term, Members: slices.Clone(r.membersAt(index)), Data: data}
+	r.log.compact(s, keptEntries)
+	r.fold(index)
+	r.snapshotWork = &Write{Snapshot: &s}
 }
 
-func (r *Replica) send(context uint64) {
-	for _, id := range r.voters {
-		if id != r.id {
-			r.sendTo(id, context)
+func (r *Replica) takeWrite() *Write {
+	w := r.snapshotWork
+	r.snapshotWork = nil
+	if r.saved < r.log.last() {
+		if w == nil {
+			w = &Write{}
+		}
+		w.Entries = r.log.upTo(r.saved, r.log.last())
+		r.saved = r.log.last()
+	}
+	if r.hard != r.writtenHard {
+		if w == nil {
+			w = &Write{}
 		}
+		hard := r.hard
+		w.Hard = &hard
+		r.writtenHard = r.hard
 	}
+	if w == nil {
+		return nil
+	}
+	r.sequence++
+	w.Sequence = r.sequence
+	r.writes = append(r.writes, pendingWrite{sequence: w.Sequence, last: r.saved, hard: r.writtenHard})
+	return w
 }
 
-func (r *Replica) sendTo(id ReplicaID, context uint64) {
-	from := r.match[id]
-	r.out.Messages = append(r.out.Messages, Message{
-		Kind: MessageAppend, From: r.id, To: id, Term: 1,
-		LogIndex: from, Commit: r.commit, Context: context,
-		Entries: slices.Clone(r.entries[from:]),
-	})
+// append adds an entry that follows the last one.
+func (r *Replica) append(e Entry) {
+	check.That(e.Index == r.log.last()+1, "log_has_no_gap", r.fields(zap.Uint64("index", e.Index))...)
+	r.log.entries = append(r.log.entries, e)
+	r.note(e)
 }
 
-func (r *Replica) advance() {
-	r.commitTo(r.quorumOf(r.match))
-	if r.commit > 0 && len(r.out.Committed) > 0 {
-		r.send(r.reads)
-	}
+// cut drops the entries after an index; a committed one is never dropped.
+func (r *Replica) cut(index uint64) {
+	check.That(index >= r.commit, "committed_entry_is_kept", r.fields(zap.Uint64("cut_after", index))...)
+	r.log.cut(index)
+	r.forget(index)
+	r.unsync(index)
 }
 
-func (r *Replica) commitTo(index uint64) {
-	if index > r.commit {
-		r.out.Committed = append(r.out.Committed, r.entries[r.commit:index]...)
-		r.commit = index
+// unsync takes back what is saved and synced beyond an index, also of writes under way.
+func (r *Replica) unsync(index uint64) {
+	r.saved = min(r.saved, index)
+	r.synced = min(r.synced, index)
+	for i := range r.writes {
+		r.writes[i].last = min(r.writes[i].last, index)
 	}
 }
 
-// confirmed returns the latest read that a quorum has heard of.
-func (r *Replica) confirmed() uint64 {
-	return r.quorumOf(r.heard)
+func (r *Replica) commitTo(index uint64) {
+	if index <= r.commit {
+		return
+	}
+	check.That(index <= r.log.last(), "committed_entry_is_held", r.fields(zap.Uint64("index", index))...)
+	r.commit = min(index, r.log.last())
 }
 
-func (r *Replica) confirm(before uint64) {
-	for c := before + 1; c <= r.confirmed(); c++ {
-		r.out.Reads = append(r.out.Reads, c)
+// send sends a message once the hard state is synced.
+func (r *Replica) send(m Message) {
+	m.From = r.id
+	if m.Term == 0 {
+		m.Term = r.hard.Term
+	}
+	if r.hard != r.syncedHard {
+		if len(r.held) < maxHeld {
+			r.held = append(r.held, m)
+		}
+		return
 	}
+	r.out.Messages = append(r.out.Messages, m)
 }
 
-// quorumOf returns the highest value that more than half of the voters have reached.
-func (r *Replica) quorumOf(values map[ReplicaID]uint64) uint64 {
-	var all []uint64
-	for _, id := range r.voters {
-		all = append(all, values[id])
-	}
-	slices.Sort(all)
-	return all[(len(all)-1)/2]
+func (r *Replica) fields(more ...zap.Field) []zap.Field {
+	return append(more, zap.Uint64("replica", uint64(r.id)), zap.Stringer("role", r.role), zap.Uint64("term", r.hard.Term),
+		zap.Uint64("leader", uint64(r.leader)), zap.Uint64("commit", r.commit), zap.Uint64("last", r.log.last()))
 }
--- /dev/null
+++ b/internal/ctrl/store/frame.go
@@ -0,0 +1,91 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// formatVersion is the version of all files' format.
+	formatVersion = 1
+	// fileHeaderBytes is the size of a file's kind and format version.
+	fileHeaderBytes = 8
+	// frameHeaderBytes is the size of a frame's marker, length and checksum.
+	frameHeaderBytes = 12
+	// maxFrameBytes bounds a frame; a larger length is damage.
+	maxFrameBytes = 256 << 20
+)
+
+// ErrDamaged says that the data folder holds what no crash leaves behind.
+var ErrDamaged = errors.New("data folder is damaged: move it away, start with an empty one, and run: cowslip replica replace NAME")
+
+var (
+	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
+	frameMarker = []byte{0xc0, 0x51, 0x1f, 0xf5}
+)
+
+// fileKind is the first four bytes of a file.
+type fileKind string
+
+const (
+	kindLog      fileKind = "cowl"
+	kindSnapshot fileKind = "cows"
+	kindIdentity fileKind = "cowi"
+)
+
+func fileHeader(kind fileKind) []byte {
+	return binary.LittleEndian.AppendUint32([]byte(kind), formatVersion)
+}
+
+// checkHeader returns what follows a file's header.
+func checkHeader(kind fileKind, name string, content []byte) ([]byte, error) {
+	if len(content) < fileHeaderBytes || string(content[:4]) != string(kind) {
+		return nil, errors.Wrapf(ErrDamaged, "%s: no header of kind %s", name, kind)
+	}
+	if v := binary.LittleEndian.Uint32(content[4:]); v != formatVersion {
+		return nil, errors.Newf("%s: format version %d; this program reads version %d", name, v, formatVersion)
+	}
+	return content[fileHeaderBytes:], nil
+}
+
+// appendFrame adds a frame around a payload.
+func appendFrame(buffer, payload []byte) []byte {
+	var length [4]byte
+	binary.LittleEndian.PutUint32(length[:], uint32(len(payload)))
+	sum := crc32.Update(crc32.Checksum(length[:], castagnoli), castagnoli, payload)
+	buffer = append(buffer, frameMarker...)
+	buffer = append(buffer, length[:]...)
+	buffer = binary.LittleEndian.AppendUint32(buffer, sum)
+	return append(buffer, payload...)
+}
+
+// readFrame returns the payload at the start of the content and the frame's size, or false where there is no whole frame.
+func readFrame(content []byte) ([]byte, int, bool) {
+	if len(content) < frameHeaderBytes || !bytes.Equal(content[:4], frameMarker) {
+		return nil, 0, false
+	}
+	size := int(binary.LittleEndian.Uint32(content[4:]))
+	if size > maxFrameBytes || size > len(content)-frameHeaderBytes {
+		return nil, 0, false
+	}
+	payload := content[frameHeaderBytes : frameHeaderBytes+size]
+	sum := crc32.Update(crc32.Checksum(content[4:8], castagnoli), castagnoli, payload)
+	return payload, frameHeaderBytes + size, sum == binary.LittleEndian.Uint32(content[8:])
+}
+
+// holdsFrame says whether a whole frame stands anywhere in the content.
+func holdsFrame(content []byte) bool {
+	for {
+		at := bytes.Index(content, frameMarker)
+		if at < 0 {
+			return false
+		}
+		if _, _, ok := readFrame(content[at:]); ok {
+			return true
+		}
+		content = content[at+1:]
+	}
+}
--- /dev/null
+++ b/internal/ctrl/store/identity.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/ctrl/quorum"
+)
+
+const (
+	identityName    = "identity"
+	temporarySuffix = ".tmp"
+)
+
+// Identity is who a replica is for the life of its data folder.
+type Identity struct {
+	// ID is random and never used again once the folder is lost.
+	ID quorum.ReplicaID
+	// Name is the name of the process.
+	Name string
+	// Agreed are the first members that the replica has agreed to, nil before that.
+	Agreed []quorum.Member
+}
+
+func newIdentity(name string) (Identity, error) {
+	var data [8]byte
+	for {
+		if _, err := rand.Read(data[:]); err != nil {
+			return Identity{}, errors.Wrap(err, "make identity")
+		}
+		if id := binary.LittleEndian.Uint64(data[:]); id != 0 {
+			return Identity{ID: quorum.ReplicaID(id), Name: name}, nil
+		}
+	}
+}
+
+// replaceFile writes a file whole, so that a crash leaves the old one or the new one.
+func replaceFile(f Folder, kind fileKind, name string, payload []byte) error {
+	temporary := name + temporarySuffix
+	file, err := f.Create(temporary)
+	if err != nil {
+		return errors.Wrapf(err, "create %s", temporary)
+	}
+	_, err = file.Write(appendFrame(fileHeader(kind), payload))
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
+		return errors.Wrapf(err, "write %s", temporary)
+	}
+	if err := f.Rename(temporary, name); err != nil {
+		return errors.Wrapf(err, "rename %s", temporary)
+	}
+	return f.Sync()
+}
+
+// readWhole returns the payload of a file that was written whole.
+func readWhole(f Folder, kind fileKind, name string) ([]byte, error) {
+	content, err := f.Read(name)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	rest, err := checkHeader(kind, name, content)
+	if err != nil {
+		return nil, err
+	}
+	payload, size, ok := readFrame(rest)
+	if !ok || size != len(rest) {
+		return nil, errors.Wrapf(ErrDamaged, "%s: checksum differs", name)
+	}
+	return payload, nil
+}
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -1,83 +1,119 @@
 package store
 
 import (
-	"bufio"
-	"encoding/binary"
-	"hash/crc32"
 	"io"
-	"os"
-	"path/filepath"
-	"syscall"
+	"slices"
+	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"cowslipstack/internal/ctrl/quorum"
 )
 
-const (
-	logName     = "log"
-	lockName    = "lock"
-	headerBytes = 8
-	// maxRecordBytes bounds what a damaged length can make the reader allocate.
-	maxRecordBytes = 64 << 20
-)
-
-// ErrInUse says that another process holds the data folder.
-var ErrInUse = errors.New("data folder is in use by another process")
+// segmentBytes is the size from which a new segment is begun.
+const segmentBytes = 4 << 20
 
-// ErrDamaged says that a record before the end of the log is damaged.
-var ErrDamaged = errors.New("log is damaged before its end; replace this replica")
+// ErrFailed says that an earlier write failed; what the disk holds is known only after a restart.
+var ErrFailed = errors.New("the data folder failed earlier; restart this process once the cause is mended")
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+var (
+	syncsTotal = metrics.NewCounter("cowslip_store_syncs_total")
+	bytesTotal = metrics.NewCounter("cowslip_store_written_bytes_total")
+)
 
-// Codec turns log entries into bytes and back.
+// Codec turns what the store holds into bytes and back.
 type Codec interface {
-	// EncodeEntry returns an entry's bytes.
-	EncodeEntry(quorum.Entry) ([]byte, error)
-	// DecodeEntry returns the entry that the bytes hold.
-	DecodeEntry([]byte) (quorum.Entry, error)
+	EncodeWrites([]quorum.Write) ([]byte, error)
+	DecodeWrites([]byte) ([]quorum.Write, error)
+	EncodeSnapshot(quorum.Snapshot) ([]byte, error)
+	DecodeSnapshot([]byte) (quorum.Snapshot, error)
+	EncodeIdentity(Identity) ([]byte, error)
+	DecodeIdentity([]byte) (Identity, error)
 }
 
 // Log is the write-ahead log of one replica; only one goroutine may use it.
 type Log struct {
-	codec Codec
-	lock  *os.File
-	file  *os.File
+	folder   Folder
+	codec    Codec
+	lock     io.Closer
+	identity Identity
+	hard     quorum.HardState
+	// segments are the closed ones and, last, the one that is written to.
+	segments []Segment
+	file     File
+	failed   error
 }
 
-// Open takes the data folder, makes it where it is missing, and returns the log with the entries that it holds.
-func Open(folder string, codec Codec) (*Log, []quorum.Entry, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, nil, errors.Wrap(err, "make data folder")
-	}
-	lock, err := takeLock(filepath.Join(folder, lockName))
+// Open takes the data folder, makes it where it is missing, and returns the log with what it holds.
+func Open(path, name string, codec Codec) (*Log, Recovered, error) {
+	folder, lock, err := hold(path)
 	if err != nil {
-		return nil, nil, errors.Wrapf(err, "data folder %s", folder)
+		return nil, Recovered{}, err
 	}
-	l := &Log{codec: codec, lock: lock}
-	entries, err := l.recover(filepath.Join(folder, logName))
+	l, found, err := OpenFolder(folder, name, codec)
 	if err != nil {
-		return nil, nil, errors.CombineErrors(err, l.Close())
+		return nil, Recovered{}, errors.Wrapf(errors.CombineErrors(err, lock.Close()), "data folder %s", path)
 	}
-	return l, entries, nil
+	l.lock = lock
+	return l, found, nil
 }
 
-// Append writes entries and returns once they are synced.
-func (l *Log) Append(entries []quorum.Entry) error {
-	var buffer []byte
-	for _, e := range entries {
-		data, err := l.codec.EncodeEntry(e)
+// OpenFolder returns the log of a folder that the caller holds, with what it holds.
+func OpenFolder(folder Folder, name string, codec Codec) (*Log, Recovered, error) {
+	found, err := read(folder, codec)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	l := &Log{folder: folder, codec: codec, identity: found.Identity, hard: found.Hard, segments: found.Segments}
+	if err := l.sweep(found.Snapshot.Index); err != nil {
+		return nil, Recovered{}, err
+	}
+	if l.identity.ID == 0 {
+		if l.identity, err = newIdentity(name); err == nil {
+			err = l.saveIdentity(l.identity)
+		}
 		if err != nil {
-			return errors.Wrap(err, "encode log entry")
+			return nil, Recovered{}, err
 		}
-		buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(data)))
-		buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(data, castagnoli))
-		buffer = append(buffer, data...)
+		found.Identity = l.identity
 	}
-	if _, err := l.file.Write(buffer); err != nil {
-		return errors.Wrap(err, "write log")
+	if l.identity.Name != name {
+		return nil, Recovered{}, errors.Newf("the data folder belongs to %q, not to %q", l.identity.Name, name)
 	}
-	return errors.Wrap(l.file.Sync(), "sync log")
+	return l, found, l.resume(found)
+}
+
+// Agree syncs the first members of a group, which this replica is one of.
+func (l *Log) Agree(members []quorum.Member) error {
+	identity := l.identity
+	identity.Agreed = members
+	if err := l.saveIdentity(identity); err != nil {
+		return err
+	}
+	l.identity = identity
+	return nil
+}
+
+// Save returns once all writes are synced, those between two snapshots under one sync.
+func (l *Log) Save(writes []quorum.Write) error {
+	if l.failed != nil {
+		return errors.CombineErrors(ErrFailed, l.failed)
+	}
+	var waiting []quorum.Write
+	for _, w := range writes {
+		if w.Snapshot != nil {
+			if err := l.flush(waiting); err != nil {
+				return l.fail(err)
+			}
+			waiting = nil
+			if err := l.saveSnapshot(*w.Snapshot); err != nil {
+				return l.fail(err)
+			}
+		}
+		waiting = append(waiting, w)
+	}
+	return l.fail(l.flush(waiting))
 }
 
 // Close releases the data folder.
@@ -86,71 +122,174 @@
 	if l.file != nil {
 		err = l.file.Close()
 	}
-	return errors.CombineErrors(err, l.lock.Close())
+	if l.lock != nil {
+		err = errors.CombineErrors(err, l.lock.Close())
+	}
+	return err
 }
 
-func takeLock(path string) (*os.File, error) {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+func (l *Log) fail(err error) error {
 	if err != nil {
-		return nil, errors.Wrap(err, "open lock")
+		l.failed = err
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, errors.CombineErrors(ErrInUse, f.Close())
+	return err
+}
+
+func (l *Log) saveIdentity(i Identity) error {
+	payload, err := l.codec.EncodeIdentity(i)
+	if err != nil {
+		return err
 	}
-	return f, nil
+	return replaceFile(l.folder, kindIdentity, identityName, payload)
 }
 
-// recover reads the log, cuts a torn last record, and leaves the file ready for appending.
-func (l *Log) recover(path string) ([]quorum.Entry, error) {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+// sweep deletes what a crash may leave behind: temporary files and older snapshots.
+func (l *Log) sweep(snapshot uint64) error {
+	names, err := l.folder.Names()
 	if err != nil {
-		return nil, errors.Wrap(err, "open log")
+		return err
+	}
+	for _, name := range names {
+		old := strings.HasPrefix(name, snapshotPrefix) && name != fileName(snapshotPrefix, snapshot)
+		if strings.HasSuffix(name, temporarySuffix) || old {
+			if err := l.folder.Remove(name); err != nil {
+				return errors.Wrapf(err, "remove %s", name)
+			}
+		}
+	}
+	return nil
+}
+
+// resume leaves the log ready for writing after what was found.
+func (l *Log) resume(found Recovered) error {
+	if len(l.segments) == 0 {
+		return l.begin(1)
+	}
+	current := l.segments[len(l.segments)-1]
+	if current.Bytes == 0 {
+		l.segments = l.segments[:len(l.segments)-1]
+		if err := l.begin(current.Number); err != nil {
+			return err
+		}
+	} else if err := l.reopen(current, found.Torn); err != nil {
+		return err
 	}
-	l.file = f
-	entries, end, err := l.readAll(bufio.NewReader(f))
+	if found.unmatched {
+		// Without this record, entries that follow the snapshot would stand behind older ones.
+		return l.flush([]quorum.Write{{Reset: true, Snapshot: &found.Snapshot}})
+	}
+	return nil
+}
+
+func (l *Log) reopen(s Segment, torn int) error {
+	var err error
+	if l.file, err = l.folder.Append(s.Name()); err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	if torn == 0 {
+		return nil
+	}
+	if err := l.file.Truncate(int64(s.Bytes)); err != nil {
+		return errors.Wrap(err, "cut torn record")
+	}
+	return errors.Wrap(l.file.Sync(), "sync log")
+}
+
+// begin makes a new segment; it starts with the hard state, so that older ones can go.
+func (l *Log) begin(number uint64) error {
+	s := Segment{Number: number}
+	file, err := l.folder.Create(s.Name())
+	if err != nil {
+		return errors.Wrap(err, "create log segment")
+	}
+	l.file = file
+	hard := l.hard
+	payload, err := l.codec.EncodeWrites([]quorum.Write{{Hard: &hard}})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if err := f.Truncate(end); err != nil {
-		return nil, errors.Wrap(err, "cut torn record")
+	content := appendFrame(fileHeader(kindLog), payload)
+	if _, err := file.Write(content); err != nil {
+		return errors.Wrap(err, "write log segment")
 	}
-	_, err = f.Seek(end, io.SeekStart)
-	return entries, errors.Wrap(err, "seek log")
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync log segment")
+	}
+	s.Bytes = len(content)
+	l.segments = append(l.segments, s)
+	return l.folder.Sync()
 }
 
-// readAll returns the entries and the offset at which the last whole one ends.
-func (l *Log) readAll(r *bufio.Reader) ([]quorum.Entry, int64, error) {
-	var entries []quorum.Entry
-	var end int64
-	for {
-		data, whole := readRecord(r)
-		if !whole {
-			if _, err := r.Peek(1); err == nil {
-				return nil, 0, errors.Wrapf(ErrDamaged, "record at byte %d", end)
-			}
-			return entries, end, nil
+func (l *Log) rotate() error {
+	if err := l.file.Close(); err != nil {
+		return errors.Wrap(err, "close log segment")
+	}
+	return l.begin(l.segments[len(l.segments)-1].Number + 1)
+}
+
+// flush writes one frame and syncs it.
+func (l *Log) flush(writes []quorum.Write) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	payload, err := l.codec.EncodeWrites(writes)
+	if err != nil {
+		return err
+	}
+	if len(payload) > maxFrameBytes {
+		return errors.Newf("write log: %d bytes are more than a record holds", len(payload))
+	}
+	frame := appendFrame(nil, payload)
+	if _, err := l.file.Write(frame); err != nil {
+		return errors.Wrap(err, "write log")
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	syncsTotal.Inc()
+	bytesTotal.Add(len(frame))
+	s := &l.segments[len(l.segments)-1]
+	s.Bytes += len(frame)
+	s.Frames++
+	for _, w := range writes {
+		if w.Hard != nil {
+			l.hard = *w.Hard
 		}
-		e, err := l.codec.DecodeEntry(data)
-		if err != nil {
-			return nil, 0, errors.CombineErrors(ErrDamaged, err)
+		for _, e := range w.Entries {
+			s.Last = max(s.Last, e.Index)
 		}
-		entries = append(entries, e)
-		end += headerBytes + int64(len(data))
 	}
+	if s.Bytes >= segmentBytes {
+		return l.rotate()
+	}
+	return nil
 }
 
-func readRecord(r *bufio.Reader) ([]byte, bool) {
-	header := make([]byte, headerBytes)
-	if _, err := io.ReadFull(r, header); err != nil {
-		return nil, false
+// saveSnapshot keeps a snapshot and deletes the segments that it stands for.
+func (l *Log) saveSnapshot(s quorum.Snapshot) error {
+	payload, err := l.codec.EncodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	if err := replaceFile(l.folder, kindSnapshot, fileName(snapshotPrefix, s.Index), payload); err != nil {
+		return err
 	}
-	size := binary.LittleEndian.Uint32(header)
-	if size > maxRecordBytes {
-		return nil, false
+	if err := l.sweep(s.Index); err != nil {
+		return err
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return nil, false
+	if err := l.rotate(); err != nil {
+		return err
+	}
+	current := len(l.segments) - 1
+	keep := slices.IndexFunc(l.segments, func(seg Segment) bool { return seg.Last > s.Index })
+	if keep < 0 || keep > current {
+		keep = current
+	}
+	for _, seg := range l.segments[:keep] {
+		if err := l.folder.Remove(seg.Name()); err != nil {
+			return errors.Wrapf(err, "remove %s", seg.Name())
+		}
 	}
-	return data, crc32.Checksum(data, castagnoli) == binary.LittleEndian.Uint32(header[4:])
+	l.segments = slices.Clone(l.segments[keep:])
+	return nil
 }
--- a/internal/wire/codec/quorum.go
+++ b/internal/wire/codec/quorum.go
@@ -24,33 +24,60 @@
 }
 
 func messageToWire(m quorum.Message) *peer.QuorumMessage {
-	w := &peer.QuorumMessage{
+	return &peer.QuorumMessage{
 		Kind: uint32(m.Kind), From: uint64(m.From), To: uint64(m.To), Term: m.Term,
 		LogIndex: m.LogIndex, LogTerm: m.LogTerm, Commit: m.Commit,
-		Reject: m.Reject, Hint: m.Hint, Context: m.Context,
+		Reject: m.Reject, Hint: m.Hint, Context: m.Context, Transfer: m.Transfer,
+		Offset: m.Offset, Total: m.Total, Piece: m.Piece,
+		Members: MembersToWire(m.Members), Entries: entriesToWire(m.Entries),
 	}
-	for _, e := range m.Entries {
-		w.Entries = append(w.Entries, entryToWire(e))
-	}
-	return w
 }
 
 func messageFromWire(w *peer.QuorumMessage) quorum.Message {
-	m := quorum.Message{
+	return quorum.Message{
 		Kind: quorum.MessageKind(w.GetKind()), From: quorum.ReplicaID(w.GetFrom()), To: quorum.ReplicaID(w.GetTo()),
 		Term: w.GetTerm(), LogIndex: w.GetLogIndex(), LogTerm: w.GetLogTerm(), Commit: w.GetCommit(),
-		Reject: w.GetReject(), Hint: w.GetHint(), Context: w.GetContext(),
+		Reject: w.GetReject(), Hint: w.GetHint(), Context: w.GetContext(), Transfer: w.GetTransfer(),
+		Offset: w.GetOffset(), Total: w.GetTotal(), Piece: w.GetPiece(),
+		Members: MembersFromWire(w.GetMembers()), Entries: entriesFromWire(w.GetEntries()),
+	}
+}
+
+// MembersToWire returns the wire's members of the log's.
+func MembersToWire(members []quorum.Member) []*peer.Member {
+	wire := make([]*peer.Member, 0, len(members))
+	for _, m := range members {
+		wire = append(wire, &peer.Member{Id: uint64(m.ID), Name: m.Name, Voter: m.Voter})
 	}
-	for _, e := range w.GetEntries() {
-		m.Entries = append(m.Entries, entryFromWire(e))
+	return wire
+}
+
+// MembersFromWire returns the log's members of the wire's.
+func MembersFromWire(wire []*peer.Member) []quorum.Member {
+	var members []quorum.Member
+	for _, w := range wire {
+		members = append(members, quorum.Member{ID: quorum.ReplicaID(w.GetId()), Name: w.GetName(), Voter: w.GetVoter()})
 	}
-	return m
+	return members
 }
 
-func entryToWire(e quorum.Entry) *peer.LogEntry {
-	return &peer.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data}
+func entriesToWire(entries []quorum.Entry) []*peer.LogEntry {
+	wire := make([]*peer.LogEntry, 0, len(entries))
+	for _, e := range entries {
+		wire = append(wire, &peer.LogEntry{
+			Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data, Members: MembersToWire(e.Members),
+		})
+	}
+	return wire
 }
 
-func entryFromWire(w *peer.LogEntry) quorum.Entry {
-	return quorum.Entry{Index: w.GetIndex(), Term: w.GetTerm(), Kind: quorum.EntryKind(w.GetKind()), Data: w.GetData()}
+func entriesFromWire(wire []*peer.LogEntry) []quorum.Entry {
+	var entries []quorum.Entry
+	for _, w := range wire {
+		entries = append(entries, quorum.Entry{
+			Index: w.GetIndex(), Term: w.GetTerm(), Kind: quorum.EntryKind(w.GetKind()), Data: w.GetData(),
+			Members: MembersFromWire(w.GetMembers()),
+		})
+	}
+	return entries
 }
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/peer"
@@ -30,21 +29,6 @@
 	return CommandFromWire(&w), nil
 }
 
-// EncodeEntry returns a log entry's bytes.
-func (Codec) EncodeEntry(e quorum.Entry) ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(entryToWire(e))
-	return data, errors.Wrap(err, "encode log entry")
-}
-
-// DecodeEntry returns the log entry that the bytes hold.
-func (Codec) DecodeEntry(data []byte) (quorum.Entry, error) {
-	var w peer.LogEntry
-	if err := proto.Unmarshal(data, &w); err != nil {
-		return quorum.Entry{}, errors.Wrap(err, "decode log entry")
-	}
-	return entryFromWire(&w), nil
-}
-
 // CommandToWire returns the message of a command.
 func CommandToWire(c record.Command) *peer.Command {
 	w := &peer.Command{RequestId: c.RequestID, TimeNs: timeToWire(c.Time)}
--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,18 +19,39 @@
 // tryTimeout bounds one call to one replica, so that a replica that was cut off doesn't hold up the others.
 const tryTimeout = time.Second
 
+// LeaderHeader names, in the answer of a replica that doesn't lead, the process that does.
+const LeaderHeader = "Cowslip-Leader"
+
+// Target is a process as others reach it.
+type Target struct {
+	// Name is the process's name.
+	Name string
+	// Address is its host:port for other processes.
+	Address string
+}
+
+// replica is one control process.
+type replica struct {
+	name    string
+	control peer.ControlClient
+	members peer.MembersClient
+}
+
 // Control reaches the leader among the control processes; it is safe for concurrent use.
 type Control struct {
-	clients []peer.ControlClient
+	replicas []replica
 	// leader is the index of the replica that answered last.
 	leader atomic.Int64
 }
 
-// NewControl returns a client of the control processes at the addresses.
-func NewControl(client *http.Client, addresses []string) *Control {
+// NewControl returns a client of the control processes.
+func NewControl(client *http.Client, targets []Target) *Control {
 	c := &Control{}
-	for _, address := range addresses {
-		c.clients = append(c.clients, peer.NewControlClient(client, "http://"+address))
+	for _, t := range targets {
+		url := "http://" + t.Address
+		c.replicas = append(c.replicas, replica{
+			name: t.Name, control: peer.NewControlClient(client, url), members: peer.NewMembersClient(client, url),
+		})
 	}
 	return c
 }
@@ -38,8 +60,8 @@
 func (c *Control) Submit(ctx context.Context, command record.Command) (record.Result, error) {
 	request := &peer.SubmitRequest{Command: codec.CommandToWire(command)}
 	var result record.Result
-	err := c.each(ctx, func(ctx context.Context, client peer.ControlClient) error {
-		response, err := client.Submit(ctx, connect.NewRequest(request))
+	err := c.each(ctx, func(ctx context.Context, r replica) error {
+		response, err := r.control.Submit(ctx, connect.NewRequest(request))
 		if err != nil {
 			return err
 		}
@@ -53,8 +75,8 @@
 func (c *Control) Renew(ctx context.Context, entry string, revision uint64) (agent.Renewal, error) {
 	request := &peer.RenewRequest{Entry: entry, Revision: revision}
 	var renewal agent.Renewal
-	err := c.each(ctx, func(ctx context.Context, client peer.ControlClient) error {
-		response, err := client.Renew(ctx, connect.NewRequest(request))
+	err := c.each(ctx, func(ctx context.Context, r replica) error {
+		response, err := r.control.Renew(ctx, connect.NewRequest(request))
 		if err != nil {
 			return err
 		}
@@ -67,8 +89,8 @@
 // State returns the replicated state as the leader tells it.
 func (c *Control) State(ctx context.Context) (*peer.StateResponse, error) {
 	var state *peer.StateResponse
-	err := c.each(ctx, func(ctx context.Context, client peer.ControlClient) error {
-		response, err := client.State(ctx, connect.NewRequest(&peer.StateRequest{}))
+	err := c.each(ctx, func(ctx context.Context, r replica) error {
+		response, err := r.control.State(ctx, connect.NewRequest(&peer.StateRequest{}))
 		if err != nil {
 			return err
 		}
@@ -78,25 +100,37 @@
 	return state, err
 }
 
-// each calls the replicas in turn, the one that answered last first, until one answers.
-func (c *Control) each(ctx context.Context, call func(context.Context, peer.ControlClient) error) error {
-	first := int(c.leader.Load())
+// each calls the replicas, the one that answered last first and then whom a replica names as the leader, until one answers.
+func (c *Control) each(ctx context.Context, call func(context.Context, replica) error) error {
+	next := int(c.leader.Load())
+	tried := make([]bool, len(c.replicas))
 	var last error
-	for i := range c.clients {
-		index := (first + i) % len(c.clients)
-		if last = c.try(ctx, c.clients[index], call); last == nil {
-			c.leader.Store(int64(index))
+	for next >= 0 && ctx.Err() == nil {
+		tried[next] = true
+		if last = c.try(ctx, c.replicas[next], call); last == nil {
+			c.leader.Store(int64(next))
 			return nil
 		}
-		if ctx.Err() != nil {
-			break
-		}
+		next = c.after(tried, last)
 	}
 	return errors.Wrap(last, "no control process answered as the leader")
 }
 
-func (c *Control) try(ctx context.Context, client peer.ControlClient, call func(context.Context, peer.ControlClient) error) error {
+// after returns the index of the replica to try next, -1 for none.
+func (c *Control) after(tried []bool, err error) int {
+	var answer *connect.Error
+	if errors.As(err, &answer) {
+		name := answer.Meta().Get(LeaderHeader)
+		named := slices.IndexFunc(c.replicas, func(r replica) bool { return r.name == name })
+		if named >= 0 && !tried[named] {
+			return named
+		}
+	}
+	return slices.Index(tried, false)
+}
+
+func (c *Control) try(ctx context.Context, r replica, call func(context.Context, replica) error) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	return call(ctx, client)
+	return call(ctx, r)
 }
--- a/internal/wire/dial/replica.go
+++ b/internal/wire/dial/replica.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/ctrl/node"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/peer"
@@ -16,73 +19,114 @@
 const (
 	// messagesWaiting is the most message batches that wait for one replica; beyond it they are lost.
 	messagesWaiting = 256
-	deliverTimeout  = 2 * time.Second
+	deliverTimeout  = time.Second
 )
 
-// Replicas sends messages to the other replicas, each on a goroutine of its own.
+// Replicas sends messages to the other replicas, to each process on a goroutine of its own.
 type Replicas struct {
-	logger *zap.Logger
-	queues map[quorum.ReplicaID]chan []quorum.Message
-	peers  map[quorum.ReplicaID]peer.ReplicaClient
+	self    string
+	logger  *zap.Logger
+	names   []string
+	queues  map[string]chan []quorum.Message
+	clients map[string]peer.ReplicaClient
+	control *Control
+	// holders are the names of the processes that hold replicas; they belong to the control loop.
+	holders map[quorum.ReplicaID]string
 }
 
-// NewReplicas returns a sender to the replicas at the addresses.
-func NewReplicas(client *http.Client, addresses map[quorum.ReplicaID]string, logger *zap.Logger) *Replicas {
+// NewReplicas returns a sender from the named process to the others.
+func NewReplicas(client *http.Client, self string, others []Target, control *Control, logger *zap.Logger) *Replicas {
 	r := &Replicas{
-		logger: logger,
-		queues: map[quorum.ReplicaID]chan []quorum.Message{},
-		peers:  map[quorum.ReplicaID]peer.ReplicaClient{},
+		self:    self,
+		logger:  logger,
+		queues:  map[string]chan []quorum.Message{},
+		clients: map[string]peer.ReplicaClient{},
+		control: control,
+		holders: map[quorum.ReplicaID]string{},
 	}
-	for id, address := range addresses {
-		r.queues[id] = make(chan []quorum.Message, messagesWaiting)
-		r.peers[id] = peer.NewReplicaClient(client, "http://"+address)
+	for _, t := range others {
+		r.names = append(r.names, t.Name)
+		r.queues[t.Name] = make(chan []quorum.Message, messagesWaiting)
+		r.clients[t.Name] = peer.NewReplicaClient(client, "http://"+t.Address)
 	}
 	return r
 }
 
-// IDs returns the replicas that Run can be called for.
-func (r *Replicas) IDs() []quorum.ReplicaID {
-	ids := make([]quorum.ReplicaID, 0, len(r.queues))
-	for id := range r.queues {
-		ids = append(ids, id)
-	}
-	return ids
+// Names returns the processes that Run is to be called for.
+func (r *Replicas) Names() []string {
+	return slices.Clone(r.names)
+}
+
+// Know tells which process holds a replica.
+func (r *Replicas) Know(id quorum.ReplicaID, name string) {
+	r.holders[id] = name
 }
 
 // Send queues messages and returns at once; a message that finds its queue full is lost.
 func (r *Replicas) Send(messages []quorum.Message) {
-	batches := map[quorum.ReplicaID][]quorum.Message{}
+	batches := map[string][]quorum.Message{}
 	for _, m := range messages {
-		batches[m.To] = append(batches[m.To], m)
+		batches[r.holders[m.To]] = append(batches[r.holders[m.To]], m)
 	}
-	for id, batch := range batches {
+	for name, batch := range batches {
 		select {
-		case r.queues[id] <- batch:
+		case r.queues[name] <- batch:
 		default:
 		}
 	}
 }
 
-// Run delivers to one replica until the context ends.
-func (r *Replicas) Run(ctx context.Context, id quorum.ReplicaID) error {
+// Run delivers to one process until the context ends.
+func (r *Replicas) Run(ctx context.Context, name string) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case batch := <-r.queues[id]:
-			for len(r.queues[id]) > 0 {
-				batch = append(batch, <-r.queues[id]...)
+		case batch := <-r.queues[name]:
+			for len(r.queues[name]) > 0 {
+				batch = append(batch, <-r.queues[name]...)
 			}
-			r.deliver(ctx, id, batch)
+			r.deliver(ctx, name, batch)
 		}
 	}
 }
 
-func (r *Replicas) deliver(ctx context.Context, id quorum.ReplicaID, batch []quorum.Message) {
+// Hello asks a process who its replica is.
+func (r *Replicas) Hello(ctx context.Context, name string) (node.Greeting, error) {
+	client, ok := r.clients[name]
+	if !ok {
+		return node.Greeting{}, errors.Newf("no control process is named %q", name)
+	}
+	response, err := client.Hello(ctx, connect.NewRequest(&peer.HelloRequest{}))
+	if err != nil {
+		return node.Greeting{}, err
+	}
+	g := node.Greeting{HasState: response.Msg.GetHasState(), Members: codec.MembersFromWire(response.Msg.GetMembers())}
+	if self := codec.MembersFromWire([]*peer.Member{response.Msg.GetSelf()}); len(self) == 1 {
+		g.Self = self[0]
+	}
+	return g, nil
+}
+
+// Agree asks a process's empty replica to sync the first members.
+func (r *Replicas) Agree(ctx context.Context, name string, members []quorum.Member) error {
+	_, err := r.clients[name].Agree(ctx, connect.NewRequest(&peer.AgreeRequest{Members: codec.MembersToWire(members)}))
+	return err
+}
+
+// Join asks the leader to add a replica as a learner.
+func (r *Replicas) Join(ctx context.Context, self quorum.Member) error {
+	_, err := r.control.Change(ctx, connect.NewRequest(&peer.MembersChangeRequest{
+		Kind: uint32(quorum.ChangeAdd), Member: codec.MembersToWire([]quorum.Member{self})[0],
+	}))
+	return err
+}
+
+func (r *Replicas) deliver(ctx context.Context, name string, batch []quorum.Message) {
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
-	request := connect.NewRequest(&peer.DeliverRequest{Messages: codec.MessagesToWire(batch)})
-	if _, err := r.peers[id].Deliver(ctx, request); err != nil {
-		r.logger.Debug("messages_lost", zap.Uint64("replica", uint64(id)), zap.Error(err))
+	request := connect.NewRequest(&peer.DeliverRequest{Name: r.self, Messages: codec.MessagesToWire(batch)})
+	if _, err := r.clients[name].Deliver(ctx, request); err != nil {
+		r.logger.Debug("messages_lost", zap.String("to", name), zap.Error(err))
 	}
 }
--- a/internal/wire/peer/replica.connect.go
+++ b/internal/wire/peer/replica.connect.go
@@ -36,6 +36,10 @@
 const (
 	// ReplicaDeliverProcedure is the fully-qualified name of the Replica's Deliver RPC.
 	ReplicaDeliverProcedure = "/cowslip.peer.v1.Replica/Deliver"
+	// ReplicaHelloProcedure is the fully-qualified name of the Replica's Hello RPC.
+	ReplicaHelloProcedure = "/cowslip.peer.v1.Replica/Hello"
+	// ReplicaAgreeProcedure is the fully-qualified name of the Replica's Agree RPC.
+	ReplicaAgreeProcedure = "/cowslip.peer.v1.Replica/Agree"
 	// ControlSubmitProcedure is the fully-qualified name of the Control's Submit RPC.
 	ControlSubmitProcedure = "/cowslip.peer.v1.Control/Submit"
 	// ControlRenewProcedure is the fully-qualified name of the Control's Renew RPC.
@@ -48,6 +52,10 @@
 type ReplicaClient interface {
 	// Deliver hands over messages; they may be lost, doubled or late.
 	Deliver(context.Context, *connect.Request[DeliverRequest]) (*connect.Response[DeliverResponse], error)
+	// Hello asks a replica who it is and whether it has state.
+	Hello(context.Context, *connect.Request[HelloRequest]) (*connect.Response[HelloResponse], error)
+	// Agree asks an empty replica to sync that it is one of the first members.
+	Agree(context.Context, *connect.Request[AgreeRequest]) (*connect.Response[AgreeResponse], error)
 }
 
 // NewReplicaClient constructs a client for the cowslip.peer.v1.Replica service. By default, it uses
@@ -67,12 +75,26 @@
 			connect.WithSchema(replicaMethods.ByName("Deliver")),
 			connect.WithClientOptions(opts...),
 		),
+		hello: connect.NewClient[HelloRequest, HelloResponse](
+			httpClient,
+			baseURL+ReplicaHelloProcedure,
+			connect.WithSchema(replicaMethods.ByName("Hello")),
+			connect.WithClientOptions(opts...),
+		),
+		agree: connect.NewClient[AgreeRequest, AgreeResponse](
+			httpClient,
+			baseURL+ReplicaAgreeProcedure,
+			connect.WithSchema(replicaMethods.ByName("Agree")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // replicaClient implements ReplicaClient.
 type replicaClient struct {
 	deliver *connect.Client[DeliverRequest, DeliverResponse]
+	hello   *connect.Client[HelloRequest, HelloResponse]
+	agree   *connect.Client[AgreeRequest, AgreeResponse]
 }
 
 // Deliver calls cowslip.peer.v1.Replica.Deliver.
@@ -80,10 +102,24 @@
 	return c.deliver.CallUnary(ctx, req)
 }
 
+// Hello calls cowslip.peer.v1.Replica.Hello.
+func (c *replicaClient) Hello(ctx context.Context, req *connect.Request[HelloRequest]) (*connect.Response[HelloResponse], error) {
+	return c.hello.CallUnary(ctx, req)
+}
+
+// Agree calls cowslip.peer.v1.Replica.Agree.
+func (c *replicaClient) Agree(ctx context.Context, req *connect.Request[AgreeRequest]) (*connect.Response[AgreeResponse], error) {
+	return c.agree.CallUnary(ctx, req)
+}
+
 // ReplicaHandler is an implementation of the cowslip.peer.v1.Replica service.
 type ReplicaHandler interface {
 	// Deliver hands over messages; they may be lost, doubled or late.
 	Deliver(context.Context, *connect.Request[DeliverRequest]) (*connect.Response[DeliverResponse], error)
+	// Hello asks a replica who it is and whether it has state.
+	Hello(context.Context, *connect.Request[HelloRequest]) (*connect.Response[HelloResponse], error)
+	// Agree asks an empty replica to sync that it is one of the first members.
+	Agree(context.Context, *connect.Request[AgreeRequest]) (*connect.Response[AgreeResponse], error)
 }
 
 // NewReplicaHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -99,10 +135,26 @@
 		connect.WithSchema(replicaMethods.ByName("Deliver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaHelloHandler := connect.NewUnaryHandler(
+		ReplicaHelloProcedure,
+		svc.Hello,
+		connect.WithSchema(replicaMethods.ByName("Hello")),
+		connect.WithHandlerOptions(opts...),
+	)
+	replicaAgreeHandler := connect.NewUnaryHandler(
+		ReplicaAgreeProcedure,
+		svc.Agree,
+		connect.WithSchema(replicaMethods.ByName("Agree")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cowslip.peer.v1.Replica/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaDeliverProcedure:
 			replicaDeliverHandler.ServeHTTP(w, r)
+		case ReplicaHelloProcedure:
+			replicaHelloHandler.ServeHTTP(w, r)
+		case ReplicaAgreeProcedure:
+			replicaAgreeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -116,6 +168,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Replica.Deliver is not implemented"))
 }
 
+func (UnimplementedReplicaHandler) Hello(context.Context, *connect.Request[HelloRequest]) (*connect.Response[HelloResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Replica.Hello is not implemented"))
+}
+
+func (UnimplementedReplicaHandler) Agree(context.Context, *connect.Request[AgreeRequest]) (*connect.Response[AgreeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Replica.Agree is not implemented"))
+}
+
 // ControlClient is a client for the cowslip.peer.v1.Control service.
 type ControlClient interface {
 	// Submit proposes a command and waits until it has been applied.
--- a/internal/wire/serve/control.go
+++ b/internal/wire/serve/control.go
@@ -8,20 +8,21 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/lease"
+	"cowslipstack/internal/ctrl/node"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/peer"
 )
 
 // Node is the replicated state as the handlers use it.
 type Node interface {
-	Deliver(context.Context, []quorum.Message) error
 	Submit(context.Context, record.Command) (record.Result, error)
 	Confirm(context.Context) error
 	View(context.Context, func(*state.State)) error
-	Leader(context.Context) (quorum.ReplicaID, error)
+	Leader(context.Context) (string, error)
 }
 
 // Keeper grants leases to entries.
@@ -30,20 +31,6 @@
 	Holders() []lease.Holder
 }
 
-// Replica serves messages between replicas.
-type Replica struct {
-	// Node takes the messages.
-	Node Node
-}
-
-// Deliver hands messages to the node.
-func (s *Replica) Deliver(ctx context.Context, r *connect.Request[peer.DeliverRequest]) (*connect.Response[peer.DeliverResponse], error) {
-	if err := s.Node.Deliver(ctx, codec.MessagesFromWire(r.Msg.GetMessages())); err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	return connect.NewResponse(&peer.DeliverResponse{}), nil
-}
-
 // Control serves what entries and operators' processes ask of the control role.
 type Control struct {
 	// Node holds the replicated state.
@@ -52,8 +39,6 @@
 	Keeper Keeper
 	// Clock gives the time.
 	Clock clock.Clock
-	// Names are the replicas' names.
-	Names map[quorum.ReplicaID]string
 }
 
 // Submit proposes a command and waits for its result.
@@ -85,7 +70,7 @@
 	if err != nil {
 		return nil, controlError(err)
 	}
-	response := &peer.StateResponse{Leader: s.Names[leader]}
+	response := &peer.StateResponse{Leader: leader}
 	read := func(st *state.State) {
 		response.Revision, response.Digest = st.Document.Revision, st.Document.Digest
 		response.Environment, response.Document = st.Document.Environment, st.Document.Text
@@ -103,10 +88,19 @@
 	return connect.NewResponse(response), nil
 }
 
-// controlError says by its code whether the call had no effect: only then another replica may be asked.
+// controlError says by its code whether the call had no effect, and names the leader where it is another.
 func controlError(err error) error {
-	if errors.Is(err, quorum.ErrNotLeader) {
-		return connect.NewError(connect.CodeFailedPrecondition, err)
+	var other *node.NotLeaderError
+	switch {
+	case errors.As(err, &other):
+		answer := connect.NewError(connect.CodeFailedPrecondition, err)
+		answer.Meta().Set(dial.LeaderHeader, other.Leader)
+		return answer
+	case errors.Is(err, quorum.ErrBusy):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	case errors.Is(err, quorum.ErrMembers):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewError(connect.CodeUnavailable, err)
 }
