--- a/doc.go
+++ b/doc.go
@@ -11,3 +11,6 @@
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role,ChangeKind -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
 //go:generate sh -c "go run ./cmd/cowslipd --reference > docs/SETTINGS.md"
 //go:generate sh -c "go run ./cmd/cowslip reference > docs/DOCUMENT.md"
+//go:generate go tool -modfile=tools/go.mod stringer -type=Class,Verdict -linecomment -output=internal/edge/queue/enums_gen.go ./internal/edge/queue
+//go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
+//go:generate go tool -modfile=tools/go.mod stringer -type=Reason -linecomment -output=internal/edge/route/enums_gen.go ./internal/edge/route
--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -86,6 +86,8 @@
 		return m.applyTrial(c, *c.Trial)
 	case c.Promote != nil:
 		return m.applyPromote(c, *c.Promote)
+	case c.VM != nil:
+		return m.applyVM(*c.VM, m.state.Time)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
