Keep budgets, waves and jobs in the replicated state

Cause: the plans need a ledger per service, waves and jobs that survive a change of leader. A wave of cancellations is one record.

--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -17,6 +17,14 @@
 	Document Document
 	// VMs are the platform's VMs by name; each belongs to exactly one pool.
 	VMs map[string]fleet.VM
+	// Ledgers are the services' budgets by the service's name.
+	Ledgers map[string]fleet.Ledger
+	// Waves are the waves of maintenance, oldest first.
+	Waves []fleet.Wave
+	// Jobs are the jobs that are not done, by name.
+	Jobs map[string]fleet.Job
+	// Failures are the latest failures of jobs, oldest first.
+	Failures []fleet.JobFailure
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -40,7 +48,7 @@
 
 // NewMachine returns a machine on an empty state.
 func NewMachine() *Machine {
-	return &Machine{state: State{VMs: map[string]fleet.VM{}}, results: map[string]record.Result{}}
+	return &Machine{state: State{VMs: map[string]fleet.VM{}, Ledgers: map[string]fleet.Ledger{}, Jobs: map[string]fleet.Job{}}, results: map[string]record.Result{}}
 }
 
 // State returns the state for reading; it must not be kept or changed.
@@ -68,6 +76,12 @@
 		return m.applyDocument(*c.Document)
 	case c.VM != nil:
 		return m.applyVM(*c.VM, m.state.Time)
+	case c.Budget != nil:
+		return m.applyBudget(*c.Budget)
+	case c.Wave != nil:
+		return m.applyWave(*c.Wave, m.state.Time)
+	case c.Job != nil:
+		return m.applyJob(*c.Job, m.state.Time)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
--- a/internal/ctrl/state/vm.go
+++ b/internal/ctrl/state/vm.go
@@ -53,6 +53,7 @@
 		v.PhaseSince = now
 	}
 	checkVM(before, v)
+	m.countWave(before, v)
 	m.state.VMs[c.VM] = v
 	return record.Result{Code: record.CodeOK, Epoch: v.Epoch}
 }
--- /dev/null
+++ b/internal/ctrl/state/wave.go
@@ -0,0 +1,111 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+// wavesKept bounds the waves that are remembered; open ones are never dropped.
+const wavesKept = 32
+
+// waveStep is one rule of a wave's life: the phases that a step starts from and the one it leads to.
+type waveStep struct {
+	from []fleet.WavePhase
+	to   fleet.WavePhase
+}
+
+var waveSteps = map[record.WaveStep]waveStep{
+	record.WaveHalt:     {from: []fleet.WavePhase{fleet.WaveRunning}, to: fleet.WaveHalted},
+	record.WaveContinue: {from: []fleet.WavePhase{fleet.WaveHalted}, to: fleet.WaveRunning},
+	record.WaveStop:     {from: []fleet.WavePhase{fleet.WaveRunning, fleet.WaveHalted}, to: fleet.WaveStopped},
+	record.WaveHold:     {from: []fleet.WavePhase{fleet.WaveRunning, fleet.WaveHalted, fleet.WaveStopped}, to: fleet.WaveHeld},
+	record.WaveResume:   {from: []fleet.WavePhase{fleet.WaveHeld, fleet.WaveStopped}, to: fleet.WaveRunning},
+	record.WaveFinish:   {from: []fleet.WavePhase{fleet.WaveRunning, fleet.WaveHalted}, to: fleet.WaveDone},
+	record.WaveCancel: {
+		from: []fleet.WavePhase{fleet.WaveRunning, fleet.WaveHalted, fleet.WaveHeld, fleet.WaveStopped},
+		to:   fleet.WaveCancelled,
+	},
+}
+
+func (m *Machine) applyWave(c record.WaveChange, now time.Time) record.Result {
+	index := m.waveIndex(c.Wave)
+	if c.Step == record.WaveStart {
+		return m.startWave(c, index, now)
+	}
+	step, ok := waveSteps[c.Step]
+	switch {
+	case !ok:
+		return record.Result{Code: record.CodeInvalid, Message: fmt.Sprintf("unknown step %d", int(c.Step))}
+	case index < 0:
+		return record.Result{Code: record.CodeNotFound, Message: fmt.Sprintf("no wave is named %q", c.Wave)}
+	}
+	w := m.state.Waves[index]
+	if !slices.Contains(step.from, w.Phase) {
+		return record.Result{Code: record.CodeConflict, Message: fmt.Sprintf("wave %q is %s; %s needs one of %v", w.Name, w.Phase, c.Step, step.from)}
+	}
+	if c.Step == record.WaveResume {
+		// An operator who resumes a stopped wave has looked at its failures.
+		w.Failed, w.Proven, w.Returned = 0, 0, 0
+	}
+	w.Phase, w.Cause, w.Changed = step.to, c.Cause, now
+	m.setWave(index, w)
+	return record.Result{Code: record.CodeOK}
+}
+
+func (m *Machine) startWave(c record.WaveChange, index int, now time.Time) record.Result {
+	if c.Wave == "" || c.Cutoff.IsZero() {
+		return record.Result{Code: record.CodeInvalid, Message: "a wave needs a name and a cutoff"}
+	}
+	if index >= 0 {
+		return record.Result{Code: record.CodeConflict, Message: fmt.Sprintf("a wave is named %q already", c.Wave)}
+	}
+	for _, w := range m.state.Waves {
+		if w.Open() && w.Urgent == c.Urgent {
+			return record.Result{Code: record.CodeConflict, Message: fmt.Sprintf("wave %q is %s", w.Name, w.Phase)}
+		}
+	}
+	waves := append(slices.Clone(m.state.Waves), fleet.Wave{
+		Name: c.Wave, Urgent: c.Urgent, Pool: c.Pool, DataCentre: c.DataCentre, Cutoff: c.Cutoff,
+		Phase: fleet.WaveRunning, Cause: c.Cause, Started: now, Changed: now,
+	})
+	if len(waves) > wavesKept {
+		oldest := slices.IndexFunc(waves, func(w fleet.Wave) bool { return !w.Open() })
+		waves = slices.Delete(waves, oldest, oldest+1)
+	}
+	m.state.Waves = waves
+	return record.Result{Code: record.CodeOK}
+}
+
+// countWave counts what became of a VM that a wave had out.
+func (m *Machine) countWave(before, after fleet.VM) {
+	index := m.waveIndex(before.Work)
+	if before.Work == "" || index < 0 {
+		return
+	}
+	w := m.state.Waves[index]
+	switch {
+	case after.Phase == fleet.PhaseFailed:
+		w.Failed++
+	case before.Phase == fleet.PhaseStopped && after.Phase == fleet.PhaseProbation:
+		w.Returned++
+	case before.Phase == fleet.PhaseProbation && after.Phase == fleet.PhaseActive && !after.Maintained.Before(w.Started):
+		w.Proven++
+	default:
+		return
+	}
+	m.setWave(index, w)
+}
+
+func (m *Machine) waveIndex(name string) int {
+	return slices.IndexFunc(m.state.Waves, func(w fleet.Wave) bool { return w.Name == name })
+}
+
+// setWave replaces a wave on a new slice, since readers may hold the old one.
+func (m *Machine) setWave(index int, w fleet.Wave) {
+	m.state.Waves = slices.Clone(m.state.Waves)
+	m.state.Waves[index] = w
+}
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -18,6 +18,12 @@
 	Claim *ClaimChange
 	// VM moves a VM through its life.
 	VM *VMChange
+	// Budget counts or reserves a service's bad time.
+	Budget *BudgetChange
+	// Wave moves a wave through its life.
+	Wave *WaveChange
+	// Job moves a job through its life.
+	Job *JobChange
 }
 
 // DocumentChange puts an environment document into force.
--- /dev/null
+++ b/internal/plan/budget/budget_test.go
@@ -0,0 +1,33 @@
+package budget_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/plan/budget"
+)
+
+// TestLoss runs the scripts of testdata.
+func TestLoss(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, loss)
+	})
+}
+
+// loss reads VMs as dc/switch/rack, one a word, and prints the worst loss.
+func loss(t *testing.T, d *datadriven.TestData) string {
+	var need, spare int
+	d.ScanArgs(t, "need", &need)
+	d.MaybeScanArgs(t, "spare", &spare)
+	var vms []fleet.VM
+	for _, w := range strings.Fields(d.Input) {
+		p := strings.Split(w, "/")
+		vms = append(vms, fleet.VM{Phase: fleet.PhaseActive, Domain: fleet.Domain{DataCentre: p[0], Switch: p[1], Rack: p[2]}})
+	}
+	l := budget.WorstLoss(vms, need, spare)
+	return fmt.Sprintf("%q %d VMs, %d ms\n", l.Domain, l.VMs, l.BadMS)
+}
--- /dev/null
+++ b/internal/plan/budget/doc.go
@@ -0,0 +1,4 @@
+// Package budget reads the services' ledgers: what a service may still cost,
+// what is promised to work under way, and what is left once the largest
+// failure domain is lost.
+package budget
--- /dev/null
+++ b/internal/plan/budget/domain.go
@@ -0,0 +1,85 @@
+package budget
+
+import (
+	"strings"
+	"time"
+
+	"cowslipstack/internal/model/fleet"
+)
+
+// Level is how large a failure domain is; the zero value is not valid.
+type Level int
+
+const (
+	// LevelRack is a rack.
+	LevelRack Level = iota + 1 // rack
+	// LevelSwitch is the racks on one switch.
+	LevelSwitch // switch
+	// LevelDataCentre is a data centre.
+	LevelDataCentre // data_centre
+)
+
+// Levels are all levels from the smallest to the largest.
+var Levels = []Level{LevelRack, LevelSwitch, LevelDataCentre}
+
+// Key names the failure domain of a level that a VM stands in.
+func Key(d fleet.Domain, l Level) string {
+	switch l {
+	case LevelRack:
+		return strings.Join([]string{d.DataCentre, d.Switch, d.Rack}, "/")
+	case LevelSwitch:
+		return strings.Join([]string{d.DataCentre, d.Switch}, "/")
+	default:
+		return d.DataCentre
+	}
+}
+
+// outages is how long the loss of a domain of each level is planned for: the time to see it and to bring spare VMs in.
+var outages = map[Level]time.Duration{
+	LevelRack:       2 * time.Minute,
+	LevelSwitch:     2 * time.Minute,
+	LevelDataCentre: 5 * time.Minute,
+}
+
+// Loss is the costliest loss of one failure domain for a pool.
+type Loss struct {
+	// Domain names the domain; empty where no loss leaves the pool short.
+	Domain string
+	// Level is how large the domain is.
+	Level Level
+	// VMs is how many VMs of the pool stand in it.
+	VMs int
+	// BadMS is the bad time that the loss would cost, in milliseconds.
+	BadMS int64
+}
+
+// Counted says whether a VM counts as capacity.
+func Counted(v fleet.VM) bool {
+	return v.Phase == fleet.PhaseActive
+}
+
+// WorstLoss returns the loss that costs a pool most, where need VMs carry its demand and spare VMs can join it.
+func WorstLoss(vms []fleet.VM, need, spare int) Loss {
+	have := 0
+	for _, v := range vms {
+		if Counted(v) {
+			have++
+		}
+	}
+	var worst Loss
+	for _, l := range Levels {
+		counts := map[string]int{}
+		for _, v := range vms {
+			if Counted(v) {
+				counts[Key(v.Domain, l)]++
+			}
+		}
+		for domain, n := range counts {
+			bad := ShortMS(need, have-n+spare, outages[l])
+			if bad > worst.BadMS || (bad > 0 && bad == worst.BadMS && domain < worst.Domain) {
+				worst = Loss{Domain: domain, Level: l, VMs: n, BadMS: bad}
+			}
+		}
+	}
+	return worst
+}
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -61,6 +61,12 @@
 		}}
 	case c.VM != nil:
 		w.Change = &peer.Command_Vm{Vm: vmToWire(*c.VM)}
+	case c.Budget != nil:
+		w.Change = &peer.Command_Budget{Budget: budgetToWire(*c.Budget)}
+	case c.Wave != nil:
+		w.Change = &peer.Command_Wave{Wave: waveToWire(*c.Wave)}
+	case c.Job != nil:
+		w.Change = &peer.Command_Job{Job: jobChangeToWire(*c.Job)}
 	}
 	return w
 }
@@ -82,6 +88,12 @@
 		}
 	case *peer.Command_Vm:
 		c.VM = vmFromWire(change.Vm)
+	case *peer.Command_Budget:
+		c.Budget = budgetFromWire(change.Budget)
+	case *peer.Command_Wave:
+		c.Wave = waveFromWire(change.Wave)
+	case *peer.Command_Job:
+		c.Job = jobChangeFromWire(change.Job)
 	}
 	return c
 }
