Plan maintenance in waves by what budgets and spare have left

Cause: nothing decided which VM goes next. A wave takes the VMs of the pools with the longest way to go first, one at first and two more for each that came back, within the limit; it leaves each pool the VMs that carry its demand, and each budget the loss of its costliest failure domain. A rack with a recent failure loses no VM, its switch and data centre one at the most.

Ruled out: waves in rounds. A VM that is back makes room at once, so that the slowest drain of a round holds up nothing.

--- a/internal/plan/budget/domain.go
+++ b/internal/plan/budget/domain.go
@@ -22,15 +22,27 @@
 // Levels are all levels from the smallest to the largest.
 var Levels = []Level{LevelRack, LevelSwitch, LevelDataCentre}
 
-// Key names the failure domain of a level that a VM stands in.
-func Key(d fleet.Domain, l Level) string {
+// Part returns the failure domain of a level that a VM stands in.
+func Part(d fleet.Domain, l Level) fleet.Domain {
 	switch l {
 	case LevelRack:
-		return strings.Join([]string{d.DataCentre, d.Switch, d.Rack}, "/")
+		return d
 	case LevelSwitch:
-		return strings.Join([]string{d.DataCentre, d.Switch}, "/")
+		return fleet.Domain{DataCentre: d.DataCentre, Switch: d.Switch}
 	default:
-		return d.DataCentre
+		return fleet.Domain{DataCentre: d.DataCentre}
+	}
+}
+
+// Name names a failure domain for an operator.
+func Name(d fleet.Domain, l Level) string {
+	switch l {
+	case LevelRack:
+		return strings.Join([]string{"rack", d.DataCentre, d.Switch, d.Rack}, " ")
+	case LevelSwitch:
+		return strings.Join([]string{"switch", d.DataCentre, d.Switch}, " ")
+	default:
+		return "data centre " + d.DataCentre
 	}
 }
 
@@ -68,16 +80,19 @@
 	}
 	var worst Loss
 	for _, l := range Levels {
-		counts := map[string]int{}
+		counts := map[fleet.Domain]int{}
 		for _, v := range vms {
 			if Counted(v) {
-				counts[Key(v.Domain, l)]++
+				counts[Part(v.Domain, l)]++
 			}
 		}
 		for domain, n := range counts {
 			bad := ShortMS(need, have-n+spare, outages[l])
-			if bad > worst.BadMS || (bad > 0 && bad == worst.BadMS && domain < worst.Domain) {
-				worst = Loss{Domain: domain, Level: l, VMs: n, BadMS: bad}
+			if bad == 0 || bad < worst.BadMS {
+				continue
+			}
+			if name := Name(domain, l); bad > worst.BadMS || name < worst.Domain {
+				worst = Loss{Domain: name, Level: l, VMs: n, BadMS: bad}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/plan/waves/input.go
@@ -0,0 +1,104 @@
+package waves
+
+import (
+	"time"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/plan/budget"
+)
+
+// Pool is what the plan knows of one pool's demand.
+type Pool struct {
+	// Name is the pool's name.
+	Name string
+	// Need is the count of VMs that carry the pool's demand.
+	Need int
+}
+
+// Policy is how the environment wants maintenance done.
+type Policy struct {
+	// Cycle is the time in which every VM is maintained once.
+	Cycle time.Duration
+	// Limit is the most VMs of a wave that are out at once.
+	Limit int
+	// Probation is how long a VM runs before it counts as capacity again.
+	Probation time.Duration
+	// Recent is how long a failure keeps its failure domains from losing a second VM to a wave.
+	Recent time.Duration
+	// Outage is how long one VM is out: its drain, its reboot and its probation.
+	Outage time.Duration
+}
+
+// Input is what the plan decides from.
+type Input struct {
+	// Now is the time of the decision.
+	Now time.Time
+	// VMs are all VMs, by name.
+	VMs []fleet.VM
+	// Waves are the waves, oldest first.
+	Waves []fleet.Wave
+	// Pools are the pools' demands.
+	Pools []Pool
+	// Budgets are the services' budgets without the loss of a domain.
+	Budgets []budget.Status
+	// Spare is the count of spare VMs that can carry any pool's load.
+	Spare int
+	// Policy is how maintenance is to be done.
+	Policy Policy
+}
+
+// pool is the plan's working view of one pool.
+type pool struct {
+	Pool
+
+	vms     []fleet.VM
+	have    int
+	due     int
+	budgets []budget.Status
+}
+
+// short returns how many spare VMs the pool draws on with n of its active VMs taken out.
+func (p *pool) short(n int) int {
+	return max(0, p.Need-(p.have-n))
+}
+
+// view sorts the input by pool; pools without demand are among them.
+type view struct {
+	Input
+
+	pools map[string]*pool
+	// drawn is how many spare VMs the pools draw on already.
+	drawn int
+}
+
+func newView(in Input) *view {
+	v := &view{Input: in, pools: map[string]*pool{}}
+	for _, p := range in.Pools {
+		v.pools[p.Name] = &pool{Pool: p}
+	}
+	for _, m := range in.VMs {
+		p := v.pools[m.Pool]
+		if p == nil {
+			p = &pool{Pool: Pool{Name: m.Pool}}
+			v.pools[m.Pool] = p
+		}
+		p.vms = append(p.vms, m)
+		if budget.Counted(m) {
+			p.have++
+		}
+	}
+	for _, s := range in.Budgets {
+		if p := v.pools[s.Policy.Pool]; p != nil {
+			p.budgets = append(p.budgets, s)
+		}
+	}
+	for _, p := range v.pools {
+		v.drawn += p.short(0)
+	}
+	return v
+}
+
+// outOf says whether a piece of work has a VM out of service.
+func outOf(m fleet.VM, work string) bool {
+	return m.Work == work && m.Phase != fleet.PhaseActive
+}
