--- a/doc.go
+++ b/doc.go
@@ -7,6 +7,7 @@
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p conf --schema-root-type https://cowslipstack.invalid/conf/daemon.json=Daemon schema/conf/daemon.json -o internal/base/conf/daemon_gen.go
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
+//go:generate go tool -modfile=tools/go.mod stringer -type=ChangeKind -linecomment -output=internal/model/docs/enums_gen.go ./internal/model/docs
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
 //go:generate go tool -modfile=tools/go.mod stringer -type=Reason -linecomment -output=internal/edge/route/enums_gen.go ./internal/edge/route
--- a/internal/ctrl/state/document.go
+++ b/internal/ctrl/state/document.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,9 @@
 	trialsKept = 16
 )
 
+// Production names the environment that is in force on the entries.
+const Production = "production"
+
 // Document is an accepted environment document.
 type Document struct {
 	// Environment is the environment's name as the document gives it.
@@ -61,6 +65,34 @@
 	Text []byte
 }
 
+// Trial returns the latest trial of a document by its digest.
+func (s *State) Trial(digest string) (Trial, bool) {
+	for _, t := range slices.Backward(s.Trials) {
+		if t.Digest == digest {
+			return t, true
+		}
+	}
+	return Trial{}, false
+}
+
+// Text returns a document's text by a revision, a digest, the name of a trial environment, or production.
+func (s *State) Text(name string) ([]byte, bool) {
+	if name == Production || name == s.Document.Digest {
+		return s.Document.Text, s.Document.Revision > 0
+	}
+	for _, t := range slices.Backward(s.Trials) {
+		if t.Digest == name || t.Environment == name {
+			return t.Text, true
+		}
+	}
+	for _, r := range slices.Backward(s.History) {
+		if r.Digest == name || strconv.FormatUint(r.Revision, 10) == name {
+			return r.Text, r.Text != nil
+		}
+	}
+	return nil, false
+}
+
 // applyDocument accepts a document that builds on the revision in force; of racing ones the first wins.
 func (m *Machine) applyDocument(c record.Command, change record.DocumentChange) record.Result {
 	if r, ok := m.conflict(change.BaseRevision); ok {
@@ -93,16 +125,19 @@
 	return record.Result{Code: record.CodeOK, Revision: s.Document.Revision, Digest: digest}
 }
 
-// applyPromote puts a document into production whose digest was tried on the revision in force.
+// applyPromote puts a document into production that was tried, on the revision in force.
 func (m *Machine) applyPromote(c record.Command, change record.PromoteChange) record.Result {
-	if r, ok := m.conflict(change.BaseRevision); ok {
-		return r
-	}
-	i := slices.IndexFunc(m.state.Trials, func(t Trial) bool { return t.Digest == change.Digest })
-	if i < 0 {
+	t, ok := m.state.Trial(change.Digest)
+	if !ok {
 		return m.refused(record.CodeNotFound, fmt.Sprintf("no trial has the digest %q; the latest %d are kept", change.Digest, trialsKept))
 	}
-	t := m.state.Trials[i]
+	base := change.BaseRevision
+	if change.AsTried {
+		base = t.BaseRevision
+	}
+	if r, ok := m.conflict(base); ok {
+		return r
+	}
 	return m.accept(c, Document{Environment: t.Environment, Digest: t.Digest, Text: t.Text})
 }
 
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -52,6 +52,8 @@
 	BaseRevision uint64
 	// Digest names the document that was tried.
 	Digest string
+	// AsTried builds on the revision that the document was tried on; BaseRevision is unused.
+	AsTried bool
 }
 
 // ClaimStep is what a change does to a claim; the zero value is not valid.
