--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -34,6 +34,7 @@
 type Arguments struct {
 	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
 	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
+	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
 	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
 	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
@@ -110,6 +111,8 @@
 		return c.arguments.Env.run(ctx, c)
 	case c.arguments.Status != nil:
 		return c.status(ctx)
+	case c.arguments.Watch != nil:
+		return c.arguments.Watch.run(ctx, c)
 	case c.arguments.Version != nil:
 		return c.version()
 	case c.arguments.Reference != nil:
