Drive the platform from the replicated state by the leader's loop

Cause: nothing carried the plans out. The loop acts only after a quorum has confirmed its node as the leader; it copies the state, decides, submits records and takes each VM one step further on the platform. A VM is stopped only when the entries say it is drained and no job stands on it.

Not wired into the daemon yet.

--- a/doc.go
+++ b/doc.go
@@ -6,7 +6,7 @@
 //go:generate go tool -modfile=tools/go.mod buf generate schema/peer
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL -p conf --schema-root-type https://cowslipstack.invalid/conf/daemon.json=Daemon schema/conf/daemon.json -o internal/base/conf/daemon_gen.go
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
-//go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
+//go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase,TaskState,Verb,OperationState -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep,WaveStep,JobStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
 //go:generate go tool -modfile=tools/go.mod stringer -type=Level -linecomment -output=internal/plan/budget/enums_gen.go ./internal/plan/budget
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p conf --schema-root-type https://cowslipstack.invalid/conf/daemon.json=Daemon schema/conf/daemon.json -o internal/base/conf/daemon_gen.go
--- /dev/null
+++ b/internal/ctrl/lead/decide.go
@@ -0,0 +1,124 @@
+package lead
+
+import (
+	"time"
+
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/plan/budget"
+	"cowslipstack/internal/plan/spare"
+	"cowslipstack/internal/plan/waves"
+)
+
+const (
+	// recentFailure is how long a failure keeps its failure domains from losing a second VM to a wave.
+	recentFailure = 30 * time.Minute
+	// rebootTime is what a drain and a reboot are planned to take.
+	rebootTime = 5 * time.Minute
+	day        = 24 * time.Hour
+)
+
+// Decide runs the plans on a situation; it changes nothing itself.
+func Decide(s Situation) []record.Action {
+	actions := admit(s)
+	in := WavesInput(s)
+	actions = append(actions, waves.Orphans(in)...)
+	return append(actions, waves.Plan(in)...)
+}
+
+// WavesInput returns what the plan of maintenance decides from.
+func WavesInput(s Situation) waves.Input {
+	m := s.Environment.Maintenance
+	probation := time.Duration(m.ProbationS) * time.Second
+	in := waves.Input{
+		Now: s.Now, VMs: s.VMs, Waves: s.Waves,
+		Policy: waves.Policy{
+			Cycle: time.Duration(m.CycleDays) * day, Limit: m.WaveLimit,
+			Probation: probation, Recent: recentFailure, Outage: rebootTime + probation,
+		},
+	}
+	deadlines := deadlines(s.Environment)
+	for _, p := range s.Environment.Pools {
+		name := string(p.Name)
+		if p.Spare {
+			in.Spare += active(s.VMs, name)
+			continue
+		}
+		in.Pools = append(in.Pools, waves.Pool{Name: name, Need: need(s, p, deadlines[name])})
+	}
+	for _, sv := range s.Environment.Services {
+		in.Budgets = append(in.Budgets, budget.Read(budget.FromService(sv), s.Ledgers[string(sv.Name)], s.Now))
+	}
+	return in
+}
+
+// need returns the VMs that carry a pool's demand; half of them until a demand was learned.
+func need(s Situation, p docs.Pool, deadline time.Duration) int {
+	d, ok := s.Demands[string(p.Name)]
+	if !ok {
+		return (p.Size + 1) / 2
+	}
+	return spare.Need(d, deadline)
+}
+
+// deadlines returns the shortest deadline of each pool's services.
+func deadlines(e docs.Environment) map[string]time.Duration {
+	shortest := map[string]time.Duration{}
+	for _, sv := range e.Services {
+		d := time.Duration(sv.DeadlineMs) * time.Millisecond
+		if known, ok := shortest[string(sv.Pool)]; !ok || d < known {
+			shortest[string(sv.Pool)] = d
+		}
+	}
+	return shortest
+}
+
+func active(vms []fleet.VM, pool string) int {
+	count := 0
+	for _, v := range vms {
+		if v.Pool == pool && v.Phase == fleet.PhaseActive {
+			count++
+		}
+	}
+	return count
+}
+
+// admit adds the platform's new VMs to pools: to the one that the platform names, or to the one that lacks most.
+func admit(s Situation) []record.Action {
+	known, counts := map[string]bool{}, map[string]int{}
+	for _, v := range s.VMs {
+		known[v.Name] = true
+		counts[v.Pool]++
+	}
+	var actions []record.Action
+	for _, name := range sortedNames(s.Machines) {
+		m := s.Machines[name]
+		if known[name] || !m.Up {
+			continue
+		}
+		pool := choosePool(s.Environment.Pools, m.Pool, counts)
+		if pool == "" {
+			continue
+		}
+		counts[pool]++
+		reason := record.Reason{Rule: "a new VM joins the pool that the platform names, or that lacks most VMs", Inputs: "pool " + pool}
+		actions = append(actions, record.Action{Reason: reason, Command: record.Command{VM: &record.VMChange{
+			Step: record.VMJoin, VM: name, Pool: pool, Domain: m.Domain, Size: m.Size, Cause: reason.String(),
+		}}})
+	}
+	return actions
+}
+
+func choosePool(pools []docs.Pool, named string, counts map[string]int) string {
+	best, lack := "", 0
+	for _, p := range pools {
+		if string(p.Name) == named {
+			return named
+		}
+		if n := p.Size - counts[string(p.Name)]; n > lack {
+			best, lack = string(p.Name), n
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/ctrl/lead/lead.go
@@ -0,0 +1,158 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+const (
+	// stepEvery is the time between planning steps.
+	stepEvery = 500 * time.Millisecond
+	// stepTimeout bounds one planning step with its records and operations.
+	stepTimeout = 10 * time.Second
+	// seenSteps is how many steps in a row must see a VM lost or back.
+	seenSteps = 2
+)
+
+// Node is the replicated state as the leader uses it.
+type Node interface {
+	// Submit makes a change and waits for its result.
+	Submit(context.Context, record.Command) (record.Result, error)
+	// Confirm returns once a quorum has confirmed this replica as the leader.
+	Confirm(context.Context) error
+	// View runs a function with the state for reading.
+	View(context.Context, func(*state.State)) error
+}
+
+// Entries is what the entries tell the leader with their lease renewals.
+type Entries interface {
+	// Drained says whether no entry has, or can still start, a request on a VM.
+	Drained(vm string, epoch uint64) bool
+	// Reports returns what each entry saw of each service.
+	Reports() []fleet.Report
+}
+
+// Platform runs the VMs.
+type Platform interface {
+	// Machines returns all VMs.
+	Machines(context.Context) ([]fleet.Machine, error)
+	// Do starts an operation, or finds out how far it is where it was started before.
+	Do(context.Context, fleet.Operation) (fleet.OperationState, error)
+}
+
+// Options says what a leader works with; all fields are needed.
+type Options struct {
+	// Node holds the replicated state.
+	Node Node
+	// Entries tells of drains and requests.
+	Entries Entries
+	// Platform runs the VMs.
+	Platform Platform
+	// Clock gives the time.
+	Clock clock.Clock
+	// Logger takes each decision with its reason.
+	Logger *zap.Logger
+}
+
+// Leader plans and drives while its node leads; one goroutine runs it.
+type Leader struct {
+	options     Options
+	revision    uint64
+	environment docs.Environment
+	// seen counts the steps in a row that saw a VM lost or back.
+	seen map[string]int
+	// samples are the reports that the next ones are compared with.
+	samples samples
+	steps   *metrics.Summary
+}
+
+// New returns a leader that does nothing until it is run.
+func New(o Options) *Leader {
+	l := &Leader{options: o, steps: metrics.GetOrCreateSummary("cowslip_plan_step_seconds")}
+	l.forget()
+	return l
+}
+
+// Run plans until the context ends.
+func (l *Leader) Run(ctx context.Context) error {
+	ticker := l.options.Clock.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C():
+			if err := l.Step(ctx); err != nil && ctx.Err() == nil {
+				l.options.Logger.Warn("plan_step_failed", zap.Error(err))
+			}
+		}
+	}
+}
+
+// Step observes, plans and drives once; it does nothing on a replica that doesn't lead.
+func (l *Leader) Step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	if err := l.options.Node.Confirm(ctx); errors.Is(err, quorum.ErrNotLeader) {
+		l.forget()
+		return nil
+	} else if err != nil {
+		return errors.Wrap(err, "confirm")
+	}
+	s, err := l.situation(ctx)
+	if err != nil || l.revision == 0 {
+		return err
+	}
+	began := l.options.Clock.Now()
+	actions := append(Decide(s), l.observe(s)...)
+	l.steps.Update(l.options.Clock.Now().Sub(began).Seconds())
+	for _, a := range actions {
+		if err := l.submit(ctx, a); err != nil {
+			return err
+		}
+	}
+	return l.drive(ctx, s)
+}
+
+// situation copies the state and asks the platform for its VMs.
+func (l *Leader) situation(ctx context.Context) (Situation, error) {
+	var c copied
+	if err := l.options.Node.View(ctx, func(st *state.State) { take(st, &c) }); err != nil {
+		return Situation{}, errors.Wrap(err, "read the state")
+	}
+	c.s.Now = l.options.Clock.Now()
+	c.s.sorted()
+	if c.revision != l.revision {
+		environment, err := docs.Parse("document in force", c.text)
+		if err != nil {
+			return Situation{}, errors.Wrap(err, "read the document in force")
+		}
+		l.environment, l.revision = environment, c.revision
+	}
+	c.s.Environment = l.environment
+	machines, err := l.options.Platform.Machines(ctx)
+	if err != nil {
+		return Situation{}, errors.Wrap(err, "read the platform's VMs")
+	}
+	c.s.Machines = make(map[string]fleet.Machine, len(machines))
+	for _, m := range machines {
+		c.s.Machines[m.Name] = m
+	}
+	return c.s, nil
+}
+
+// forget drops what was seen as the leader; a new term starts anew.
+func (l *Leader) forget() {
+	l.seen, l.samples = map[string]int{}, samples{}
+}
--- a/internal/ctrl/state/budget.go
+++ b/internal/ctrl/state/budget.go
@@ -67,3 +67,15 @@
 	}
 	return kept
 }
+
+// applyDemand replaces a pool's demand by a later one.
+func (m *Machine) applyDemand(d fleet.Demand) record.Result {
+	switch {
+	case d.Pool == "":
+		return record.Result{Code: record.CodeInvalid, Message: "the change names no pool"}
+	case d.Updated.Before(m.state.Demands[d.Pool].Updated):
+		return record.Result{Code: record.CodeConflict, Message: "a later demand is known"}
+	}
+	m.state.Demands[d.Pool] = d
+	return record.Result{Code: record.CodeOK}
+}
--- a/internal/ctrl/state/job.go
+++ b/internal/ctrl/state/job.go
@@ -84,6 +84,7 @@
 	step.apply(&j, c)
 	if j.Phase != before.Phase {
 		j.Since = now
+		j.Version++
 	}
 	if c.Cause != "" {
 		j.Cause = c.Cause
@@ -101,7 +102,7 @@
 	case j.Name != c.Names[0] || j.Pool == "" || j.Team == "":
 		return record.Result{Code: record.CodeInvalid, Message: "a job needs a name, a team and a pool"}
 	}
-	j.Phase, j.Attempt, j.VM, j.LeaseUntil = fleet.JobWaiting, 0, "", time.Time{}
+	j.Phase, j.Attempt, j.Version, j.VM, j.LeaseUntil = fleet.JobWaiting, 0, 1, "", time.Time{}
 	j.Submitted, j.Since = now, now
 	m.state.Jobs[j.Name] = j
 	return record.Result{Code: record.CodeOK}
--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -29,6 +29,8 @@
 	Jobs map[string]fleet.Job
 	// Failures are the latest failures of jobs, oldest first.
 	Failures []fleet.JobFailure
+	// Demands are the pools' demands by the pool's name.
+	Demands map[string]fleet.Demand
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -70,6 +72,9 @@
 	if s.Ledgers == nil {
 		s.Ledgers = map[string]fleet.Ledger{}
 	}
+	if s.Demands == nil {
+		s.Demands = map[string]fleet.Demand{}
+	}
 	if s.Jobs == nil {
 		s.Jobs = map[string]fleet.Job{}
 	}
@@ -108,6 +113,8 @@
 		return m.applyBudget(*c.Budget)
 	case c.Wave != nil:
 		return m.applyWave(*c.Wave, m.state.Time)
+	case c.Demand != nil:
+		return m.applyDemand(c.Demand.Demand)
 	case c.Job != nil:
 		return m.applyJob(*c.Job, m.state.Time)
 	default:
--- a/internal/model/fleet/job.go
+++ b/internal/model/fleet/job.go
@@ -38,6 +38,8 @@
 	Cause string
 	// Attempt counts the job's starts.
 	Attempt uint64
+	// Version rises with each change of the job's phase.
+	Version uint64
 	// Submitted is when the job was submitted.
 	Submitted time.Time
 	// Since is when the phase began.
--- a/internal/model/fleet/wave.go
+++ b/internal/model/fleet/wave.go
@@ -58,3 +58,9 @@
 	inScope := (w.Pool == "" || w.Pool == v.Pool) && (w.DataCentre == "" || w.DataCentre == v.Domain.DataCentre)
 	return inScope && v.Maintained.Before(w.Cutoff)
 }
+
+// WorkOperator names an operator's drain: the VM stays out until an operator returns it.
+const WorkOperator = "operator"
+
+// WorkReboot names an operator's reboot: the VM returns by itself.
+const WorkReboot = "operator-reboot"
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -28,6 +28,8 @@
 	Wave *WaveChange
 	// Job moves a job through its life.
 	Job *JobChange
+	// Demand records what a pool's services ask of it.
+	Demand *DemandChange
 }
 
 // DocumentChange puts an environment document into force.
--- a/internal/model/record/plan.go
+++ b/internal/model/record/plan.go
@@ -133,3 +133,9 @@
 	// Cause tells an operator why.
 	Cause string
 }
+
+// DemandChange records what a pool's services ask of it.
+type DemandChange struct {
+	// Demand is the demand as learned.
+	Demand fleet.Demand
+}
--- a/internal/wire/codec/plan.go
+++ b/internal/wire/codec/plan.go
@@ -64,6 +64,7 @@
 		Name: j.Name, Team: j.Team, Pool: j.Pool, Urgent: j.Urgent, Checkpoint: j.Checkpoint,
 		Declared: SizeToWire(j.Declared), Used: SizeToWire(j.Used), Phase: uint32(j.Phase), Cause: j.Cause, Attempt: j.Attempt,
 		SubmittedNs: timeToWire(j.Submitted), SinceNs: timeToWire(j.Since), Vm: j.VM, LeaseUntilNs: timeToWire(j.LeaseUntil),
+		Version: j.Version,
 	}
 }
 
@@ -73,6 +74,19 @@
 		Name: w.GetName(), Team: w.GetTeam(), Pool: w.GetPool(), Urgent: w.GetUrgent(), Checkpoint: w.GetCheckpoint(),
 		Declared: SizeFromWire(w.GetDeclared()), Used: SizeFromWire(w.GetUsed()), Phase: fleet.JobPhase(w.GetPhase()),
 		Cause: w.GetCause(), Attempt: w.GetAttempt(), Submitted: timeFromWire(w.GetSubmittedNs()),
-		Since: timeFromWire(w.GetSinceNs()), VM: w.GetVm(), LeaseUntil: timeFromWire(w.GetLeaseUntilNs()),
+		Version: w.GetVersion(), Since: timeFromWire(w.GetSinceNs()), VM: w.GetVm(), LeaseUntil: timeFromWire(w.GetLeaseUntilNs()),
+	}
+}
+
+func demandToWire(d fleet.Demand) *peer.DemandState {
+	return &peer.DemandState{
+		Pool: d.Pool, MeanMilli: d.MeanMilli, PeakMilli: d.PeakMilli, NowMilli: d.NowMilli, SurgeMs: d.SurgeMS, RunMs: d.RunMS, UpdatedNs: timeToWire(d.Updated),
+	}
+}
+
+func demandFromWire(w *peer.DemandState) fleet.Demand {
+	return fleet.Demand{
+		Pool: w.GetPool(), MeanMilli: w.GetMeanMilli(), PeakMilli: w.GetPeakMilli(), NowMilli: w.GetNowMilli(),
+		SurgeMS: w.GetSurgeMs(), RunMS: w.GetRunMs(), Updated: timeFromWire(w.GetUpdatedNs()),
 	}
 }
--- a/internal/wire/codec/planstate.go
+++ b/internal/wire/codec/planstate.go
@@ -23,6 +23,9 @@
 	for _, f := range s.Failures {
 		w.Failures = append(w.Failures, &peer.JobFailure{Job: f.Job, Vm: f.VM, TimeNs: timeToWire(f.Time)})
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.Demands)) {
+		w.Demands = append(w.Demands, demandToWire(s.Demands[name]))
+	}
 	return w
 }
 
@@ -38,6 +41,10 @@
 	for _, j := range w.GetJobs() {
 		s.Jobs[j.GetName()] = JobFromWire(j)
 	}
+	s.Demands = make(map[string]fleet.Demand, len(w.GetDemands()))
+	for _, d := range w.GetDemands() {
+		s.Demands[d.GetPool()] = demandFromWire(d)
+	}
 	for _, f := range w.GetFailures() {
 		s.Failures = append(s.Failures, fleet.JobFailure{Job: f.GetJob(), VM: f.GetVm(), Time: timeFromWire(f.GetTimeNs())})
 	}
