--- a/internal/model/fleet/doc.go
+++ b/internal/model/fleet/doc.go
@@ -2,4 +2,4 @@
 // and jobs, as plain structs without behaviour of their own.
 package fleet
 
-//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase -linecomment -output=enums_gen.go
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase,TaskState,Verb,OperationState -linecomment -output=enums_gen.go
