--- a/doc.go
+++ b/doc.go
@@ -4,19 +4,13 @@
 package cowslipstack
 
 //go:generate go tool -modfile=tools/go.mod buf generate schema/peer
-//go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL -p conf --schema-root-type https://cowslipstack.invalid/conf/daemon.json=Daemon schema/conf/daemon.json -o internal/base/conf/daemon_gen.go
-//go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
-//go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
-//go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep,WaveStep,JobStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
-//go:generate go tool -modfile=tools/go.mod stringer -type=Level -linecomment -output=internal/plan/budget/enums_gen.go ./internal/plan/budget
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p conf --schema-root-type https://cowslipstack.invalid/conf/daemon.json=Daemon schema/conf/daemon.json -o internal/base/conf/daemon_gen.go
 //go:generate go tool -modfile=tools/go.mod go-jsonschema --tags json --capitalization ID,TTL,TLS -p docs --schema-root-type https://cowslipstack.invalid/conf/environment.json=Environment schema/conf/environment.json -o internal/model/docs/environment_gen.go
-//go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=ChangeKind -linecomment -output=internal/model/docs/enums_gen.go ./internal/model/docs
-//go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
+//go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase,WavePhase,JobPhase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
+//go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep,WaveStep,JobStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
+//go:generate go tool -modfile=tools/go.mod stringer -type=Level -linecomment -output=internal/plan/budget/enums_gen.go ./internal/plan/budget
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role,ChangeKind -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
-//go:generate sh -c "go run ./cmd/cowslipd --reference > docs/SETTINGS.md"
-//go:generate sh -c "go run ./cmd/cowslip reference > docs/DOCUMENT.md"
 //go:generate go tool -modfile=tools/go.mod stringer -type=Class,Verdict -linecomment -output=internal/edge/queue/enums_gen.go ./internal/edge/queue
-//go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
 //go:generate go tool -modfile=tools/go.mod stringer -type=Reason -linecomment -output=internal/edge/route/enums_gen.go ./internal/edge/route
+//go:generate go tool -modfile=tools/go.mod stringer -type=Change -linecomment -output=internal/edge/table/enums_gen.go ./internal/edge/table
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -55,8 +55,14 @@
 	})
 }
 
-func newKeeper(n *node.Node, c clock.Clock) *lease.Keeper {
-	return lease.NewKeeper(n, c)
+func newKeeper(settings conf.Daemon, n *node.Node, c clock.Clock, logger *zap.Logger) *lease.Keeper {
+	var entries []string
+	for _, p := range settings.EntryPeers() {
+		entries = append(entries, string(p.Name))
+	}
+	return lease.NewKeeper(lease.Options{
+		Node: n, Clock: c, Logger: logger, Entries: entries, Lease: conf.Milliseconds(settings.Entry.LeaseMs),
+	})
 }
 
 func newReplicaSender(settings conf.Daemon, client *http.Client, control *dial.Control, logger *zap.Logger) *dial.Replicas {
@@ -76,9 +82,11 @@
 	return &serve.Control{Node: n, Keeper: k, Clock: c}
 }
 
-func startControl(n *node.Node, sender *dial.Replicas, g *tasks.Group) {
+func startControl(n *node.Node, k *lease.Keeper, sender *dial.Replicas, g *tasks.Group) {
 	g.Start("disk", n.RunDisk)
 	g.Start("node", n.Run)
+	g.Start("lease_confirm", k.RunConfirm)
+	g.Start("lease_watch", k.RunWatch)
 	g.Start("join", func(ctx context.Context) error { return n.RunJoin(ctx, sender) })
 	for _, name := range sender.Names() {
 		g.Start("replica_sender", func(ctx context.Context) error { return sender.Run(ctx, name) })
--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 
 	"go.uber.org/fx"
@@ -16,19 +17,21 @@
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
 	"cowslipstack/internal/edge/route"
+	"cowslipstack/internal/edge/tally"
 	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/serve"
 )
 
 // entryModule holds the parts of the entry role.
 var entryModule = fx.Options(
-	fx.Provide(newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newFront, newCallersHandler, newEndpointsHandler),
 	fx.Invoke(startEntry),
 )
 
-func newAgent(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, control *dial.Control, others *dial.Entries) *agent.Agent {
+func newAgent(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, control *dial.Control, others *dial.Entries, t *tally.Tally) *agent.Agent {
 	return agent.New(agent.Options{
-		Name: string(settings.Name), Loop: l, Clock: c, Logger: logger, Control: control, Others: others,
+		Name: string(settings.Name), Loop: l, Clock: c, Logger: logger,
+		Control: control, Others: others, Traffic: t, Random: rand.IntN,
 		Lease: conf.Milliseconds(settings.Entry.LeaseMs),
 		Renew: conf.Milliseconds(settings.Entry.RenewMs),
 		TTL:   conf.Milliseconds(settings.Entry.AnnounceTTLMs),
@@ -36,13 +39,13 @@
 }
 
 func newEntrySender(settings conf.Daemon, client *http.Client, c clock.Clock, logger *zap.Logger) *dial.Entries {
-	var others []string
+	options := dial.EntriesOptions{Client: client, Clock: c, Logger: logger, TTL: conf.Milliseconds(settings.Entry.AnnounceTTLMs)}
 	for _, p := range settings.EntryPeers() {
 		if p.Name != settings.Name {
-			others = append(others, p.Address)
+			options.Addresses = append(options.Addresses, p.Address)
 		}
 	}
-	return dial.NewEntries(client, others, c, logger)
+	return dial.NewEntries(options)
 }
 
 func newEntryService(a *agent.Agent, c clock.Clock) *serve.Entry {
@@ -55,8 +58,8 @@
 	return r
 }
 
-func newDispatcher(a *agent.Agent, c clock.Clock) front.Dispatcher {
-	return route.NewDirect(a, c)
+func newDispatcher(a *agent.Agent, c clock.Clock, t *tally.Tally) front.Dispatcher {
+	return t.Count(route.NewDirect(a, c), a)
 }
 
 func newFront(settings conf.Daemon, a *agent.Agent, d front.Dispatcher, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
@@ -72,8 +75,8 @@
 	Handler http.Handler `name:"callers"`
 }
 
-func newCallersHandler(f *front.Front) callersHandler {
-	return callersHandler{Handler: f.Handler()}
+func newCallersHandler(f *front.Front, a *agent.Agent, t *tally.Tally) callersHandler {
+	return callersHandler{Handler: t.Handler(f.Handler(), a, front.HeaderOutcome)}
 }
 
 // endpointsHandler names the handler of announcements for the container.
@@ -89,6 +92,8 @@
 
 func startEntry(a *agent.Agent, others *dial.Entries, g *tasks.Group) {
 	g.Start("agent", a.Run)
+	g.Start("endpoints_lapse", a.RunLapse)
+	g.Start("endpoints_sync", a.RunSync)
 	for i := range others.Count() {
 		g.Start("entry_sender", func(ctx context.Context) error { return others.Run(ctx, i) })
 	}
--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -137,7 +137,7 @@
 	if err := response.Body.Close(); err != nil {
 		return errors.Wrap(err, "close answer")
 	}
-	if response.StatusCode != http.StatusNoContent {
+	if response.StatusCode != http.StatusOK {
 		return errors.Newf("the entry answered %s", response.Status)
 	}
 	return nil
--- a/internal/ctrl/lease/keeper.go
+++ b/internal/ctrl/lease/keeper.go
@@ -2,91 +2,181 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/grant"
+)
+
+const (
+	// watchEvery is the time between looks at the state where no renewal comes in.
+	watchEvery = 250 * time.Millisecond
+	// rateMargin allows for clocks that run at slightly different rates.
+	rateMargin = 50 * time.Millisecond
+	// LongestDeadline is the longest time that a caller may give a request.
+	LongestDeadline = 10 * time.Minute
 )
 
+// ErrUnknownEntry says that a renewal came from an entry that is not in the settings.
+var ErrUnknownEntry = errors.New("the entry is not among the peers of the control role's settings")
+
+// ErrLeaseTooLong says that an entry counts on a longer lease than the leader grants.
+var ErrLeaseTooLong = errors.New("the entry's lease_ms is above that of the control role's settings")
+
 // Node is what the keeper asks of the replicated state.
 type Node interface {
-	// Confirm returns once a quorum has confirmed this replica as the leader.
-	Confirm(context.Context) error
-	// View runs a function with the state for reading.
+	Quorum
+	// View runs a function with the state for reading, on the loop that owns it.
 	View(context.Context, func(*state.State)) error
 }
 
-// Renewal is an entry's wish to renew its lease.
-type Renewal struct {
-	// Entry is the entry's name.
-	Entry string
-	// Revision is the revision in force on the entry.
-	Revision uint64
+// Options says what a keeper works with; all fields are needed.
+type Options struct {
+	// Node holds the replicated state.
+	Node Node
+	// Clock gives the time.
+	Clock clock.Clock
+	// Logger takes the keeper's events.
+	Logger *zap.Logger
+	// Entries are the names of all entries that may hold a lease.
+	Entries []string
+	// Lease is the longest lease that is granted.
+	Lease time.Duration
+}
+
+// Keeper grants leases; its exported methods are safe for concurrent use.
+type Keeper struct {
+	options   Options
+	confirmer *confirmer
+	snapshot  atomic.Pointer[Snapshot]
+
+	// The fields below belong to the loop that runs Node.View.
+	holders map[string]*Holder
+	force   force
+	marks   marks
 }
 
-// Grant is the answer to a renewal.
-type Grant struct {
-	// Revision is the revision that is to be in force.
-	Revision uint64
-	// Document is its text, nil where the entry has it.
-	Document []byte
+// NewKeeper returns a keeper that has heard of no entry yet.
+func NewKeeper(o Options) *Keeper {
+	k := &Keeper{
+		options: o, confirmer: newConfirmer(o.Node, o.Clock),
+		holders: map[string]*Holder{}, marks: newMarks(),
+	}
+	for _, name := range o.Entries {
+		k.holders[name] = &Holder{Name: name}
+	}
+	k.snapshot.Store(&Snapshot{})
+	return k
 }
 
-// Holder is what the leader knows of one entry.
-type Holder struct {
-	// Name is the entry's name.
-	Name string
-	// Revision is the revision in force on the entry.
-	Revision uint64
-	// Renewed is when the entry was last granted a lease.
-	Renewed time.Time
+// RunConfirm confirms this replica's lead for the renewals that wait, until the context ends.
+func (k *Keeper) RunConfirm(ctx context.Context) error {
+	return k.confirmer.run(ctx)
 }
 
-// Keeper grants leases; it is safe for concurrent use.
-type Keeper struct {
-	node    Node
-	clock   clock.Clock
-	mu      sync.Mutex
-	holders map[string]Holder
+// RunWatch follows the state until the context ends; also on followers, so that each knows when it saw a change.
+func (k *Keeper) RunWatch(ctx context.Context) error {
+	ticker := k.options.Clock.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		if err := k.Watch(ctx); err != nil && ctx.Err() == nil {
+			return errors.Wrap(err, "watch the state")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C():
+		}
+	}
 }
 
-// NewKeeper returns a keeper that knows no entry.
-func NewKeeper(node Node, c clock.Clock) *Keeper {
-	return &Keeper{node: node, clock: c, holders: map[string]Holder{}}
+// Watch looks at the state once.
+func (k *Keeper) Watch(ctx context.Context) error {
+	return k.options.Node.View(ctx, func(s *state.State) {
+		k.observe(s)
+		k.publish()
+	})
 }
 
 // Renew grants a lease, or fails where this replica can't prove that it leads.
-func (k *Keeper) Renew(ctx context.Context, r Renewal) (Grant, error) {
-	if err := k.node.Confirm(ctx); err != nil {
-		return Grant{}, err
+func (k *Keeper) Renew(ctx context.Context, r grant.Renewal) (grant.Grant, error) {
+	if r.Lease > k.options.Lease {
+		return grant.Grant{}, errors.Wrapf(ErrLeaseTooLong, "entry %q", r.Entry)
+	}
+	if err := k.confirmer.confirm(ctx); err != nil {
+		return grant.Grant{}, err
 	}
-	var g Grant
+	var g grant.Grant
+	var refused error
 	read := func(s *state.State) {
-		g.Revision = s.Document.Revision
-		if g.Revision > r.Revision {
-			g.Document = s.Document.Text
+		h, ok := k.holders[r.Entry]
+		if !ok {
+			refused = errors.Wrapf(ErrUnknownEntry, "entry %q", r.Entry)
+			return
 		}
+		k.observe(s)
+		if refused = behind(s, r); refused != nil {
+			return
+		}
+		g = k.grant(s, h, r)
+		k.publish()
+	}
+	if err := k.options.Node.View(ctx, read); err != nil {
+		return grant.Grant{}, err
+	}
+	return g, refused
+}
+
+// behind fails where the entry knows a later state than this replica; a committed change was lost then.
+func behind(s *state.State, r grant.Renewal) error {
+	fields := []zap.Field{
+		zap.String("entry", r.Entry), zap.Uint64("revision", s.Document.Revision), zap.Uint64("entry_revision", r.Revision),
+		zap.Uint64("applied", s.Applied), zap.Uint64("entry_index", r.Index),
 	}
-	if err := k.node.View(ctx, read); err != nil {
-		return Grant{}, err
+	if !check.That(r.Revision <= s.Document.Revision && r.Index <= s.Applied, "document_revision_only_rises", fields...) {
+		return errors.Newf("entry %q knows a later state than the leader", r.Entry)
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.holders[r.Entry] = Holder{Name: r.Entry, Revision: r.Revision, Renewed: k.clock.Now()}
-	return g, nil
+	return nil
 }
 
-// Holders returns what is known of each entry, by name.
-func (k *Keeper) Holders() []Holder {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	holders := make([]Holder, 0, len(k.holders))
-	for _, h := range k.holders {
-		holders = append(holders, h)
+// grant notes what the entry told and returns what it lacks.
+func (k *Keeper) grant(s *state.State, h *Holder, r grant.Renewal) grant.Grant {
+	now := k.options.Clock.Now()
+	fresh := h.take(r, now)
+	k.force.acknowledged(r.Entry, r.Revision, now, k.options.Logger)
+	return grant.Grant{
+		Revision: s.Document.Revision, Digest: s.Document.Digest, Document: documentFor(s, r),
+		Index: s.Applied, Marks: k.marks.since(r.Index), WantReports: fresh,
 	}
-	slices.SortFunc(holders, func(a, b Holder) int { return strings.Compare(a.Name, b.Name) })
-	return holders
+}
+
+// documentFor returns what turns the entry's text into the one in force, nil where it has that.
+func documentFor(s *state.State, r grant.Renewal) *docs.Delta {
+	if s.Document.Revision <= r.Revision && !r.Whole {
+		return nil
+	}
+	if !r.Whole {
+		for _, h := range s.History {
+			if h.Revision == r.Revision && h.Text != nil {
+				d := docs.MakeDelta(r.Revision, h.Text, s.Document.Text)
+				return &d
+			}
+		}
+	}
+	return &docs.Delta{Middle: s.Document.Text}
+}
+
+// observe notes what changed in the state since the last look.
+func (k *Keeper) observe(s *state.State) {
+	now := k.options.Clock.Now()
+	k.marks.observe(s, now)
+	k.force.observe(s, now, k.options.Entries)
+	k.force.lapse(now, k.options.Lease+rateMargin, k.options.Logger)
 }
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -2,39 +2,53 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/edge/route"
+	"cowslipstack/internal/edge/table"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/grant"
 )
 
-// Renewal is what the control role answers to an entry's renewal.
-type Renewal struct {
-	// Revision is the revision that is to be in force.
-	Revision uint64
-	// Document is its text, nil where the entry has it.
-	Document []byte
-}
-
 // Control renews leases.
 type Control interface {
-	Renew(ctx context.Context, entry string, revision uint64) (Renewal, error)
+	Renew(context.Context, grant.Renewal) (grant.Grant, error)
+}
+
+// News is what an entry passes on to the others.
+type News struct {
+	// Endpoints are new, differ or leave.
+	Endpoints []fleet.Endpoint
+	// Refreshes extend the lives of endpoints that are known already.
+	Refreshes []table.Refresh
 }
 
-// Others passes announcements on to the other entries; Share must not block.
+// Others are the other entries; the calls but Share name one of them by its index below Count.
 type Others interface {
-	Share([]fleet.Endpoint)
-	Learn(context.Context) ([]fleet.Endpoint, error)
+	// Share passes news on to all others; it must not block.
+	Share(News)
+	// Count returns how many others there are.
+	Count() int
+	// Learn returns all endpoints that an entry holds.
+	Learn(ctx context.Context, index int) ([]fleet.Endpoint, error)
+	// Compare returns nothing where an entry's table has the root, else the digests of its buckets.
+	Compare(ctx context.Context, index int, root uint64) ([]uint64, error)
+	// Exchange gives an entry what this one holds in some buckets and returns what that one holds there.
+	Exchange(ctx context.Context, index int, buckets []int, own []fleet.Endpoint) ([]fleet.Endpoint, error)
+}
+
+// Traffic tells what is in progress; its methods are safe for concurrent use.
+type Traffic interface {
+	// InProgress returns the count of requests in progress on a VM.
+	InProgress(vm string) int
+	// Reports returns the counts of each service.
+	Reports() []fleet.Report
 }
 
 // Options says what an agent works with; all fields are needed.
@@ -51,6 +65,10 @@
 	Control Control
 	// Others are the other entries.
 	Others Others
+	// Traffic tells what is in progress.
+	Traffic Traffic
+	// Random returns a number from 0 to below n.
+	Random func(n int) int
 	// Lease is how long a renewed lease lasts.
 	Lease time.Duration
 	// Renew is the time between renewals.
@@ -62,18 +80,39 @@
 // Agent keeps an entry's control state; its exported methods are safe for concurrent use.
 type Agent struct {
 	options Options
+	started uint64
 	view    atomic.Pointer[route.View]
 
 	// The fields below belong to the loop.
-	lease       route.Lease
+	lease    route.Lease
+	document document
+	marks    marks
+	table    *table.Table
+	// shared is when an endpoint's refresh was last passed on by any entry, by its key.
+	shared map[string]time.Time
+	// dirty are the services whose endpoints have changed since the last publication.
+	dirty map[string]bool
+	// reported are the counts that the leader knows.
+	reported map[string]fleet.Report
+	reportAt time.Time
+}
+
+// document is the document in force on the entry.
+type document struct {
 	revision    uint64
+	text        []byte
 	environment docs.Environment
-	endpoints   map[string]fleet.Endpoint
+	// whole asks for the whole text, since a delta could not be used.
+	whole bool
 }
 
 // New returns an agent without a lease, document or endpoints.
 func New(o Options) *Agent {
-	a := &Agent{options: o, endpoints: map[string]fleet.Endpoint{}}
+	a := &Agent{
+		options: o, started: uint64(o.Clock.Now().UnixNano()),
+		marks: newMarks(), table: table.New(),
+		shared: map[string]time.Time{}, dirty: map[string]bool{}, reported: map[string]fleet.Report{},
+	}
 	a.view.Store(&route.View{})
 	return a
 }
@@ -83,145 +122,59 @@
 	return a.view.Load()
 }
 
-// Run renews the lease until the context ends.
-func (a *Agent) Run(ctx context.Context) error {
-	a.learn(ctx)
-	ticker := a.options.Clock.NewTicker(a.options.Renew)
-	defer ticker.Stop()
-	for {
-		a.renew(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C():
-		}
+// publish makes the view that traffic reads; services without a change are taken from the last one.
+func (a *Agent) publish() {
+	last := a.view.Load()
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services}
+	if v.Revision != last.Revision || len(a.dirty) > 0 {
+		v.Services = a.services(last, v.Revision != last.Revision)
+		clear(a.dirty)
 	}
+	a.view.Store(v)
 }
 
-// Announce takes an endpoint's own announcement and passes it on.
-func (a *Agent) Announce(ctx context.Context, e fleet.Endpoint) error {
-	e.Expires = a.options.Clock.Now().Add(a.options.TTL)
-	return a.options.Loop.Call(ctx, func() {
-		if a.merge(e) {
-			a.options.Others.Share([]fleet.Endpoint{e})
-		}
-		a.publish()
-	})
-}
-
-// Hear takes announcements that other entries pass on.
-func (a *Agent) Hear(ctx context.Context, endpoints []fleet.Endpoint) error {
-	return a.options.Loop.Call(ctx, func() {
-		for _, e := range endpoints {
-			a.merge(e)
+func (a *Agent) services(last *route.View, all bool) map[string]route.Service {
+	services := make(map[string]route.Service, len(a.document.environment.Services))
+	for _, s := range a.document.environment.Services {
+		name := string(s.Name)
+		service := route.Service{Settings: s, Endpoints: last.Services[name].Endpoints}
+		if all || a.dirty[name] {
+			service.Endpoints = a.routable(name)
 		}
-		a.publish()
-	})
-}
-
-// Endpoints returns all endpoints that the entry holds, by key.
-func (a *Agent) Endpoints(ctx context.Context) ([]fleet.Endpoint, error) {
-	var all []fleet.Endpoint
-	err := a.options.Loop.Call(ctx, func() { all = a.sorted() })
-	return all, err
-}
-
-func (a *Agent) learn(ctx context.Context) {
-	endpoints, err := a.options.Others.Learn(ctx)
-	if err != nil {
-		a.options.Logger.Info("endpoints_not_learned", zap.Error(err))
-		return
-	}
-	if err := a.Hear(ctx, endpoints); err != nil {
-		a.options.Logger.Info("endpoints_not_learned", zap.Error(err))
-	}
-}
-
-func (a *Agent) renew(ctx context.Context) {
-	// The lease counts from before the renewal is sent: the leader's answer may be late.
-	sent := a.options.Clock.Now()
-	call, cancel := context.WithTimeout(ctx, a.options.Lease)
-	defer cancel()
-	r, err := a.options.Control.Renew(call, a.options.Name, a.View().Revision)
-	if err != nil {
-		a.options.Logger.Debug("lease_not_renewed", zap.Error(err))
-		err = a.options.Loop.Call(ctx, a.publish)
-	} else {
-		err = a.options.Loop.Call(ctx, func() { a.granted(sent, r) })
-	}
-	if err != nil && ctx.Err() == nil {
-		a.options.Logger.Error("control_loop_failed", zap.Error(err))
+		services[name] = service
 	}
+	return services
 }
 
-func (a *Agent) granted(sent time.Time, r Renewal) {
-	if err := a.take(r); err != nil {
-		a.options.Logger.Error("document_not_taken", zap.Uint64("revision", r.Revision), zap.Error(err))
-		return
-	}
-	if !a.lease.Valid(sent) {
-		a.options.Logger.Info("lease_gained", zap.Uint64("revision", a.revision))
-	}
-	a.lease = route.Lease{Start: sent, Length: a.options.Lease}
-	a.publish()
-}
-
-func (a *Agent) take(r Renewal) error {
-	check.That(r.Revision >= a.revision, "document_revision_only_rises",
-		zap.Uint64("revision", a.revision), zap.Uint64("heard", r.Revision))
-	if r.Revision <= a.revision {
-		return nil
-	}
-	environment, err := docs.Parse("revision", r.Document)
-	if err != nil {
-		return errors.Wrap(err, "parse document")
+// routable returns a service's endpoints that may get new requests.
+func (a *Agent) routable(service string) []fleet.Endpoint {
+	now := a.options.Clock.Now()
+	var all []fleet.Endpoint
+	for _, e := range a.table.Service(service) {
+		if now.Before(e.Expires) && a.marks.allow(e) {
+			all = append(all, e)
+		}
 	}
-	a.environment, a.revision = environment, r.Revision
-	a.options.Logger.Info("document_in_force", zap.Uint64("revision", r.Revision))
-	return nil
+	return all
 }
 
-// merge takes an announcement that is newer than the known one; leaving is final.
-func (a *Agent) merge(e fleet.Endpoint) bool {
-	known, ok := a.endpoints[e.Key()]
-	if ok && (known.Leaving || known.Sequence >= e.Sequence) {
+// sleep waits and returns false where the context ends first.
+func (a *Agent) sleep(ctx context.Context, d time.Duration) bool {
+	timer := a.options.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
 		return false
+	case <-timer.C():
+		return true
 	}
-	a.endpoints[e.Key()] = e
-	if !ok || e.Leaving {
-		a.options.Logger.Info("endpoint_announced", zap.String("service", e.Service), zap.String("endpoint", e.Name),
-			zap.String("address", e.Address), zap.Bool("leaving", e.Leaving))
-	}
-	return true
 }
 
-// publish builds the view that traffic reads and drops what has lapsed.
-func (a *Agent) publish() {
-	now := a.options.Clock.Now()
-	v := &route.View{Lease: a.lease, Revision: a.revision, Services: map[string]route.Service{}}
-	for _, s := range a.environment.Services {
-		v.Services[string(s.Name)] = route.Service{Settings: s}
-	}
-	for _, e := range a.sorted() {
-		if !now.Before(e.Expires) {
-			delete(a.endpoints, e.Key())
-			continue
-		}
-		s, ok := v.Services[e.Service]
-		if !ok || e.Leaving {
-			continue
-		}
-		s.Endpoints = append(s.Endpoints, e)
-		v.Services[e.Service] = s
+// jitter returns a time around d, up to a tenth off, so that entries don't act in step.
+func (a *Agent) jitter(d time.Duration) time.Duration {
+	tenth := int(d / 10)
+	if tenth == 0 {
+		return d
 	}
-	a.view.Store(v)
-}
-
-func (a *Agent) sorted() []fleet.Endpoint {
-	all := make([]fleet.Endpoint, 0, len(a.endpoints))
-	for _, e := range a.endpoints {
-		all = append(all, e)
-	}
-	slices.SortFunc(all, func(x, y fleet.Endpoint) int { return strings.Compare(x.Key(), y.Key()) })
-	return all
+	return d + time.Duration(a.options.Random(2*tenth)-tenth)
 }
--- a/internal/edge/enrol/enrol.go
+++ b/internal/edge/enrol/enrol.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -48,37 +49,56 @@
 
 // Agent takes endpoints' announcements.
 type Agent interface {
-	Announce(context.Context, fleet.Endpoint) error
+	// Announce returns when the endpoint should announce itself again.
+	Announce(context.Context, fleet.Endpoint) (time.Duration, error)
+}
+
+// Answer is the JSON body that an endpoint gets.
+type Answer struct {
+	// NextMs is the time until the endpoint should announce itself again, in milliseconds; it is
+	// spread, so that endpoints which all come back at one time don't go on in step.
+	NextMs int64 `json:"next_ms"`
 }
 
 // Handler returns the HTTP handler of announcements.
 func Handler(agent Agent, logger *zap.Logger) http.Handler {
 	router := mux.NewRouter()
 	router.Methods(http.MethodPost).Path(Path).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := take(w, r, agent); err != nil {
+		e, err := read(w, r)
+		if err != nil {
 			logger.Debug("announcement_refused", zap.Error(err))
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		w.WriteHeader(http.StatusNoContent)
+		next, err := agent.Announce(r.Context(), e)
+		if err != nil {
+			logger.Debug("announcement_not_taken", zap.Error(err))
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(Answer{NextMs: next.Milliseconds()}); err != nil {
+			logger.Debug("answer_not_written", zap.Error(err))
+		}
 	})
 	return router
 }
 
-func take(w http.ResponseWriter, r *http.Request, agent Agent) error {
+// read returns the endpoint that an announcement tells of.
+func read(w http.ResponseWriter, r *http.Request) (fleet.Endpoint, error) {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit))
 	decoder.DisallowUnknownFields()
 	var a Announcement
 	if err := decoder.Decode(&a); err != nil {
-		return errors.Wrap(err, "announcement")
+		return fleet.Endpoint{}, errors.Wrap(err, "announcement")
 	}
 	if err := a.check(); err != nil {
-		return err
+		return fleet.Endpoint{}, err
 	}
-	return agent.Announce(r.Context(), fleet.Endpoint{
+	return fleet.Endpoint{
 		Name: a.Endpoint, Service: a.Service, Address: a.Address, VM: a.VM, Epoch: a.Epoch, Slots: a.Slots,
 		Domain: fleet.Domain{DataCentre: a.DataCentre, Rack: a.Rack}, Sequence: a.Sequence, Leaving: a.Leaving,
-	})
+	}, nil
 }
 
 func (a Announcement) check() error {
--- /dev/null
+++ b/internal/model/grant/doc.go
@@ -0,0 +1,3 @@
+// Package grant holds what an entry and the leader tell each other when a
+// lease is renewed.
+package grant
--- a/internal/wire/codec/endpoint.go
+++ b/internal/wire/codec/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowslipstack/internal/edge/table"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/wire/peer"
 )
@@ -33,3 +34,39 @@
 	}
 	return endpoints
 }
+
+// RefreshesToWire returns the messages of refreshes.
+func RefreshesToWire(refreshes []table.Refresh) []*peer.Refresh {
+	wire := make([]*peer.Refresh, 0, len(refreshes))
+	for _, r := range refreshes {
+		wire = append(wire, &peer.Refresh{Id: r.ID, TtlMs: r.TTL.Milliseconds()})
+	}
+	return wire
+}
+
+// RefreshesFromWire returns the refreshes of messages.
+func RefreshesFromWire(wire []*peer.Refresh) []table.Refresh {
+	refreshes := make([]table.Refresh, 0, len(wire))
+	for _, w := range wire {
+		refreshes = append(refreshes, table.Refresh{ID: w.GetId(), TTL: time.Duration(w.GetTtlMs()) * time.Millisecond})
+	}
+	return refreshes
+}
+
+// BucketsToWire returns the numbers of buckets as the wire has them.
+func BucketsToWire(buckets []int) []uint32 {
+	wire := make([]uint32, 0, len(buckets))
+	for _, b := range buckets {
+		wire = append(wire, countToWire(b))
+	}
+	return wire
+}
+
+// BucketsFromWire returns the numbers of buckets.
+func BucketsFromWire(wire []uint32) []int {
+	buckets := make([]int, 0, len(wire))
+	for _, w := range wire {
+		buckets = append(buckets, int(w))
+	}
+	return buckets
+}
--- /dev/null
+++ b/internal/wire/codec/lease.go
@@ -0,0 +1,75 @@
+package codec
+
+import (
+	"time"
+
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/grant"
+	"cowslipstack/internal/wire/peer"
+)
+
+// RenewalToWire returns the message of a renewal.
+func RenewalToWire(r grant.Renewal) *peer.RenewRequest {
+	w := &peer.RenewRequest{
+		Entry: r.Entry, Started: r.Started, LeaseMs: r.Lease.Milliseconds(),
+		Revision: r.Revision, Whole: r.Whole, Index: r.Index,
+	}
+	for _, u := range r.Usages {
+		w.Usages = append(w.Usages, &peer.Usage{Vm: u.VM, Epoch: u.Epoch, InProgress: countToWire(u.InProgress)})
+	}
+	for _, p := range r.Reports {
+		w.Reports = append(w.Reports, &peer.ServiceReport{
+			Service: p.Service, Answered: p.Answered, NotRun: p.NotRun, Unknown: p.Unknown,
+			InProgress: countToWire(p.InProgress), Queued: countToWire(p.Queued),
+		})
+	}
+	return w
+}
+
+// RenewalFromWire returns the renewal of a message.
+func RenewalFromWire(w *peer.RenewRequest) grant.Renewal {
+	r := grant.Renewal{
+		Entry: w.GetEntry(), Started: w.GetStarted(), Lease: time.Duration(w.GetLeaseMs()) * time.Millisecond,
+		Revision: w.GetRevision(), Whole: w.GetWhole(), Index: w.GetIndex(),
+	}
+	for _, u := range w.GetUsages() {
+		r.Usages = append(r.Usages, fleet.Usage{VM: u.GetVm(), Epoch: u.GetEpoch(), InProgress: int(u.GetInProgress())})
+	}
+	for _, p := range w.GetReports() {
+		r.Reports = append(r.Reports, fleet.Report{
+			Service: p.GetService(), Answered: p.GetAnswered(), NotRun: p.GetNotRun(), Unknown: p.GetUnknown(),
+			InProgress: int(p.GetInProgress()), Queued: int(p.GetQueued()),
+		})
+	}
+	return r
+}
+
+// GrantToWire returns the message of a grant.
+func GrantToWire(g grant.Grant) *peer.RenewResponse {
+	w := &peer.RenewResponse{Revision: g.Revision, Index: g.Index, WantReports: g.WantReports}
+	if d := g.Document; d != nil {
+		w.Digest = g.Digest
+		w.Document = &peer.DocumentDelta{Base: d.Base, Prefix: uint64(d.Prefix), Suffix: uint64(d.Suffix), Middle: d.Middle}
+	}
+	for _, m := range g.Marks {
+		w.Marks = append(w.Marks, &peer.Mark{Vm: m.VM, Epoch: m.Epoch, Phase: uint32(m.Phase)})
+	}
+	return w
+}
+
+// GrantFromWire returns the grant of a message.
+func GrantFromWire(w *peer.RenewResponse) grant.Grant {
+	g := grant.Grant{Revision: w.GetRevision(), Digest: w.GetDigest(), Index: w.GetIndex(), WantReports: w.GetWantReports()}
+	if d := w.GetDocument(); d != nil {
+		g.Document = &docs.Delta{Base: d.GetBase(), Prefix: int(d.GetPrefix()), Suffix: int(d.GetSuffix()), Middle: d.GetMiddle()}
+	}
+	for _, m := range w.GetMarks() {
+		g.Marks = append(g.Marks, fleet.Mark{VM: m.GetVm(), Epoch: m.GetEpoch(), Phase: fleet.Phase(m.GetPhase())})
+	}
+	return g
+}
+
+func countToWire(n int) uint32 {
+	return uint32(max(n, 0))
+}
--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -10,14 +10,18 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
-	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/model/grant"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/peer"
 )
 
-// tryTimeout bounds one call to one replica, so that a replica that was cut off doesn't hold up the others.
-const tryTimeout = time.Second
+const (
+	// tryTimeout bounds one call to one replica, so that a replica that was cut off doesn't hold up the others.
+	tryTimeout = time.Second
+	// renewTimeout bounds one try of a renewal, so that the lease leaves time for a second one.
+	renewTimeout = 700 * time.Millisecond
+)
 
 // LeaderHeader names, in the answer of a replica that doesn't lead, the process that does.
 const LeaderHeader = "Cowslip-Leader"
@@ -32,9 +36,10 @@
 
 // replica is one control process.
 type replica struct {
-	name    string
-	control peer.ControlClient
-	members peer.MembersClient
+	name        string
+	control     peer.ControlClient
+	members     peer.MembersClient
+	environment peer.EnvironmentClient
 }
 
 // Control reaches the leader among the control processes; it is safe for concurrent use.
@@ -51,6 +56,7 @@
 		url := "http://" + t.Address
 		c.replicas = append(c.replicas, replica{
 			name: t.Name, control: peer.NewControlClient(client, url), members: peer.NewMembersClient(client, url),
+			environment: peer.NewEnvironmentClient(client, url),
 		})
 	}
 	return c
@@ -72,18 +78,18 @@
 }
 
 // Renew renews an entry's lease.
-func (c *Control) Renew(ctx context.Context, entry string, revision uint64) (agent.Renewal, error) {
-	request := &peer.RenewRequest{Entry: entry, Revision: revision}
-	var renewal agent.Renewal
-	err := c.each(ctx, func(ctx context.Context, r replica) error {
+func (c *Control) Renew(ctx context.Context, renewal grant.Renewal) (grant.Grant, error) {
+	request := codec.RenewalToWire(renewal)
+	var g grant.Grant
+	err := c.eachWithin(ctx, renewTimeout, func(ctx context.Context, r replica) error {
 		response, err := r.control.Renew(ctx, connect.NewRequest(request))
 		if err != nil {
 			return err
 		}
-		renewal = agent.Renewal{Revision: response.Msg.GetRevision(), Document: response.Msg.GetDocument()}
+		g = codec.GrantFromWire(response.Msg)
 		return nil
 	})
-	return renewal, err
+	return g, err
 }
 
 // State returns the replicated state as the leader tells it.
@@ -100,22 +106,41 @@
 	return state, err
 }
 
-// each calls the replicas, the one that answered last first and then whom a replica names as the leader, until one answers.
+// each calls the replicas, the one that answered last first and then whom a replica names as the leader, until
+// one answers or refuses for good.
 func (c *Control) each(ctx context.Context, call func(context.Context, replica) error) error {
+	return c.eachWithin(ctx, tryTimeout, call)
+}
+
+func (c *Control) eachWithin(ctx context.Context, timeout time.Duration, call func(context.Context, replica) error) error {
 	next := int(c.leader.Load())
 	tried := make([]bool, len(c.replicas))
 	var last error
 	for next >= 0 && ctx.Err() == nil {
 		tried[next] = true
-		if last = c.try(ctx, c.replicas[next], call); last == nil {
+		last = c.try(ctx, timeout, c.replicas[next], call)
+		if last == nil || refused(last) {
 			c.leader.Store(int64(next))
-			return nil
+			return last
 		}
+		failed := next
 		next = c.after(tried, last)
+		// A replica that was cut off is not the first to be asked by the next call too.
+		c.leader.CompareAndSwap(int64(failed), int64(max(next, 0)))
 	}
 	return errors.Wrap(last, "no control process answered as the leader")
 }
 
+// refused says whether the leader itself answered that the call can't be done.
+func refused(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAborted, connect.CodePermissionDenied:
+		return true
+	default:
+		return false
+	}
+}
+
 // after returns the index of the replica to try next, -1 for none.
 func (c *Control) after(tried []bool, err error) int {
 	var answer *connect.Error
@@ -129,8 +154,8 @@
 	return slices.Index(tried, false)
 }
 
-func (c *Control) try(ctx context.Context, r replica, call func(context.Context, replica) error) error {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+func (c *Control) try(ctx context.Context, timeout time.Duration, r replica, call func(context.Context, replica) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return call(ctx, r)
 }
--- a/internal/wire/dial/entries.go
+++ b/internal/wire/dial/entries.go
@@ -6,35 +6,57 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/edge/agent"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/peer"
 )
 
 const (
-	// sharesWaiting is the most announcements that wait for one entry; beyond it they are lost until renewed.
-	sharesWaiting = 4096
-	shareTimeout  = time.Second
+	shareTimeout = time.Second
+	// sharePause is the least time between two calls to one entry, so that news in quick succession go together.
+	sharePause = 200 * time.Millisecond
+	// sharePauseMost is the longest pause after calls that failed.
+	sharePauseMost = 2 * time.Second
+	// refreshEvery is the longest time that refreshes wait for each other.
+	refreshEvery = 2 * time.Second
+	// refreshShare is the largest part of an announcement's life that its refresh waits.
+	refreshShare = 5
 )
 
-// Entries passes announcements on to the other entries, each on a goroutine of its own.
+// Entries reaches the other entries; news go to each on a goroutine of its own.
 type Entries struct {
-	clock   clock.Clock
-	logger  *zap.Logger
-	clients []peer.EntryClient
-	queues  []chan fleet.Endpoint
+	clock    clock.Clock
+	logger   *zap.Logger
+	clients  []peer.EntryClient
+	outboxes []*outbox
+	refresh  time.Duration
 }
 
-// NewEntries returns a sender to the entries at the addresses.
-func NewEntries(client *http.Client, addresses []string, c clock.Clock, logger *zap.Logger) *Entries {
-	e := &Entries{clock: c, logger: logger}
-	for _, address := range addresses {
+// EntriesOptions says what a sender works with; all fields are needed.
+type EntriesOptions struct {
+	// Client makes the calls.
+	Client *http.Client
+	// Addresses are those of the other entries.
+	Addresses []string
+	// Clock gives the time.
+	Clock clock.Clock
+	// Logger takes the sender's events.
+	Logger *zap.Logger
+	// TTL is how long an announcement lasts.
+	TTL time.Duration
+}
+
+// NewEntries returns a sender to the other entries.
+func NewEntries(o EntriesOptions) *Entries {
+	e := &Entries{clock: o.Clock, logger: o.Logger, refresh: min(refreshEvery, o.TTL/refreshShare)}
+	client := o.Client
+	for _, address := range o.Addresses {
 		e.clients = append(e.clients, peer.NewEntryClient(client, "http://"+address))
-		e.queues = append(e.queues, make(chan fleet.Endpoint, sharesWaiting))
+		e.outboxes = append(e.outboxes, newOutbox())
 	}
 	return e
 }
@@ -44,61 +66,89 @@
 	return len(e.clients)
 }
 
-// Share queues announcements for each other entry and returns at once.
-func (e *Entries) Share(endpoints []fleet.Endpoint) {
-	for _, queue := range e.queues {
-		for _, endpoint := range endpoints {
-			select {
-			case queue <- endpoint:
-			default:
-			}
-		}
+// Share puts news into each other entry's outbox and returns at once.
+func (e *Entries) Share(n agent.News) {
+	for _, o := range e.outboxes {
+		o.put(n)
 	}
 }
 
-// Learn returns the announcements of the first other entry that answers.
-func (e *Entries) Learn(ctx context.Context) ([]fleet.Endpoint, error) {
-	err := errors.New("there is no other entry")
-	for _, client := range e.clients {
-		var endpoints []fleet.Endpoint
-		if endpoints, err = e.learn(ctx, client); err == nil {
-			return endpoints, nil
-		}
+// Learn returns all endpoints that an entry holds.
+func (e *Entries) Learn(ctx context.Context, index int) ([]fleet.Endpoint, error) {
+	response, err := e.clients[index].Learn(ctx, connect.NewRequest(&peer.LearnRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return codec.EndpointsFromWire(response.Msg.GetAnnouncements(), e.clock.Now()), nil
+}
+
+// Compare returns nothing where an entry holds what the root is a digest of, else the digests of its buckets.
+func (e *Entries) Compare(ctx context.Context, index int, root uint64) ([]uint64, error) {
+	response, err := e.clients[index].Compare(ctx, connect.NewRequest(&peer.CompareRequest{Root: root}))
+	if err != nil {
+		return nil, err
 	}
-	return nil, errors.Wrap(err, "learn endpoints")
+	return response.Msg.GetBuckets(), nil
 }
 
-// Run passes announcements on to one entry until the context ends.
+// Exchange gives an entry what this one holds in some buckets and returns what that one holds there.
+func (e *Entries) Exchange(ctx context.Context, index int, buckets []int, own []fleet.Endpoint) ([]fleet.Endpoint, error) {
+	request := connect.NewRequest(&peer.ExchangeRequest{
+		Buckets: codec.BucketsToWire(buckets), Announcements: codec.EndpointsToWire(own, e.clock.Now()),
+	})
+	response, err := e.clients[index].Exchange(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return codec.EndpointsFromWire(response.Msg.GetAnnouncements(), e.clock.Now()), nil
+}
+
+// Run passes news on to one entry until the context ends.
 func (e *Entries) Run(ctx context.Context, index int) error {
+	pause := sharePause
+	ticker := e.clock.NewTicker(e.refresh)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case first := <-e.queues[index]:
-			batch := []fleet.Endpoint{first}
-			for len(e.queues[index]) > 0 {
-				batch = append(batch, <-e.queues[index])
-			}
-			e.share(ctx, index, batch)
+		case <-e.outboxes[index].wake:
+		case <-ticker.C():
 		}
+		if e.outboxes[index].empty() {
+			continue
+		}
+		if e.share(ctx, index) {
+			pause = sharePause
+		} else {
+			pause = min(2*pause, sharePauseMost)
+		}
+		e.sleep(ctx, pause)
 	}
 }
 
-func (e *Entries) learn(ctx context.Context, client peer.EntryClient) ([]fleet.Endpoint, error) {
+// share passes on what waits for an entry and says whether it took it.
+func (e *Entries) share(ctx context.Context, index int) bool {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	response, err := client.Learn(ctx, connect.NewRequest(&peer.LearnRequest{}))
-	if err != nil {
-		return nil, err
+	n := e.outboxes[index].take()
+	request := connect.NewRequest(&peer.ShareRequest{
+		Announcements: codec.EndpointsToWire(n.Endpoints, e.clock.Now()),
+		Refreshes:     codec.RefreshesToWire(n.Refreshes),
+	})
+	if _, err := e.clients[index].Share(ctx, request); err != nil {
+		e.logger.Debug("news_not_passed_on", zap.Int("entry", index), zap.Error(err))
+		e.outboxes[index].putBack(n)
+		return false
 	}
-	return codec.EndpointsFromWire(response.Msg.GetAnnouncements(), e.clock.Now()), nil
+	return true
 }
 
-func (e *Entries) share(ctx context.Context, index int, batch []fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	request := connect.NewRequest(&peer.ShareRequest{Announcements: codec.EndpointsToWire(batch, e.clock.Now())})
-	if _, err := e.clients[index].Share(ctx, request); err != nil {
-		e.logger.Debug("announcements_lost", zap.Int("entry", index), zap.Error(err))
+func (e *Entries) sleep(ctx context.Context, d time.Duration) {
+	timer := e.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
 	}
 }
--- /dev/null
+++ b/internal/wire/dial/outbox.go
@@ -0,0 +1,85 @@
+package dial
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/edge/table"
+	"cowslipstack/internal/model/fleet"
+)
+
+// outbox holds the latest news for one other entry; it is safe for concurrent use.
+type outbox struct {
+	wake chan struct{}
+
+	mu        sync.Mutex
+	endpoints map[string]fleet.Endpoint
+	refreshes map[uint64]table.Refresh
+}
+
+func newOutbox() *outbox {
+	return &outbox{
+		wake:      make(chan struct{}, 1),
+		endpoints: map[string]fleet.Endpoint{},
+		refreshes: map[uint64]table.Refresh{},
+	}
+}
+
+// put adds news; what is newer replaces what waits of the same endpoint, so that its size is bounded by theirs.
+func (o *outbox) put(n agent.News) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range n.Endpoints {
+		o.endpoints[e.Key()] = e
+	}
+	for _, r := range n.Refreshes {
+		o.refreshes[r.ID] = r
+	}
+	// Refreshes wait for each other, endpoints for nothing.
+	if len(n.Endpoints) > 0 {
+		o.signal()
+	}
+}
+
+// putBack adds endpoints that could not be passed on, unless newer ones wait; refreshes are not sent twice.
+func (o *outbox) putBack(n agent.News) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range n.Endpoints {
+		if _, ok := o.endpoints[e.Key()]; !ok && len(o.endpoints) < table.MaxEndpoints {
+			o.endpoints[e.Key()] = e
+		}
+	}
+	if len(o.endpoints) > 0 {
+		o.signal()
+	}
+}
+
+// empty says whether nothing waits.
+func (o *outbox) empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.endpoints) == 0 && len(o.refreshes) == 0
+}
+
+// take returns and removes what waits.
+func (o *outbox) take() agent.News {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := agent.News{
+		Endpoints: slices.Collect(maps.Values(o.endpoints)),
+		Refreshes: slices.Collect(maps.Values(o.refreshes)),
+	}
+	clear(o.endpoints)
+	clear(o.refreshes)
+	return n
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/wire/peer/entry.connect.go
+++ b/internal/wire/peer/entry.connect.go
@@ -36,14 +36,22 @@
 	EntryShareProcedure = "/cowslip.peer.v1.Entry/Share"
 	// EntryLearnProcedure is the fully-qualified name of the Entry's Learn RPC.
 	EntryLearnProcedure = "/cowslip.peer.v1.Entry/Learn"
+	// EntryCompareProcedure is the fully-qualified name of the Entry's Compare RPC.
+	EntryCompareProcedure = "/cowslip.peer.v1.Entry/Compare"
+	// EntryExchangeProcedure is the fully-qualified name of the Entry's Exchange RPC.
+	EntryExchangeProcedure = "/cowslip.peer.v1.Entry/Exchange"
 )
 
 // EntryClient is a client for the cowslip.peer.v1.Entry service.
 type EntryClient interface {
-	// Share passes announcements on, each heard first by the sender.
+	// Share passes on what the sender was the first to hear.
 	Share(context.Context, *connect.Request[ShareRequest]) (*connect.Response[ShareResponse], error)
 	// Learn gives all announcements that the entry holds.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
+	// Compare tells whether two entries hold the same announcements.
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error)
+	// Exchange gives and returns the announcements of some buckets.
+	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 }
 
 // NewEntryClient constructs a client for the cowslip.peer.v1.Entry service. By default, it uses the
@@ -69,13 +77,27 @@
 			connect.WithSchema(entryMethods.ByName("Learn")),
 			connect.WithClientOptions(opts...),
 		),
+		compare: connect.NewClient[CompareRequest, CompareResponse](
+			httpClient,
+			baseURL+EntryCompareProcedure,
+			connect.WithSchema(entryMethods.ByName("Compare")),
+			connect.WithClientOptions(opts...),
+		),
+		exchange: connect.NewClient[ExchangeRequest, ExchangeResponse](
+			httpClient,
+			baseURL+EntryExchangeProcedure,
+			connect.WithSchema(entryMethods.ByName("Exchange")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // entryClient implements EntryClient.
 type entryClient struct {
-	share *connect.Client[ShareRequest, ShareResponse]
-	learn *connect.Client[LearnRequest, LearnResponse]
+	share    *connect.Client[ShareRequest, ShareResponse]
+	learn    *connect.Client[LearnRequest, LearnResponse]
+	compare  *connect.Client[CompareRequest, CompareResponse]
+	exchange *connect.Client[ExchangeRequest, ExchangeResponse]
 }
 
 // Share calls cowslip.peer.v1.Entry.Share.
@@ -88,12 +110,26 @@
 	return c.learn.CallUnary(ctx, req)
 }
 
+// Compare calls cowslip.peer.v1.Entry.Compare.
+func (c *entryClient) Compare(ctx context.Context, req *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error) {
+	return c.compare.CallUnary(ctx, req)
+}
+
+// Exchange calls cowslip.peer.v1.Entry.Exchange.
+func (c *entryClient) Exchange(ctx context.Context, req *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error) {
+	return c.exchange.CallUnary(ctx, req)
+}
+
 // EntryHandler is an implementation of the cowslip.peer.v1.Entry service.
 type EntryHandler interface {
-	// Share passes announcements on, each heard first by the sender.
+	// Share passes on what the sender was the first to hear.
 	Share(context.Context, *connect.Request[ShareRequest]) (*connect.Response[ShareResponse], error)
 	// Learn gives all announcements that the entry holds.
 	Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error)
+	// Compare tells whether two entries hold the same announcements.
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error)
+	// Exchange gives and returns the announcements of some buckets.
+	Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error)
 }
 
 // NewEntryHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -115,12 +151,28 @@
 		connect.WithSchema(entryMethods.ByName("Learn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryCompareHandler := connect.NewUnaryHandler(
+		EntryCompareProcedure,
+		svc.Compare,
+		connect.WithSchema(entryMethods.ByName("Compare")),
+		connect.WithHandlerOptions(opts...),
+	)
+	entryExchangeHandler := connect.NewUnaryHandler(
+		EntryExchangeProcedure,
+		svc.Exchange,
+		connect.WithSchema(entryMethods.ByName("Exchange")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cowslip.peer.v1.Entry/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryShareProcedure:
 			entryShareHandler.ServeHTTP(w, r)
 		case EntryLearnProcedure:
 			entryLearnHandler.ServeHTTP(w, r)
+		case EntryCompareProcedure:
+			entryCompareHandler.ServeHTTP(w, r)
+		case EntryExchangeProcedure:
+			entryExchangeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -137,3 +189,11 @@
 func (UnimplementedEntryHandler) Learn(context.Context, *connect.Request[LearnRequest]) (*connect.Response[LearnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Entry.Learn is not implemented"))
 }
+
+func (UnimplementedEntryHandler) Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Entry.Compare is not implemented"))
+}
+
+func (UnimplementedEntryHandler) Exchange(context.Context, *connect.Request[ExchangeRequest]) (*connect.Response[ExchangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Entry.Exchange is not implemented"))
+}
--- a/internal/wire/serve/control.go
+++ b/internal/wire/serve/control.go
@@ -11,6 +11,7 @@
 	"cowslipstack/internal/ctrl/node"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/grant"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/dial"
@@ -27,8 +28,8 @@
 
 // Keeper grants leases to entries.
 type Keeper interface {
-	Renew(context.Context, lease.Renewal) (lease.Grant, error)
-	Holders() []lease.Holder
+	Renew(context.Context, grant.Renewal) (grant.Grant, error)
+	Snapshot() *lease.Snapshot
 }
 
 // Control serves what entries and operators' processes ask of the control role.
@@ -54,11 +55,11 @@
 
 // Renew renews an entry's lease.
 func (s *Control) Renew(ctx context.Context, r *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error) {
-	g, err := s.Keeper.Renew(ctx, lease.Renewal{Entry: r.Msg.GetEntry(), Revision: r.Msg.GetRevision()})
+	g, err := s.Keeper.Renew(ctx, codec.RenewalFromWire(r.Msg))
 	if err != nil {
 		return nil, controlError(err)
 	}
-	return connect.NewResponse(&peer.RenewResponse{Revision: g.Revision, Document: g.Document}), nil
+	return connect.NewResponse(codec.GrantToWire(g)), nil
 }
 
 // State tells the replicated state, confirmed by a quorum.
@@ -80,7 +81,10 @@
 		return nil, controlError(err)
 	}
 	now := s.Clock.Now()
-	for _, h := range s.Keeper.Holders() {
+	for _, h := range s.Keeper.Snapshot().Holders {
+		if h.Renewed.IsZero() {
+			continue
+		}
 		response.Entries = append(response.Entries, &peer.EntryState{
 			Name: h.Name, Revision: h.Revision, RenewedMs: now.Sub(h.Renewed).Milliseconds(),
 		})
@@ -98,7 +102,7 @@
 		return answer
 	case errors.Is(err, quorum.ErrBusy):
 		return connect.NewError(connect.CodeResourceExhausted, err)
-	case errors.Is(err, quorum.ErrMembers):
+	case errors.Is(err, quorum.ErrMembers), errors.Is(err, lease.ErrUnknownEntry), errors.Is(err, lease.ErrLeaseTooLong):
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	default:
 		return connect.NewError(connect.CodeUnavailable, err)
--- a/internal/wire/serve/entry.go
+++ b/internal/wire/serve/entry.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/edge/agent"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/peer"
@@ -13,8 +14,10 @@
 
 // Agent is the control part of an entry as the handlers use it.
 type Agent interface {
-	Hear(context.Context, []fleet.Endpoint) error
+	Hear(context.Context, agent.News) error
 	Endpoints(context.Context) ([]fleet.Endpoint, error)
+	Compare(ctx context.Context, root uint64) ([]uint64, error)
+	Exchange(ctx context.Context, buckets []int, theirs []fleet.Endpoint) ([]fleet.Endpoint, error)
 }
 
 // Entry serves what entries ask of one another.
@@ -25,10 +28,13 @@
 	Clock clock.Clock
 }
 
-// Share takes announcements that another entry passes on.
+// Share takes what another entry was the first to hear.
 func (s *Entry) Share(ctx context.Context, r *connect.Request[peer.ShareRequest]) (*connect.Response[peer.ShareResponse], error) {
-	endpoints := codec.EndpointsFromWire(r.Msg.GetAnnouncements(), s.Clock.Now())
-	if err := s.Agent.Hear(ctx, endpoints); err != nil {
+	n := agent.News{
+		Endpoints: codec.EndpointsFromWire(r.Msg.GetAnnouncements(), s.Clock.Now()),
+		Refreshes: codec.RefreshesFromWire(r.Msg.GetRefreshes()),
+	}
+	if err := s.Agent.Hear(ctx, n); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	return connect.NewResponse(&peer.ShareResponse{}), nil
@@ -42,3 +48,22 @@
 	}
 	return connect.NewResponse(&peer.LearnResponse{Announcements: codec.EndpointsToWire(endpoints, s.Clock.Now())}), nil
 }
+
+// Compare tells whether the entry holds what the sender does.
+func (s *Entry) Compare(ctx context.Context, r *connect.Request[peer.CompareRequest]) (*connect.Response[peer.CompareResponse], error) {
+	buckets, err := s.Agent.Compare(ctx, r.Msg.GetRoot())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peer.CompareResponse{Buckets: buckets}), nil
+}
+
+// Exchange takes and gives the announcements of some buckets.
+func (s *Entry) Exchange(ctx context.Context, r *connect.Request[peer.ExchangeRequest]) (*connect.Response[peer.ExchangeResponse], error) {
+	theirs := codec.EndpointsFromWire(r.Msg.GetAnnouncements(), s.Clock.Now())
+	own, err := s.Agent.Exchange(ctx, codec.BucketsFromWire(r.Msg.GetBuckets()), theirs)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peer.ExchangeResponse{Announcements: codec.EndpointsToWire(own, s.Clock.Now())}), nil
+}
