Try, promote, compare and list documents from the command line

One Environment service serves operators on any process, which passes the calls on to the leader. env apply stays, for the first document and for scripts: it is a promotion without a trial, under the same conflict rule.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -25,7 +25,7 @@
 
 // controlModule holds the parts of the control role.
 var controlModule = fx.Options(
-	fx.Provide(newNode, newKeeper, newReplicaSender, newReplicaService, newControlService),
+	fx.Provide(newNode, newKeeper, newReplicaSender, newReplicaService, newControlService, newEnvironmentService),
 	fx.Invoke(startControl),
 )
 
@@ -82,6 +82,10 @@
 	return &serve.Control{Node: n, Keeper: k, Clock: c}
 }
 
+func newEnvironmentService(settings conf.Daemon, n *node.Node, k *lease.Keeper, c clock.Clock) *serve.Environment {
+	return &serve.Environment{Node: n, Keeper: k, Clock: c, LeaseMs: int64(settings.Entry.LeaseMs)}
+}
+
 func startControl(n *node.Node, k *lease.Keeper, sender *dial.Replicas, g *tasks.Group) {
 	g.Start("disk", n.RunDisk)
 	g.Start("node", n.Run)
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -21,6 +21,8 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+
+	Environment *serve.Environment `optional:"true"`
 }
 
 // peerHandler names the handler of the system's own processes for the container.
@@ -39,6 +41,9 @@
 	if parts.Control != nil {
 		handler.Handle(peer.NewControlHandler(parts.Control))
 	}
+	if parts.Environment != nil {
+		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry))
 	}
@@ -69,6 +74,8 @@
 	router := mux.NewRouter()
 	path, handler := peer.NewOperatorHandler(service)
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: parts.Control})
+	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewMembersHandler(parts.Control)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/opcli/env.go
+++ b/internal/app/opcli/env.go
@@ -15,7 +15,12 @@
 
 // EnvCommand works on environment documents.
 type EnvCommand struct {
-	Apply *ApplyCommand `arg:"subcommand:apply" help:"put a document into force"`
+	Try     *TryCommand     `arg:"subcommand:try" help:"check a document, tell what it would do and record the trial"`
+	Promote *PromoteCommand `arg:"subcommand:promote" help:"put exactly what was tried into production"`
+	Diff    *DiffCommand    `arg:"subcommand:diff" help:"compare two documents"`
+	History *HistoryCommand `arg:"subcommand:history" help:"list accepted revisions and trials, the latest first"`
+	Status  *ForceCommand   `arg:"subcommand:status" help:"show which revision is in force on each entry"`
+	Apply   *ApplyCommand   `arg:"subcommand:apply" help:"put a document into production without a trial, such as the first one"`
 }
 
 // ApplyCommand puts a document into force.
@@ -26,30 +31,53 @@
 }
 
 func (e *EnvCommand) run(ctx context.Context, c *call) error {
-	if e.Apply == nil {
+	switch {
+	case e.Try != nil:
+		return e.Try.run(ctx, c)
+	case e.Promote != nil:
+		return e.Promote.run(ctx, c)
+	case e.Diff != nil:
+		return e.Diff.run(ctx, c)
+	case e.History != nil:
+		return e.History.run(ctx, c)
+	case e.Status != nil:
+		return e.Status.run(ctx, c)
+	case e.Apply != nil:
+		return e.Apply.run(ctx, c)
+	default:
 		return &usageError{err: errors.New("env needs a command; see cowslip env --help")}
 	}
-	return e.Apply.run(ctx, c)
 }
 
-func (a *ApplyCommand) run(ctx context.Context, c *call) error {
-	text, err := os.ReadFile(a.File)
+// readDocument returns a file's text after checking it.
+func readDocument(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
 	if err != nil {
-		return &usageError{err: err}
+		return nil, &usageError{err: err}
 	}
-	if _, err := docs.Parse(a.File, text); err != nil {
+	_, err = docs.Parse(file, text)
+	return text, err
+}
+
+// requestID returns the given request identity, or a new one.
+func requestID(given string) string {
+	if given != "" {
+		return given
+	}
+	return uuid.NewString()
+}
+
+func (a *ApplyCommand) run(ctx context.Context, c *call) error {
+	text, err := readDocument(a.File)
+	if err != nil {
 		return err
 	}
 	base, err := a.base(ctx, c)
 	if err != nil {
 		return err
 	}
-	request := a.Request
-	if request == "" {
-		request = uuid.NewString()
-	}
 	response, err := c.client.Apply(ctx, connect.NewRequest(&peer.ApplyRequest{
-		RequestId: request, BaseRevision: base, Document: text,
+		RequestId: requestID(a.Request), BaseRevision: base, Document: text,
 	}))
 	if err != nil {
 		return errors.Wrap(err, "apply")
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -60,9 +60,10 @@
 
 // call is what a command works with.
 type call struct {
-	arguments Arguments
-	client    peer.OperatorClient
-	out       io.Writer
+	arguments   Arguments
+	client      peer.OperatorClient
+	environment peer.EnvironmentClient
+	out         io.Writer
 }
 
 // Run parses the arguments, without the program's name, runs the command and returns the exit code.
@@ -84,7 +85,13 @@
 	if err != nil {
 		return fail(t, &usageError{err: err})
 	}
-	c := &call{arguments: a, client: peer.NewOperatorClient(client, "http://"+a.Address, connect.WithInterceptors(retryUnavailable(clock.System{}))), out: t.Out}
+	retry := connect.WithInterceptors(retryUnavailable(clock.System{}))
+	c := &call{
+		arguments:   a,
+		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
+		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		out:         t.Out,
+	}
 	if err := c.run(ctx); err != nil {
 		return fail(t, err)
 	}
