Renew once a second and share confirmations over 400 ms

Cause: 11 renewals a second each asked four followers for a confirmation.

A new document still goes out with the answer of a renewal that waits, so that holding one back delays no document.

--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -222,7 +222,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "lease_ms", 500)
 	}
 	if v, ok := raw["renew_ms"]; !ok || v == nil {
-		plain.RenewMs = 500
+		plain.RenewMs = 1000
 	}
 	if 2000 < plain.RenewMs {
 		return fmt.Errorf("field %s: must be <= %v", "renew_ms", 2000)
--- a/internal/ctrl/lease/confirm.go
+++ b/internal/ctrl/lease/confirm.go
@@ -14,7 +14,7 @@
 
 const (
 	// confirmEvery is the least time between the starts of two confirmations.
-	confirmEvery = 150 * time.Millisecond
+	confirmEvery = 400 * time.Millisecond
 	// confirmTimeout bounds one confirmation, so that a leader without a quorum answers in time.
 	confirmTimeout = 500 * time.Millisecond
 )
