--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -11,7 +11,10 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/wire/certs"
+	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/peer"
 )
 
@@ -29,11 +32,18 @@
 
 // Arguments are the flags and commands of cowslip.
 type Arguments struct {
-	Env     *EnvCommand    `arg:"subcommand:env" help:"try, promote and compare environment documents"`
-	Status  *StatusCommand `arg:"subcommand:status" help:"show the state of the fleet"`
-	Address string         `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
-	JSON    bool           `arg:"--json" help:"write JSON"`
-	Timeout time.Duration  `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
+	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
+	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
+	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
+	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
+	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
+	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
+	JSON      bool              `arg:"--json" help:"write JSON"`
+	Timeout   time.Duration     `arg:"--timeout" default:"10s" help:"the longest time that the command may take"`
+
+	Authority   string `arg:"--authority,env:COWSLIP_AUTHORITY" help:"file of the certificates that sign the processes' ones; with --certificate and --key, calls use TLS"`
+	Certificate string `arg:"--certificate,env:COWSLIP_CERTIFICATE" help:"file of the operator's certificate"`
+	Key         string `arg:"--key,env:COWSLIP_KEY" help:"file of the operator's private key"`
 }
 
 // Description returns the text that heads the help.
@@ -51,9 +61,10 @@
 
 // call is what a command works with.
 type call struct {
-	arguments Arguments
-	client    peer.OperatorClient
-	out       io.Writer
+	arguments   Arguments
+	client      peer.OperatorClient
+	environment peer.EnvironmentClient
+	out         io.Writer
 }
 
 // Run parses the arguments, without the program's name, runs the command and returns the exit code.
@@ -71,19 +82,48 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	c := &call{arguments: a, client: peer.NewOperatorClient(http.DefaultClient, "http://"+a.Address), out: t.Out}
+	client, err := a.httpClient()
+	if err != nil {
+		return fail(t, &usageError{err: err})
+	}
+	retry := connect.WithInterceptors(retryUnavailable(clock.System{}))
+	c := &call{
+		arguments:   a,
+		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
+		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		out:         t.Out,
+	}
 	if err := c.run(ctx); err != nil {
 		return fail(t, err)
 	}
 	return ExitOK
 }
 
+// httpClient returns the client of the operators' calls, with TLS where the files are given.
+func (a Arguments) httpClient() (*http.Client, error) {
+	files := certs.Files{Authority: a.Authority, Certificate: a.Certificate, Key: a.Key}
+	if !files.Enabled() {
+		return dial.NewClient(nil), nil
+	}
+	source, err := certs.Load(files, clock.System{})
+	if err != nil {
+		return nil, err
+	}
+	return dial.NewClient(source), nil
+}
+
 func (c *call) run(ctx context.Context) error {
 	switch {
 	case c.arguments.Env != nil:
 		return c.arguments.Env.run(ctx, c)
 	case c.arguments.Status != nil:
 		return c.status(ctx)
+	case c.arguments.Watch != nil:
+		return c.arguments.Watch.run(ctx, c)
+	case c.arguments.Version != nil:
+		return c.version()
+	case c.arguments.Reference != nil:
+		return c.reference()
 	default:
 		return &usageError{err: errors.New("a command is needed; see cowslip --help")}
 	}
--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -13,10 +13,24 @@
 	Applied uint64
 	// Time is the latest time that a command carried.
 	Time time.Time
-	// Document is the environment document in force.
+	// Document is the document in force in production.
 	Document Document
+	// Trials are the documents that were tried, oldest first.
+	Trials []Trial
+	// History is the latest accepted revisions of production, oldest first.
+	History []Revision
 	// VMs are the platform's VMs by name; each belongs to exactly one pool.
 	VMs map[string]fleet.VM
+	// Ledgers are the services' budgets by the service's name.
+	Ledgers map[string]fleet.Ledger
+	// Waves are the waves of maintenance, oldest first.
+	Waves []fleet.Wave
+	// Jobs are the jobs that are not done, by name.
+	Jobs map[string]fleet.Job
+	// Failures are the latest failures of jobs, oldest first.
+	Failures []fleet.JobFailure
+	// Demands are the pools' demands by the pool's name.
+	Demands map[string]fleet.Demand
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -40,7 +54,9 @@
 
 // NewMachine returns a machine on an empty state.
 func NewMachine() *Machine {
-	return &Machine{state: State{VMs: map[string]fleet.VM{}}, results: map[string]record.Result{}}
+	m := &Machine{}
+	m.Restore(State{})
+	return m
 }
 
 // State returns the state for reading; it must not be kept or changed.
@@ -48,6 +64,27 @@
 	return &m.state
 }
 
+// Restore replaces the state by that of a snapshot.
+func (m *Machine) Restore(s State) {
+	if s.VMs == nil {
+		s.VMs = map[string]fleet.VM{}
+	}
+	if s.Ledgers == nil {
+		s.Ledgers = map[string]fleet.Ledger{}
+	}
+	if s.Demands == nil {
+		s.Demands = map[string]fleet.Demand{}
+	}
+	if s.Jobs == nil {
+		s.Jobs = map[string]fleet.Job{}
+	}
+	m.state = s
+	m.results = make(map[string]record.Result, len(s.Requests))
+	for _, r := range s.Requests {
+		m.results[r.ID] = r.Result
+	}
+}
+
 // Apply makes the change of the log entry at index and returns its result.
 func (m *Machine) Apply(index uint64, c record.Command) record.Result {
 	m.state.Applied = index
@@ -65,7 +102,21 @@
 func (m *Machine) change(c record.Command) record.Result {
 	switch {
 	case c.Document != nil:
-		return m.applyDocument(*c.Document)
+		return m.applyDocument(c, *c.Document)
+	case c.Trial != nil:
+		return m.applyTrial(c, *c.Trial)
+	case c.Promote != nil:
+		return m.applyPromote(c, *c.Promote)
+	case c.VM != nil:
+		return m.applyVM(*c.VM, m.state.Time)
+	case c.Budget != nil:
+		return m.applyBudget(*c.Budget)
+	case c.Wave != nil:
+		return m.applyWave(*c.Wave, m.state.Time)
+	case c.Demand != nil:
+		return m.applyDemand(c.Demand.Demand)
+	case c.Job != nil:
+		return m.applyJob(*c.Job, m.state.Time)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -14,10 +14,22 @@
 	Time time.Time
 	// Document puts an environment document into force.
 	Document *DocumentChange
+	// Trial records that a document was tried.
+	Trial *TrialChange
+	// Promote puts a document that was tried into production.
+	Promote *PromoteChange
 	// Claim opens or settles a claim.
 	Claim *ClaimChange
 	// VM moves a VM through its life.
 	VM *VMChange
+	// Budget counts or reserves a service's bad time.
+	Budget *BudgetChange
+	// Wave moves a wave through its life.
+	Wave *WaveChange
+	// Job moves a job through its life.
+	Job *JobChange
+	// Demand records what a pool's services ask of it.
+	Demand *DemandChange
 }
 
 // DocumentChange puts an environment document into force.
@@ -32,6 +44,26 @@
 	Digest string
 }
 
+// TrialChange records that a document was tried.
+type TrialChange struct {
+	// Environment is the name of the trial environment.
+	Environment string
+	// BaseRevision is the revision of production that the document was tried on.
+	BaseRevision uint64
+	// Text is the document as TOML.
+	Text []byte
+}
+
+// PromoteChange puts exactly what was tried into production.
+type PromoteChange struct {
+	// BaseRevision is the revision of production that the change builds on.
+	BaseRevision uint64
+	// Digest names the document that was tried.
+	Digest string
+	// AsTried builds on the revision that the document was tried on; BaseRevision is unused.
+	AsTried bool
+}
+
 // ClaimStep is what a change does to a claim; the zero value is not valid.
 type ClaimStep int
 
@@ -90,8 +122,12 @@
 	VM string
 	// Epoch is the epoch that the change builds on; 0 for a VM that is not known yet.
 	Epoch uint64
-	// Pool is the pool to join or move to.
+	// Version is the VM's version that the change builds on; 0 for any.
+	Version uint64
+	// Pool is the pool to join or move to; on a drain, where the VM goes after it.
 	Pool string
+	// Work names what the change is part of: a wave, a move or an operator's drain.
+	Work string
 	// Domain is where the VM stands, for a join.
 	Domain fleet.Domain
 	// Size is what the VM has, for a join.
