Keep claims of non-idempotent requests in the replicated state

Cause: a resend through another entry could run a request a second time. A claim names key, entry, attempt, time of issue and digest. The floor of refused keys only rises, so that a key whose claim was dropped can't be used again, also after a change of the window. A release that arrives before its opening leaves a mark that refuses the opening. Bounded: 131,072 claims, texts of 128 bytes; beyond it the code is full. Ruled out: settling a claim as answered or unknown in the log by default: the entry that the claim names is asked anyway, and it would double the records.

--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -31,6 +31,8 @@
 	Failures []fleet.JobFailure
 	// Demands are the pools' demands by the pool's name.
 	Demands map[string]fleet.Demand
+	// Claims are the claims of non-idempotent requests.
+	Claims Claims
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -50,6 +52,7 @@
 type Machine struct {
 	state   State
 	results map[string]record.Result
+	claims  claimIndex
 }
 
 // NewMachine returns a machine on an empty state.
@@ -79,6 +82,7 @@
 		s.Jobs = map[string]fleet.Job{}
 	}
 	m.state = s
+	m.claims = newClaimIndex(s.Claims.Kept)
 	m.results = make(map[string]record.Result, len(s.Requests))
 	for _, r := range s.Requests {
 		m.results[r.ID] = r.Result
@@ -113,6 +117,8 @@
 		return m.applyBudget(*c.Budget)
 	case c.Wave != nil:
 		return m.applyWave(*c.Wave, m.state.Time)
+	case c.Claim != nil:
+		return m.applyClaim(*c.Claim)
 	case c.Demand != nil:
 		return m.applyDemand(c.Demand.Demand)
 	case c.Job != nil:
--- a/internal/model/record/result.go
+++ b/internal/model/record/result.go
@@ -18,6 +18,10 @@
 	CodeExpired // expired
 	// CodeNotFound means that the change names what isn't there.
 	CodeNotFound // not_found
+	// CodeMismatch means that a claim's key stands for another request.
+	CodeMismatch // mismatch
+	// CodeFull means that no more claims are kept.
+	CodeFull // full
 )
 
 // Result is what applying a command gave; it is the same on each replica.
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -20,6 +20,7 @@
 		Vms:          vmsToWire(s.VMs),
 		Requests:     requestsToWire(s.Requests),
 		Plan:         planToWire(s),
+		Claims:       claimsToWire(s.Claims),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w)
 	return data, errors.Wrap(err, "encode state")
@@ -38,6 +39,7 @@
 	}
 	environmentsFromWire(w.GetEnvironments(), &s)
 	planFromWire(w.GetPlan(), &s)
+	s.Claims = claimsFromWire(w.GetClaims())
 	return s, nil
 }
 
