Let the fake endpoint die, cut, cross, decline and be late, and tell what it ran

Cause: truthful outcomes can't be proved without an endpoint that fails at each moment and counts what it ran by attempt, request and key (GET /ran).

--- a/internal/app/fakes/command.go
+++ b/internal/app/fakes/command.go
@@ -34,6 +34,7 @@
 	Rack       string   `arg:"--rack" default:"rack-1" help:"rack of the VM"`
 	Slots      int      `arg:"--slots" default:"8" help:"requests in progress at one time"`
 	Listen     string   `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	Mode       string   `arg:"--mode" default:"answer" help:"answer, die_before, die_after, die_answering, cut, too_long, unbounded, crossed, decline or late"`
 	Entries    []string `arg:"--entry,separate,required" help:"announcement address of an entry"`
 }
 
@@ -60,6 +61,10 @@
 }
 
 func (c *EndpointCommand) run(ctx context.Context) error {
+	mode, ok := ParseMode(c.Mode)
+	if !ok {
+		return errors.Newf("--mode is %q; see cowslipfake endpoint --help", c.Mode)
+	}
 	logger, err := logs.New(logs.Options{})
 	if err != nil {
 		return err
@@ -68,7 +73,7 @@
 		Announcement: enrol.Announcement{
 			Service: c.Service, Endpoint: c.Name, VM: c.VM, Slots: c.Slots, DataCentre: c.DataCentre, Rack: c.Rack,
 		},
-		Listen: c.Listen, Entries: c.Entries, Clock: clock.System{}, Logger: logger,
+		Mode: mode, Listen: c.Listen, Entries: c.Entries, Clock: clock.System{}, Logger: logger,
 	}).Run(ctx)
 }
 
--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -4,11 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +13,6 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/edge/enrol"
-	"cowslipstack/internal/edge/relay"
 )
 
 const (
@@ -33,6 +29,8 @@
 	Listen string
 	// Entries are the announcement addresses of entries; the first that answers is enough.
 	Entries []string
+	// Mode is how requests without a mode of their own are run.
+	Mode Mode
 	// Clock gives the time.
 	Clock clock.Clock
 	// Logger takes the endpoint's events.
@@ -42,12 +40,12 @@
 // Endpoint answers requests with its own name, and counts what it ran.
 type Endpoint struct {
 	options EndpointOptions
-	ran     atomic.Int64
+	worker  *Worker
 }
 
 // NewEndpoint returns an endpoint that does nothing until it is run.
 func NewEndpoint(o EndpointOptions) *Endpoint {
-	return &Endpoint{options: o}
+	return &Endpoint{options: o, worker: NewWorker(o.Announcement.Endpoint, o.Mode, o.Clock)}
 }
 
 // Run serves and announces until the context ends, then leaves.
@@ -58,7 +56,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	e.options.Announcement.Address = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: e.worker, ReadHeaderTimeout: headerTimeout}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	e.options.Logger.Info("endpoint_started", zap.String("address", e.options.Announcement.Address))
@@ -77,21 +75,8 @@
 }
 
 // Ran returns how many requests the endpoint ran.
-func (e *Endpoint) Ran() int64 {
-	return e.ran.Load()
-}
-
-func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	e.ran.Add(1)
-	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
-	answer := fmt.Sprintf("%s %s %s %d bytes\n", e.options.Announcement.Endpoint, r.Method, r.URL.RequestURI(), len(body))
-	if _, err := io.WriteString(w, answer); err != nil {
-		e.options.Logger.Debug("answer_not_written", zap.Error(err))
-	}
+func (e *Endpoint) Ran() int {
+	return e.worker.Total()
 }
 
 func (e *Endpoint) announceUntil(ctx context.Context) {
