Send again only what may be, and claims first

Cause: front sent once, said not_run to resends of what had run, and labelled metrics with whatever callers sent. - Idempotent requests are sent to another endpoint within the deadline and a budget of a tenth of each service's traffic; others only where no byte of them was written. - A request with a key is sent only under a confirmed claim; an unconfirmed one is set free in the background. A resend gets the first answer from the entry that holds the claim, or unknown. At most 256 claims of an entry wait. - A resend is told not_run only after the claims were asked, or where the caller vouches for its first sending (Cowslip-Sending: 1): its first copy may have run through another entry. - Answers up to 32 KiB are whole before the caller gets a byte; longer ones pass in one buffer. Bodies over 256 KiB stream and are sent once.

--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -13,6 +13,7 @@
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/enrol"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
@@ -24,7 +25,7 @@
 
 // entryModule holds the parts of the entry role.
 var entryModule = fx.Options(
-	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newMemory, newRecaller, newRecallService, newFront, newCallersHandler, newEndpointsHandler),
 	fx.Invoke(startEntry),
 )
 
@@ -65,9 +66,46 @@
 	return t.Count(route.NewDirect(a, c), a)
 }
 
-func newFront(settings conf.Daemon, a *agent.Agent, d front.Dispatcher, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
+// answersBytes bounds the answers that are kept for resends.
+const answersBytes = 32 << 20
+
+func newMemory() *claim.Memory {
+	return claim.NewMemory(answersBytes)
+}
+
+func newRecaller(settings conf.Daemon, client *http.Client) *dial.Recaller {
+	addresses := map[string]string{}
+	for _, p := range settings.EntryPeers() {
+		if p.Name != settings.Name {
+			addresses[string(p.Name)] = p.Address
+		}
+	}
+	return dial.NewRecaller(client, addresses)
+}
+
+func newRecallService(m *claim.Memory) *serve.Recall {
+	return &serve.Recall{Memory: m}
+}
+
+// frontParts are what a front works with.
+type frontParts struct {
+	fx.In
+
+	Agent      *agent.Agent
+	Dispatcher front.Dispatcher
+	Relay      *relay.Relay
+	Control    *dial.Control
+	Recaller   *dial.Recaller
+	Memory     *claim.Memory
+	Clock      clock.Clock
+	Logger     *zap.Logger
+}
+
+func newFront(settings conf.Daemon, p frontParts) *front.Front {
 	return front.New(front.Options{
-		Views: a, Dispatcher: d, Relay: r, Clock: c, Logger: logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
+		Name: string(settings.Name), Views: p.Agent, Dispatcher: p.Dispatcher, Relay: p.Relay,
+		Claims: p.Control, Others: p.Recaller, Memory: p.Memory,
+		Clock: p.Clock, Logger: p.Logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
 	})
 }
 
@@ -93,7 +131,8 @@
 	return endpointsHandler{Handler: enrol.Handler(a, logger)}
 }
 
-func startEntry(a *agent.Agent, others *dial.Entries, g *tasks.Group) {
+func startEntry(a *agent.Agent, f *front.Front, others *dial.Entries, g *tasks.Group) {
+	g.Start("claim_releases", f.Run)
 	g.Start("agent", a.Run)
 	g.Start("endpoints_lapse", a.RunLapse)
 	g.Start("endpoints_sync", a.RunSync)
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -25,6 +25,7 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
 }
@@ -49,6 +50,9 @@
 	if parts.Environment != nil {
 		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
 	}
+	if parts.Recall != nil {
+		handler.Handle(peer.NewRecallHandler(parts.Recall))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -125,7 +125,13 @@
 // publish makes the view that traffic reads; services without a change are taken from the last one.
 func (a *Agent) publish() {
 	last := a.view.Load()
-	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services}
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams}
+	if v.Revision != last.Revision {
+		v.Teams = map[string]bool{}
+		for _, t := range a.document.environment.Teams {
+			v.Teams[string(t.Name)] = true
+		}
+	}
 	if v.Revision != last.Revision || len(a.dirty) > 0 {
 		v.Services = a.services(last, v.Revision != last.Revision)
 		clear(a.dirty)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
-	"cowslipstack/internal/base/hist"
+	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/relay"
+	"cowslipstack/internal/edge/retry"
 	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
 )
 
 // Views gives the view by which requests are routed.
@@ -34,14 +35,32 @@
 	Release(route.Ticket, route.Result)
 }
 
+// Claims commits claims; where it fails, the claim may still be committed later.
+type Claims interface {
+	Submit(context.Context, record.Command) (record.Result, error)
+}
+
+// Others are the other entries.
+type Others interface {
+	Recall(ctx context.Context, entry, name, digest string) (claim.Recall, error)
+}
+
 // Options says what a front works with; all fields are needed.
 type Options struct {
+	// Name is the entry's name.
+	Name string
 	// Views gives the routing view.
 	Views Views
 	// Dispatcher chooses the endpoints.
 	Dispatcher Dispatcher
 	// Relay reaches the endpoints.
 	Relay Relay
+	// Claims commits claims.
+	Claims Claims
+	// Others gives the answers that other entries hold.
+	Others Others
+	// Memory keeps the answers that this entry holds.
+	Memory *claim.Memory
 	// Clock gives the time.
 	Clock clock.Clock
 	// Logger takes the front's events.
@@ -52,12 +71,28 @@
 
 // Front answers callers; it is safe for concurrent use.
 type Front struct {
-	options Options
+	options  Options
+	ids      *identities
+	retries  *retry.Budget
+	series   *seriesSet
+	releases *releases
+	// claiming bounds the claims that wait for a quorum, so that they never queue up.
+	claiming chan struct{}
+	// buffered is the bytes of request bodies in memory.
+	buffered atomic.Int64
 }
 
-// New returns a front.
+// New returns a front; Run must run for keys to be set free again.
 func New(o Options) *Front {
-	return &Front{options: o}
+	return &Front{
+		options: o, ids: newIdentities(), retries: retry.NewBudget(), series: newSeriesSet(),
+		releases: newReleases(o.Claims, o.Clock, o.Logger), claiming: make(chan struct{}, claimsWaiting),
+	}
+}
+
+// Run sets keys free until the context ends.
+func (f *Front) Run(ctx context.Context) error {
+	return f.releases.run(ctx)
 }
 
 // Handler returns the HTTP handler of callers' requests.
@@ -65,70 +100,70 @@
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc("/{service}", f.serve)
 	router.HandleFunc("/{service}/{rest:.*}", f.serve)
-	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.refuse(w, refusal{status: http.StatusNotFound, outcome: fleet.OutcomeNotRun, code: "no_service", message: "the path names no service"})
-	})
+	router.NotFoundHandler = http.HandlerFunc(f.serve)
 	return router
 }
 
 func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
-	start := f.options.Clock.Now()
-	labels := hist.Labels{Service: mux.Vars(r)["service"], Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass)}
-	w.Header().Set(HeaderRequest, requestID(r))
-	if refused := f.answer(w, r, labels.Service, start); refused != nil {
-		f.refuse(w, *refused)
+	c := &call{w: w, r: r, control: http.NewResponseController(w), start: f.options.Clock.Now()}
+	c.request = r.Header.Get(HeaderRequest)
+	if c.request == "" || len(c.request) > requestIDBytes {
+		c.request = f.ids.next()
+	}
+	w.Header()[HeaderRequest] = []string{c.request}
+	refused := f.answer(c)
+	if refused != nil {
+		f.refuse(c, *refused)
+	}
+	f.observe(c)
+	if c.aborted {
+		// The caller has a part of the answer: its connection must end visibly.
+		panic(http.ErrAbortHandler)
 	}
-	hist.Observe("cowslip_request_seconds", labels, f.options.Clock.Now().Sub(start))
 }
 
 // answer serves the request, or returns why it can't.
-func (f *Front) answer(w http.ResponseWriter, r *http.Request, name string, start time.Time) *refusal {
+func (f *Front) answer(c *call) *refusal {
 	view := f.options.Views.View()
+	name := mux.Vars(c.r)["service"]
+	service, ok := view.Services[name]
+	if ok {
+		c.service, c.settings = name, service.Settings
+	}
+	c.takeLabels(view)
+	if refused := c.takeKey(); refused != nil {
+		return refused
+	}
 	if !view.Lease.Valid(f.options.Clock.Now()) {
-		return &refusal{status: http.StatusServiceUnavailable, outcome: fleet.OutcomeNotRun, code: "no_lease", message: "this entry holds no lease", retry: true}
+		return &refusal{status: http.StatusServiceUnavailable, outcome: fleet.OutcomeNotRun, code: codeNoLease, message: "this entry holds no lease", retry: true}
 	}
-	service, ok := view.Services[name]
 	if !ok {
-		return &refusal{status: http.StatusNotFound, outcome: fleet.OutcomeNotRun, code: "no_service", message: "no service has this name"}
+		return &refusal{status: http.StatusNotFound, outcome: fleet.OutcomeNotRun, code: codeNoService, message: "no service has this name"}
 	}
-	deadline, err := requestDeadline(r, service)
+	deadline, err := requestDeadline(c.r, service)
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, outcome: fleet.OutcomeNotRun, code: "bad_deadline", message: err.Error()}
+		return &refusal{status: http.StatusBadRequest, outcome: fleet.OutcomeNotRun, code: codeBadDeadline, message: err.Error()}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.options.BodyLimit))
-	if err != nil {
-		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: fleet.OutcomeNotRun, code: "bad_body", message: err.Error()}
+	c.deadline = c.start.Add(deadline)
+	if refused := f.takeBody(c); refused != nil {
+		return refused
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), deadline)
+	defer f.buffered.Add(-int64(len(c.body)))
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(f.options.Clock.Now()))
 	defer cancel()
-	ticket, err := f.options.Dispatcher.Acquire(ctx, route.Request{
-		Service: name, Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass), Deadline: start.Add(deadline),
-	})
-	if err != nil {
-		return notAdmitted(err)
+	f.retries.First(name)
+	if c.key != "" && !c.idempotent() {
+		return f.answerOnce(ctx, c)
 	}
-	result := route.Result{Outcome: fleet.OutcomeUnknown, Load: route.NoLoad}
-	defer func() { f.options.Dispatcher.Release(ticket, result) }()
-	attempt := attemptOf(r, name, body)
-	attempt.Permit = func() bool { return f.options.Views.View().Lease.Valid(f.options.Clock.Now()) }
-	refused := f.forward(ctx, w, ticket.Endpoint, attempt)
-	result.Elapsed = f.options.Clock.Now().Sub(start)
-	result.Outcome = fleet.OutcomeAnswered
-	if refused != nil {
-		result.Outcome = refused.outcome
-	}
-	return refused
+	return f.run(ctx, c)
 }
 
-func (f *Front) forward(ctx context.Context, w http.ResponseWriter, e fleet.Endpoint, a relay.Attempt) *refusal {
-	answer := f.options.Relay.Send(ctx, e, a)
-	if answer.Outcome != fleet.OutcomeAnswered {
-		status := http.StatusBadGateway
-		if errors.Is(answer.Err, context.DeadlineExceeded) {
-			status = http.StatusGatewayTimeout
-		}
-		return &refusal{status: status, outcome: answer.Outcome, code: "no_answer", message: answer.Err.Error(), retry: answer.Outcome == fleet.OutcomeNotRun}
-	}
-	f.copy(w, answer.Response)
-	return nil
+// permit says whether the entry may still begin to send.
+func (f *Front) permit() bool {
+	return f.options.Views.View().Lease.Valid(f.options.Clock.Now())
+}
+
+// remaining returns the time that a request has left.
+func (f *Front) remaining(c *call) time.Duration {
+	return c.deadline.Sub(f.options.Clock.Now())
 }
--- a/internal/edge/front/header.go
+++ b/internal/edge/front/header.go
@@ -1,16 +1,13 @@
 package front
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
-	"cowslipstack/internal/edge/relay"
 	"cowslipstack/internal/edge/route"
 )
 
@@ -25,14 +22,23 @@
 	HeaderTeam = "Cowslip-Team"
 	// HeaderClass names the request's class.
 	HeaderClass = "Cowslip-Class"
+	// HeaderKey names a request that must run at most once, over all its sendings.
+	HeaderKey = "Idempotency-Key"
+	// HeaderKeyIssued is when the caller made the key.
+	HeaderKeyIssued = "Cowslip-Key-Issued"
+	// HeaderSending counts the caller's sendings of one key from 1; without it, a sending may be a resend.
+	HeaderSending = "Cowslip-Sending"
+	// HeaderReplayed marks an answer that was given before.
+	HeaderReplayed = "Cowslip-Replayed"
+	// HeaderOnce marks an answer to a non-idempotent request without a key: it was sent once at the most.
+	HeaderOnce = "Cowslip-Sent-Once"
+
+	// ownPrefix starts the headers that are between the entry and one side.
+	ownPrefix = "Cowslip-"
 )
 
-func requestID(r *http.Request) string {
-	if id := r.Header.Get(HeaderRequest); id != "" {
-		return id
-	}
-	return uuid.NewString()
-}
+// maxDeadlineMs is the longest time that a request may take.
+const maxDeadlineMs = 600_000
 
 func requestDeadline(r *http.Request, s route.Service) (time.Duration, error) {
 	text := r.Header.Get(HeaderDeadline)
@@ -46,26 +52,6 @@
 	return time.Duration(count) * time.Millisecond, nil
 }
 
-// maxDeadlineMs is the longest time that a request may take.
-const maxDeadlineMs = 600_000
-
-// attemptOf returns the attempt that passes the caller's request on.
-func attemptOf(r *http.Request, service string, body []byte) relay.Attempt {
-	a := relay.Attempt{
-		ID: uuid.NewString(), Method: r.Method, RawQuery: r.URL.RawQuery, Header: http.Header{},
-		Path: behind(r.URL.Path, service), RawPath: behind(r.URL.RawPath, service),
-	}
-	for name, values := range r.Header {
-		if !isHop(name) {
-			a.Header[name] = values
-		}
-	}
-	if len(body) > 0 {
-		a.Body, a.Length = bytes.NewReader(body), int64(len(body))
-	}
-	return a
-}
-
 // behind returns what follows the service's name in a path.
 func behind(path, service string) string {
 	if path == "" {
@@ -77,11 +63,25 @@
 	return "/"
 }
 
-// isHop says whether a header belongs to one connection, or must not reach an endpoint.
+// copyHeader copies what belongs to the request or answer, and not to one connection or to the entry.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !isHop(name) && (!strings.HasPrefix(name, ownPrefix) || name == HeaderTeam || name == HeaderClass) {
+			to[name] = values
+		}
+	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(to, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+}
+
+// isHop says whether a header belongs to one connection, or would let a library send again on its own.
 func isHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Idempotency-Key", "X-Idempotency-Key", relay.HeaderAttempt:
+		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Idempotency-Key", "X-Idempotency-Key":
 		return true
 	default:
 		return false
--- a/internal/edge/front/refuse.go
+++ b/internal/edge/front/refuse.go
@@ -11,13 +11,40 @@
 	"cowslipstack/internal/model/fleet"
 )
 
+// Codes of the entry's own answers; they are part of the interface to callers and don't change.
+const (
+	codeNoLease     = "no_lease"
+	codeNoService   = "no_service"
+	codeBadDeadline = "bad_deadline"
+	codeBadBody     = "bad_body"
+	codeBodyTooLong = "body_too_long"
+	codeBusy        = "busy"
+	codeNoAnswer    = "no_answer"
+	codeNotReached  = "not_reached"
+	codeDeclined    = "declined"
+	codeTimeout     = "timeout"
+	codeBadAnswer   = "bad_answer"
+	codeBadKey      = "bad_key"
+	codeKeyExpired  = "key_expired"
+	codeKeyReused   = "key_reused"
+	codeClaimsBusy  = "claims_busy"
+	codeClaimsFull  = "claims_full"
+	codeNoQuorum    = "no_quorum"
+	codeMayHaveRun  = "may_have_run"
+)
+
 // refusal is an answer of the entry's own.
 type refusal struct {
 	status  int
 	outcome fleet.Outcome
 	code    string
 	message string
-	retry   bool
+	// retry says that sending the request again is safe and may help.
+	retry bool
+	// sent says that a byte of the request may have reached an endpoint.
+	sent bool
+	// final says that another attempt through this entry can't help.
+	final bool
 }
 
 // refusalBody is the JSON body of a refusal.
@@ -25,6 +52,8 @@
 	Outcome   string `json:"outcome"`
 	Code      string `json:"code"`
 	Message   string `json:"message"`
+	Request   string `json:"request"`
+	Sent      bool   `json:"sent"`
 	SafeRetry bool   `json:"safe_retry"`
 }
 
@@ -40,13 +69,28 @@
 	return &r
 }
 
-func (f *Front) refuse(w http.ResponseWriter, r refusal) {
-	header := w.Header()
+// refuse writes a refusal. A request with a key may be a resend whose first copy ran through another
+// entry: it is not_run only where the claims were asked, or the caller vouches that it is the first.
+func (f *Front) refuse(c *call, r refusal) {
+	if c.key != "" && !c.idempotent() {
+		if r.outcome == fleet.OutcomeNotRun && !c.consulted && !c.first {
+			r.outcome = fleet.OutcomeUnknown
+		}
+		r.retry = r.retry || r.outcome == fleet.OutcomeUnknown
+	}
+	r.retry = r.retry || r.outcome == fleet.OutcomeUnknown && c.idempotent()
+	c.outcome, c.code = r.outcome, r.code
+	header := c.w.Header()
 	header.Set(HeaderOutcome, r.outcome.String())
 	header.Set("Content-Type", "application/json")
-	w.WriteHeader(r.status)
-	body := refusalBody{Outcome: r.outcome.String(), Code: r.code, Message: r.message, SafeRetry: r.retry}
-	if err := json.NewEncoder(w).Encode(body); err != nil {
+	if c.key == "" && r.sent && !c.idempotent() {
+		header.Set(HeaderOnce, "1")
+	}
+	c.w.WriteHeader(r.status)
+	body := refusalBody{
+		Outcome: r.outcome.String(), Code: r.code, Message: r.message, Request: c.request, Sent: r.sent, SafeRetry: r.retry,
+	}
+	if err := json.NewEncoder(c.w).Encode(body); err != nil {
 		f.options.Logger.Debug("refusal_not_written", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/wire/dial/recall.go
@@ -0,0 +1,40 @@
+package dial
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/edge/claim"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Recaller gets first answers from the other entries; it is safe for concurrent use.
+type Recaller struct {
+	clients map[string]peer.RecallClient
+}
+
+// NewRecaller returns a recaller for the entries at the addresses, by name.
+func NewRecaller(client *http.Client, addresses map[string]string) *Recaller {
+	r := &Recaller{clients: map[string]peer.RecallClient{}}
+	for name, address := range addresses {
+		r.clients[name] = peer.NewRecallClient(client, "http://"+address)
+	}
+	return r
+}
+
+// Recall asks the entry that holds a claim for the first answer; it waits for a request in progress while the context lasts.
+func (r *Recaller) Recall(ctx context.Context, entry, name, digest string) (claim.Recall, error) {
+	client, ok := r.clients[entry]
+	if !ok {
+		return claim.Recall{}, errors.Newf("no entry is named %q", entry)
+	}
+	response, err := client.Recall(ctx, connect.NewRequest(&peer.RecallRequest{Key: name, Digest: digest}))
+	if err != nil {
+		return claim.Recall{}, errors.Wrap(err, "recall")
+	}
+	return codec.RecallFromWire(response.Msg), nil
+}
--- /dev/null
+++ b/internal/wire/serve/recall.go
@@ -0,0 +1,36 @@
+package serve
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"cowslipstack/internal/edge/claim"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Memory holds first answers; the channel closes once a running request has its outcome.
+type Memory interface {
+	Recall(name, digest string) (claim.Recall, <-chan struct{})
+}
+
+// Recall serves what entries ask of one another about requests with keys.
+type Recall struct {
+	// Memory holds this entry's answers.
+	Memory Memory
+}
+
+// Recall gives the first answer, once there is one.
+func (s *Recall) Recall(ctx context.Context, r *connect.Request[peer.RecallRequest]) (*connect.Response[peer.RecallResponse], error) {
+	recall, done := s.Memory.Recall(r.Msg.GetKey(), r.Msg.GetDigest())
+	if recall.State == claim.StateRunning {
+		select {
+		case <-done:
+			recall, _ = s.Memory.Recall(r.Msg.GetKey(), r.Msg.GetDigest())
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+	}
+	return connect.NewResponse(codec.RecallToWire(recall)), nil
+}
