--- a/internal/app/fakes/worker.go
+++ b/internal/app/fakes/worker.go
@@ -40,9 +40,9 @@
 	ModeCut // cut
 	// ModeTooLong answers more than was declared.
 	ModeTooLong // too_long
-	// ModeUnbounded answers without a length.
+	// ModeUnbounded answers half without a length.
 	ModeUnbounded // unbounded
-	// ModeCrossed answers with another attempt's identity.
+	// ModeCrossed answers another attempt's request.
 	ModeCrossed // crossed
 	// ModeDecline declines the request before it begins.
 	ModeDecline // decline
@@ -119,7 +119,11 @@
 // answer writes the name, the request and its identity, as far as the mode lets it.
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, mode Mode, length int64) {
 	attempt := r.Header.Get(relay.HeaderAttempt)
-	text := fmt.Sprintf("%s %s %s %d bytes %s\n", k.name, r.Method, r.URL.RequestURI(), length, r.Header.Get("Cowslip-Request"))
+	request := r.Header.Get("Cowslip-Request")
+	if mode == ModeCrossed {
+		request = "another"
+	}
+	text := fmt.Sprintf("%s %s %s %d bytes %s\n", k.name, r.Method, r.URL.RequestURI(), length, request)
 	declared := strconv.Itoa(len(text))
 	switch mode {
 	case ModeCrossed:
@@ -141,7 +145,7 @@
 		raw(w, "HTTP/1.1 200 OK\r\n"+relay.HeaderAttempt+": "+attempt+"\r\nContent-Length: "+declared+"\r\n\r\n"+text+text)
 		return
 	case ModeUnbounded:
-		raw(w, "HTTP/1.1 200 OK\r\n"+relay.HeaderAttempt+": "+attempt+"\r\n\r\n"+text)
+		raw(w, "HTTP/1.1 200 OK\r\n"+relay.HeaderAttempt+": "+attempt+"\r\n\r\n"+text[:len(text)/2])
 		return
 	default:
 	}
