--- a/internal/app/proof/site_test.go
+++ b/internal/app/proof/site_test.go
@@ -186,7 +186,9 @@
 func (e *entry) stop() {
 	p := e.now.Load()
 	p.cancel()
-	_ = <-p.ended
+	if err := <-p.ended; err != nil {
+		panic(err)
+	}
 }
 
 // site is a few entries and fake endpoints in one process.
