Check leases, drains and documents in force over random schedules

No entry may serve on an older revision than one that any replica calls in force everywhere; none may have a request on a VM that is called drained; each revision is in force within 4 s.

Reports are counted from where the leader first heard them, so that neither a restarted entry nor a new leader shows as a burst of bad answers.

--- /dev/null
+++ b/internal/app/daemon/force_test.go
@@ -0,0 +1,194 @@
+package daemon_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+// forceBound is the longest time from the acceptance of a revision until it is in force everywhere.
+const forceBound = 4 * time.Second
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A seed given on the command line goes before the fixed one.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("4"); err != nil {
+			panic(err)
+		}
+	}
+	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint("invariant breached: ", name, fields)) })
+	os.Exit(m.Run())
+}
+
+func documentText(n int) []byte {
+	return fmt.Appendf(nil, `environment = "production"
+[[pools]]
+name = "depot"
+size = %d
+[[services]]
+name = "inspection"
+pool = "depot"
+availability = 0.999
+`, n%10000)
+}
+
+// model is a site and what must hold of it.
+type model struct {
+	*site
+	vms []fleet.VM
+}
+
+func newModel(ctx context.Context, t *rapid.T) *model {
+	m := &model{site: newSite(ctx, 3, 4)}
+	m.commit(record.Command{Document: &record.DocumentChange{Environment: "production", Text: documentText(0)}})
+	for i := range 3 {
+		v := fleet.VM{Name: fmt.Sprintf("vm-%d", i), Pool: "depot"}
+		m.vms = append(m.vms, v)
+		m.commit(record.Command{VM: &record.VMChange{Step: record.VMJoin, VM: v.Name, Pool: v.Pool}})
+	}
+	m.announce(t)
+	return m
+}
+
+func (m *model) announce(t *rapid.T) {
+	for _, e := range m.entries {
+		for _, v := range m.vms {
+			_, err := e.agent.Announce(m.ctx, fleet.Endpoint{
+				Service: "inspection", Name: "on-" + v.Name, VM: v.Name, Address: "127.0.0.1:1", Slots: 8,
+				Sequence: uint64(m.clock.Now().UnixNano()), Epoch: m.state().VMs[v.Name].Epoch,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (m *model) changeVM(t *rapid.T) {
+	v := m.state().VMs[rapid.SampledFrom(m.vms).Draw(t, "vm").Name]
+	step := rapid.SampledFrom([]record.VMStep{
+		record.VMDrain, record.VMActivate, record.VMStop, record.VMReturn, record.VMFail,
+	}).Draw(t, "step")
+	m.commit(record.Command{VM: &record.VMChange{Step: step, VM: v.Name, Epoch: v.Epoch, Pool: v.Pool}})
+}
+
+// settle checks what the leader's keeper says against what the entries do.
+func (m *model) settle(t *rapid.T) {
+	if err := m.watch(); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range m.replicas {
+		for _, f := range r.keeper.Snapshot().Revisions {
+			for _, e := range m.entries {
+				if f.Everywhere && e.serving() && e.agent.View().Revision < f.Revision {
+					t.Fatalf("%s serves on revision %d while %d is in force everywhere", e.name, e.agent.View().Revision, f.Revision)
+				}
+			}
+			if !r.cut && !f.Everywhere && f.Elapsed > forceBound {
+				t.Fatalf("revision %d is not in force after %v; waiting for %v", f.Revision, f.Elapsed, f.Waiting)
+			}
+		}
+	}
+	for vm := range m.replicas[m.leader].keeper.Snapshot().Drained {
+		for _, e := range m.entries {
+			if e.InProgress(vm) > 0 {
+				t.Fatalf("%s has %d requests in progress on %s, which is said to be drained", e.name, e.InProgress(vm), vm)
+			}
+		}
+	}
+}
+
+// TestForce drives documents, drains, requests, cuts, lost answers, restarts and changes of leader in random order.
+func TestForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		m := newModel(ctx, t)
+		anyEntry := func() *entryFake { return rapid.SampledFrom(m.entries).Draw(t, "entry") }
+		tick := func(t *rapid.T) {
+			for range rapid.IntRange(1, 8).Draw(t, "ticks") {
+				if err := m.tick(tickTime); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"tick":       tick,
+			"tick again": tick,
+			"announce":   m.announce,
+			"document": func(*rapid.T) {
+				m.commit(record.Command{Document: &record.DocumentChange{
+					Environment: "production", BaseRevision: m.state().Document.Revision, Text: documentText(len(m.log)),
+				}})
+			},
+			"vm":       m.changeVM,
+			"request":  func(*rapid.T) { anyEntry().request() },
+			"request2": func(*rapid.T) { anyEntry().request() },
+			"finish":   func(*rapid.T) { clear(anyEntry().requests) },
+			"cut": func(t *rapid.T) {
+				e := anyEntry()
+				e.cut = !e.cut
+			},
+			"deaf": func(t *rapid.T) {
+				e := anyEntry()
+				e.deaf = !e.deaf
+			},
+			"slow": func(t *rapid.T) {
+				anyEntry().slow = time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			},
+			"restart entry": func(*rapid.T) { anyEntry().restart() },
+			"elect":         func(t *rapid.T) { m.elect(rapid.IntRange(0, 2).Draw(t, "leader")) },
+			"freeze":        func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 700).Draw(t, "s")) * time.Second) },
+			"":              m.settle,
+		})
+	})
+}
+
+// elect makes another replica the leader; the old one is cut off and comes back as a follower that was restarted.
+func (m *model) elect(leader int) {
+	old := m.replicas[m.leader]
+	if leader == m.leader {
+		return
+	}
+	m.replicas[leader].cut = false
+	m.replicas[leader].catchUp()
+	m.leader = leader
+	old.cut = !old.cut
+	if !old.cut {
+		old.restart()
+	}
+}
+
+// TestRestartedEntryServesNothing checks that an entry without a lease from its own run takes no request.
+func TestRestartedEntryServesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newSite(ctx, 1, 1)
+	e := s.entries[0]
+	is.True(!e.serving())
+	s.commit(record.Command{Document: &record.DocumentChange{Text: documentText(1)}})
+	is.NoErr(s.tick(tickTime))
+	is.True(e.serving())
+	e.restart()
+	is.True(!e.serving())
+	e.cut = true
+	is.NoErr(s.tick(siteLease))
+	is.True(!e.serving())
+	e.cut = false
+	is.NoErr(s.tick(tickTime))
+	is.True(e.serving())
+	is.Equal(e.agent.View().Revision, uint64(1))
+}
--- a/internal/ctrl/lease/holder.go
+++ b/internal/ctrl/lease/holder.go
@@ -25,27 +25,16 @@
 	// Usages are the VMs without new work on which the entry has requests in progress.
 	Usages []fleet.Usage
 
-	reports map[string]fleet.Report
+	reports reports
 }
 
-// take notes what a renewal tells; it returns true for the first of a run.
-func (h *Holder) take(r grant.Renewal, now time.Time) bool {
-	fresh := h.Started != r.Started
-	if fresh {
-		h.reports = nil
+// take notes what a renewal tells.
+func (h *Holder) take(r grant.Renewal, now time.Time) {
+	if h.Started != r.Started {
+		h.reports.restart()
 	}
 	h.Started, h.Revision, h.Index, h.Renewed, h.Usages = r.Started, r.Revision, r.Index, now, r.Usages
-	if len(r.Reports) > 0 {
-		// A published map is read by others.
-		h.reports = maps.Clone(h.reports)
-		if h.reports == nil {
-			h.reports = make(map[string]fleet.Report, len(r.Reports))
-		}
-		for _, report := range r.Reports {
-			h.reports[report.Service] = report
-		}
-	}
-	return fresh
+	h.reports.take(r)
 }
 
 // Snapshot is what the keeper knew after its last look; it is never changed.
@@ -63,24 +52,16 @@
 	return k.snapshot.Load()
 }
 
-// EntryReport is what one run of one entry told of its services.
-type EntryReport struct {
-	// Entry is the entry's name.
-	Entry string
-	// Started tells one run of the entry from the next; the counts begin at 0 with each.
-	Started uint64
-	// Reports are its services' counts, by service.
-	Reports map[string]fleet.Report
-}
-
-// Reports returns the counts of each entry that renewed here, by entry.
-func (k *Keeper) Reports() []EntryReport {
-	var all []EntryReport
+// Reports returns the services' counts, added up over the entries, by service. The counts begin at 0
+// where this replica first heard of an entry's, and only rise.
+func (k *Keeper) Reports() []fleet.Report {
+	now := k.options.Clock.Now()
+	sum := map[string]fleet.Report{}
 	for _, h := range k.Snapshot().Holders {
-		if h.Started != 0 {
-			all = append(all, EntryReport{Entry: h.Name, Started: h.Started, Reports: h.reports})
-		}
+		h.reports.addTo(sum, now.Sub(h.Renewed) < k.options.Lease)
 	}
+	all := slices.Collect(maps.Values(sum))
+	slices.SortFunc(all, func(a, b fleet.Report) int { return strings.Compare(a.Service, b.Service) })
 	return all
 }
 
--- a/internal/ctrl/lease/keeper.go
+++ b/internal/ctrl/lease/keeper.go
@@ -149,11 +149,11 @@
 // grant notes what the entry told and returns what it lacks.
 func (k *Keeper) grant(s *state.State, h *Holder, r grant.Renewal) grant.Grant {
 	now := k.options.Clock.Now()
-	fresh := h.take(r, now)
+	h.take(r, now)
 	k.force.acknowledged(r.Entry, r.Revision, now, k.options.Logger)
 	return grant.Grant{
 		Revision: s.Document.Revision, Digest: s.Document.Digest, Document: documentFor(s, r),
-		Index: s.Applied, Marks: k.marks.since(r.Index), WantReports: fresh,
+		Index: s.Applied, Marks: k.marks.since(r.Index), WantReports: !h.reports.whole,
 	}
 }
 
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -95,6 +95,8 @@
 	// reported are the counts that the leader knows.
 	reported map[string]fleet.Report
 	reportAt time.Time
+	// reportAll means that the leader wants the counts of all services.
+	reportAll bool
 }
 
 // document is the document in force on the entry.
@@ -111,7 +113,7 @@
 	a := &Agent{
 		options: o, started: uint64(o.Clock.Now().UnixNano()),
 		marks: newMarks(), table: table.New(),
-		shared: map[string]time.Time{}, dirty: map[string]bool{}, reported: map[string]fleet.Report{},
+		shared: map[string]time.Time{}, dirty: map[string]bool{}, reported: map[string]fleet.Report{}, reportAll: true,
 	}
 	a.view.Store(&route.View{})
 	return a
--- a/internal/edge/agent/endpoints.go
+++ b/internal/edge/agent/endpoints.go
@@ -105,13 +105,18 @@
 // RunLapse drops endpoints that have lapsed and publishes refreshed ones, until the context ends.
 func (a *Agent) RunLapse(ctx context.Context) error {
 	for a.sleep(ctx, lapseEvery) {
-		if err := a.options.Loop.Call(ctx, a.lapse); err != nil {
+		if err := a.Lapse(ctx); err != nil {
 			return nil
 		}
 	}
 	return nil
 }
 
+// Lapse drops endpoints that have lapsed and publishes refreshed ones, once.
+func (a *Agent) Lapse(ctx context.Context) error {
+	return a.options.Loop.Call(ctx, a.lapse)
+}
+
 func (a *Agent) lapse() {
 	for _, e := range a.table.Lapse(a.options.Clock.Now()) {
 		delete(a.shared, e.Key())
@@ -128,13 +133,13 @@
 // RunSync compares endpoints with one other entry at a time, until the context ends.
 func (a *Agent) RunSync(ctx context.Context) error {
 	for a.sleep(ctx, a.jitter(syncEvery)) {
-		a.sync(ctx)
+		a.Sync(ctx)
 	}
 	return nil
 }
 
-// sync finds and exchanges what this entry or a random other one has missed.
-func (a *Agent) sync(ctx context.Context) {
+// Sync finds and exchanges what this entry or a random other one has missed.
+func (a *Agent) Sync(ctx context.Context) {
 	count := a.options.Others.Count()
 	if count == 0 {
 		return
@@ -171,8 +176,8 @@
 	return a.Hear(ctx, News{Endpoints: missed})
 }
 
-// learn takes all endpoints from the first other entry that answers, in a random order.
-func (a *Agent) learn(ctx context.Context) {
+// Learn takes all endpoints from the first other entry that answers, in a random order.
+func (a *Agent) Learn(ctx context.Context) {
 	count := a.options.Others.Count()
 	if count == 0 {
 		return
--- a/internal/edge/agent/renew.go
+++ b/internal/edge/agent/renew.go
@@ -25,10 +25,10 @@
 
 // Run renews the lease until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
-	a.learn(ctx)
+	a.Learn(ctx)
 	for ctx.Err() == nil {
 		pause := a.options.Renew
-		news, err := a.renew(ctx)
+		news, err := a.Renew(ctx)
 		switch {
 		case err != nil:
 			a.options.Logger.Debug("lease_not_renewed", zap.Error(err))
@@ -44,8 +44,8 @@
 	return nil
 }
 
-// renew renews the lease once and says whether there was news to acknowledge.
-func (a *Agent) renew(ctx context.Context) (bool, error) {
+// Renew renews the lease once and says whether there was news, which is to be acknowledged at once.
+func (a *Agent) Renew(ctx context.Context) (bool, error) {
 	// The lease counts from before the renewal is sent: the leader's answer may be late.
 	sent := a.options.Clock.Now()
 	var r grant.Renewal
@@ -67,7 +67,7 @@
 	}
 	if a.View().Lease.Length > 0 && !a.View().Lease.Valid(sent) {
 		// Endpoints may have left unheard while this entry was frozen or cut off.
-		a.sync(ctx)
+		a.Sync(ctx)
 	}
 	news := g.Revision > known.revision || len(g.Marks) > 0
 	return news, a.options.Loop.Call(ctx, func() { a.granted(sent, r, g, next) })
@@ -80,11 +80,13 @@
 		Revision: a.document.revision, Whole: a.document.whole, Index: a.marks.index,
 		Usages: a.marks.usages(a.options.Traffic, now, settleTime),
 	}
-	if now.Sub(a.reportAt) >= reportEvery {
-		for _, report := range a.options.Traffic.Reports() {
-			if a.reported[report.Service] != report {
-				r.Reports = append(r.Reports, report)
-			}
+	if !a.reportAll && now.Sub(a.reportAt) < reportEvery {
+		return r
+	}
+	r.AllReports = a.reportAll
+	for _, report := range a.options.Traffic.Reports() {
+		if a.reportAll || a.reported[report.Service] != report {
+			r.Reports = append(r.Reports, report)
 		}
 	}
 	return r
@@ -163,8 +165,5 @@
 	for _, report := range r.Reports {
 		a.reported[report.Service] = report
 	}
-	if g.WantReports {
-		a.reported = map[string]fleet.Report{}
-		a.reportAt = time.Time{}
-	}
+	a.reportAll = g.WantReports
 }
--- a/internal/model/grant/grant.go
+++ b/internal/model/grant/grant.go
@@ -25,6 +25,8 @@
 	Usages []fleet.Usage
 	// Reports are the services whose counts have changed.
 	Reports []fleet.Report
+	// AllReports means that Reports holds every service with counts.
+	AllReports bool
 }
 
 // Grant is the leader's answer to a renewal.
--- a/internal/wire/codec/lease.go
+++ b/internal/wire/codec/lease.go
@@ -13,7 +13,7 @@
 func RenewalToWire(r grant.Renewal) *peer.RenewRequest {
 	w := &peer.RenewRequest{
 		Entry: r.Entry, Started: r.Started, LeaseMs: r.Lease.Milliseconds(),
-		Revision: r.Revision, Whole: r.Whole, Index: r.Index,
+		Revision: r.Revision, Whole: r.Whole, Index: r.Index, AllReports: r.AllReports,
 	}
 	for _, u := range r.Usages {
 		w.Usages = append(w.Usages, &peer.Usage{Vm: u.VM, Epoch: u.Epoch, InProgress: countToWire(u.InProgress)})
@@ -31,7 +31,7 @@
 func RenewalFromWire(w *peer.RenewRequest) grant.Renewal {
 	r := grant.Renewal{
 		Entry: w.GetEntry(), Started: w.GetStarted(), Lease: time.Duration(w.GetLeaseMs()) * time.Millisecond,
-		Revision: w.GetRevision(), Whole: w.GetWhole(), Index: w.GetIndex(),
+		Revision: w.GetRevision(), Whole: w.GetWhole(), Index: w.GetIndex(), AllReports: w.GetAllReports(),
 	}
 	for _, u := range w.GetUsages() {
 		r.Usages = append(r.Usages, fleet.Usage{VM: u.GetVm(), Epoch: u.GetEpoch(), InProgress: int(u.GetInProgress())})
