Learn all endpoints again after a lapsed lease, with the lives that they have left

The entry now learns the whole set before it serves again, and an equal announcement with a longer life extends the known one.

--- a/internal/edge/agent/renew.go
+++ b/internal/edge/agent/renew.go
@@ -66,8 +66,8 @@
 		return false, a.options.Loop.Call(ctx, func() { a.document.whole = true })
 	}
 	if a.View().Lease.Length > 0 && !a.View().Lease.Valid(sent) {
-		// Endpoints may have left unheard while this entry was frozen or cut off.
-		a.Sync(ctx)
+		// Endpoints may have left or come unheard while this entry was frozen or cut off.
+		a.Learn(ctx)
 	}
 	news := g.Revision > known.revision || len(g.Marks) > 0
 	return news, a.options.Loop.Call(ctx, func() { a.granted(sent, r, g, next) })
--- a/internal/edge/table/table.go
+++ b/internal/edge/table/table.go
@@ -70,8 +70,10 @@
 	switch {
 	case !now.Before(e.Expires):
 		return ChangeNone
-	case ok && (known.Leaving || (known.Sequence >= e.Sequence && !e.Leaving)):
+	case ok && known.Leaving:
 		return ChangeNone
+	case ok && !e.Leaving && known.Sequence >= e.Sequence:
+		return t.extend(known, e)
 	case !ok && len(t.endpoints) >= MaxEndpoints:
 		return ChangeRefused
 	}
@@ -85,6 +87,16 @@
 	return ChangeMade
 }
 
+// extend takes the life of an announcement that says nothing new, such as one that another entry heard of later.
+func (t *Table) extend(known, e fleet.Endpoint) Change {
+	if fingerprint(known) != fingerprint(e) || !e.Expires.After(known.Expires) {
+		return ChangeNone
+	}
+	known.Expires = e.Expires
+	t.endpoints[known.Key()] = known
+	return ChangeRefreshed
+}
+
 // Refresh extends an endpoint's life; it returns the endpoint, and false where it is not known.
 func (t *Table) Refresh(r Refresh, now time.Time) (fleet.Endpoint, bool) {
 	e, ok := t.endpoints[t.keys[r.ID]]
