--- a/internal/ctrl/quorum/elect.go
+++ b/internal/ctrl/quorum/elect.go
@@ -200,3 +200,18 @@
 		r.campaign(true)
 	}
 }
+
+// resign ends the leadership and lets those who still hear this replica elect another at once.
+func (r *Replica) resign() {
+	for _, id := range r.others() {
+		r.send(Message{Kind: MessageResigned, To: id})
+	}
+	r.follow(r.hard.Term, 0)
+}
+
+func (r *Replica) stepResigned(m Message) {
+	if r.role == RoleFollower && m.From == r.leader {
+		r.leader = 0
+		r.retry()
+	}
+}
--- a/internal/ctrl/quorum/enums_gen.go
+++ b/internal/ctrl/quorum/enums_gen.go
@@ -17,11 +17,12 @@
 	_ = x[MessageSnapshot-7]
 	_ = x[MessageSnapshotted-8]
 	_ = x[MessageElect-9]
+	_ = x[MessageResigned-10]
 }
 
-const _MessageKind_name = "appendappendedpre_votepre_votedvotevotedsnapshotsnapshottedelect"
+const _MessageKind_name = "appendappendedpre_votepre_votedvotevotedsnapshotsnapshottedelectresigned"
 
-var _MessageKind_index = [...]uint8{0, 6, 14, 22, 31, 35, 40, 48, 59, 64}
+var _MessageKind_index = [...]uint8{0, 6, 14, 22, 31, 35, 40, 48, 59, 64, 72}
 
 func (i MessageKind) String() string {
 	idx := int(i) - 1
--- a/internal/ctrl/quorum/lead.go
+++ b/internal/ctrl/quorum/lead.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// maxMessageBytes bounds the entries of one message.
-	maxMessageBytes = 256 << 10
 	// maxInFlight bounds the messages with entries that one follower has not answered yet.
 	maxInFlight = 32
 	// pieceBytes is the size of a snapshot's pieces.
@@ -27,8 +25,9 @@
 	inFlight []uint64
 	// before is the match at the last heartbeat.
 	before uint64
-	// heard is the count of ticks since the member was heard.
-	heard int
+	// heard is the count of ticks since the member was heard, or since this replica leads.
+	heard    int
+	answered bool
 	// context is the latest context that the member has echoed.
 	context uint64
 	// snapshot is what is being sent, nil for none.
@@ -37,6 +36,11 @@
 	sent     bool
 }
 
+// live says whether the member was heard within a count of ticks.
+func (p *progress) live(ticks int) bool {
+	return p.answered && p.heard < ticks
+}
+
 func (p *progress) probe(next uint64) {
 	p.next, p.probing, p.probed, p.inFlight = next, true, false, nil
 }
@@ -100,7 +104,7 @@
 		}
 	}
 	if live <= len(voters)/2 {
-		r.follow(r.hard.Term, 0)
+		r.resign()
 		return
 	}
 	if r.transferee != 0 {
@@ -162,7 +166,7 @@
 		return
 	}
 	for p.next <= r.log.last() && len(p.inFlight) < maxInFlight && !p.probed {
-		entries := r.log.after(p.next-1, maxMessageBytes)
+		entries := r.log.after(p.next-1, r.options.MessageBytes)
 		term, _ := r.log.term(p.next - 1)
 		r.send(Message{
 			Kind: MessageAppend, To: id, LogIndex: p.next - 1, LogTerm: term,
@@ -199,7 +203,7 @@
 	if r.role != RoleLeader || p == nil {
 		return
 	}
-	p.heard = 0
+	p.heard, p.answered = 0, true
 	if p.snapshot != nil && p.snapshot.Index == m.LogIndex && m.Offset <= uint64(len(p.snapshot.Data)) {
 		p.sent = p.sent && m.Offset == p.offset
 		p.offset = m.Offset
@@ -211,7 +215,7 @@
 	if r.role != RoleLeader || p == nil {
 		return
 	}
-	p.heard = 0
+	p.heard, p.answered = 0, true
 	p.context = max(p.context, m.Context)
 	r.confirm()
 	if m.Reject {
--- a/internal/ctrl/quorum/members.go
+++ b/internal/ctrl/quorum/members.go
@@ -97,7 +97,7 @@
 	live := 0
 	voters := votersOf(members)
 	for _, id := range voters {
-		if id == r.id || r.peers[id].heard < r.options.ElectionTicks {
+		if id == r.id || r.peers[id].live(r.options.ElectionTicks) {
 			live++
 		}
 	}
@@ -110,7 +110,7 @@
 // CaughtUp says whether a member has synced all that is committed and was heard of late; only a leader knows.
 func (r *Replica) CaughtUp(id ReplicaID) bool {
 	p, ok := r.peers[id]
-	return r.role == RoleLeader && ok && p.match >= r.commit && p.heard < r.options.ElectionTicks
+	return r.role == RoleLeader && ok && p.match >= r.commit && p.live(r.options.ElectionTicks)
 }
 
 func (r *Replica) members() []Member {
@@ -188,7 +188,7 @@
 		if m.ID == r.id {
 			s.Synced, s.Heard, s.CaughtUp = r.synced, true, r.synced >= r.commit
 		} else if p, ok := r.peers[m.ID]; ok {
-			s.Synced, s.Heard, s.CaughtUp = p.match, p.heard < r.options.ElectionTicks, r.CaughtUp(m.ID)
+			s.Synced, s.Heard, s.CaughtUp = p.match, p.live(r.options.ElectionTicks), r.CaughtUp(m.ID)
 		}
 		all = append(all, s)
 	}
--- a/internal/ctrl/quorum/message.go
+++ b/internal/ctrl/quorum/message.go
@@ -25,6 +25,8 @@
 	MessageSnapshotted // snapshotted
 	// MessageElect tells the receiver to stand for election at once.
 	MessageElect // elect
+	// MessageResigned tells that the sender leads no more, so that nobody waits for it.
+	MessageResigned // resigned
 )
 
 // EntryKind is the kind of a log entry; the zero value is not valid.
--- /dev/null
+++ b/internal/ctrl/quorum/random_test.go
@@ -0,0 +1,314 @@
+package quorum
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"cowslipstack/internal/base/check"
+)
+
+func TestMain(m *testing.M) {
+	// A seed that was given stays; without one, the runs are the same each time.
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "60", "rapid.steps": "200", "rapid.nofailfile": "true"} {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	os.Exit(m.Run())
+}
+
+// chaos are the random steps; each draws its own arguments.
+type chaos struct {
+	*group
+	commands int
+}
+
+func (c *chaos) host(t *rapid.T) *host {
+	return c.hosts[rapid.IntRange(0, len(c.hosts)-1).Draw(t, "host")]
+}
+
+func (c *chaos) tickAll(t *rapid.T) {
+	for range rapid.IntRange(1, testElection).Draw(t, "ticks") {
+		for _, h := range c.hosts {
+			c.tick(h)
+		}
+	}
+}
+
+func (c *chaos) message(t *rapid.T) int {
+	if len(c.net) == 0 {
+		t.Skip("no message")
+	}
+	return rapid.IntRange(0, len(c.net)-1).Draw(t, "message")
+}
+
+func (c *chaos) drop(t *rapid.T) {
+	at := c.message(t)
+	c.net = append(c.net[:at], c.net[at+1:]...)
+}
+
+// flow lets the group work undisturbed for a while.
+func (c *chaos) flow(t *rapid.T) {
+	for range rapid.IntRange(1, 3*testElection).Draw(t, "ticks") {
+		for _, h := range c.hosts {
+			c.tick(h)
+		}
+		c.settle()
+	}
+}
+
+// churn lets the group work while messages are lost, doubled, late and out of order, syncs are slow, and faults come and go.
+func (c *chaos) churn(t *rapid.T) {
+	r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	loss := rapid.IntRange(0, 30).Draw(t, "loss")
+	faults := rapid.IntRange(0, 30).Draw(t, "faults")
+	for range rapid.IntRange(1, 20*testElection).Draw(t, "rounds") {
+		h := c.hosts[r.IntN(len(c.hosts))]
+		c.tick(h)
+		if r.IntN(1000) < faults {
+			c.fault(h, r)
+		}
+		if h.running() && r.IntN(4) == 0 {
+			_, _ = h.replica.Propose(make([]byte, r.IntN(50)))
+			c.handle(h)
+			c.ask(h)
+		}
+		if r.IntN(60) == 0 {
+			c.compact(h)
+		}
+		for range min(len(c.net), 6) {
+			at := min(r.IntN(len(c.net)), r.IntN(len(c.net)))
+			if r.IntN(100) < loss {
+				c.net = slices.Delete(c.net, at, at+1)
+				continue
+			}
+			c.deliver(at, r.IntN(10) == 0)
+		}
+		c.sync(c.hosts[r.IntN(len(c.hosts))], r.IntN(3))
+	}
+}
+
+func (c *chaos) fault(h *host, r *rand.Rand) {
+	other := c.hosts[r.IntN(len(c.hosts))]
+	if r.IntN(3) == 0 {
+		c.heal()
+		c.ask(h)
+		return
+	}
+	switch r.IntN(6) {
+	case 0:
+		c.restart(h, r.IntN(3))
+	case 1:
+		c.cut[[2]ReplicaID{h.id, other.id}] = true
+	case 2:
+		// A host that is cut off whole while it may lead.
+		for _, o := range c.hosts {
+			c.cut[[2]ReplicaID{h.id, o.id}], c.cut[[2]ReplicaID{o.id, h.id}] = true, true
+		}
+	case 3:
+		c.repair()
+	case 4:
+		// A frozen host hears nothing and its time stands still; thawed, it may think that it leads.
+		h.frozen = !h.frozen
+		c.ask(h)
+	default:
+		c.compact(h)
+	}
+}
+
+func (c *chaos) propose(t *rapid.T) {
+	h := c.host(t)
+	if l := c.leader(); l != nil && rapid.Bool().Draw(t, "leader") {
+		h = l
+	}
+	for range rapid.IntRange(1, 8).Draw(t, "count") {
+		if h.running() {
+			c.commands++
+			_, _ = h.replica.Propose(make([]byte, c.commands%50))
+			c.handle(h)
+		}
+	}
+}
+
+func (c *chaos) ask(h *host) {
+	if !h.running() {
+		return
+	}
+	if id, err := h.replica.Read(); err == nil {
+		// All that any replica has applied by now must be seen.
+		c.reads[h.id][id] = uint64(len(c.chosen))
+		c.handle(h)
+	}
+}
+
+func (c *chaos) restart(h *host, reached int) {
+	if h.up {
+		c.crash(h, reached)
+	} else {
+		c.start(h)
+	}
+}
+
+func (c *chaos) sever(t *rapid.T) {
+	a, b := c.host(t), c.host(t)
+	c.cut[[2]ReplicaID{a.id, b.id}] = true
+	if rapid.Bool().Draw(t, "both") {
+		c.cut[[2]ReplicaID{b.id, a.id}] = true
+	}
+}
+
+// loseDisk puts an empty host in a member's place, but only where all other voters still have their disks.
+func (c *chaos) loseDisk(t *rapid.T) {
+	members := []Member{}
+	for _, e := range c.chosen {
+		if e.Kind == EntryMembers {
+			members = e.Members
+		}
+	}
+	voters := votersOf(members)
+	if len(voters) != len(c.hosts) {
+		t.Skip("not repaired")
+	}
+	for _, id := range voters {
+		if !c.has(id) {
+			t.Skip("not repaired")
+		}
+	}
+	c.replace(c.host(t))
+}
+
+func (c *chaos) has(id ReplicaID) bool {
+	for _, h := range c.hosts {
+		if h.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *chaos) replace(h *host) {
+	c.lastID++
+	h.id, h.disk = c.lastID, testDisk{}
+	c.start(h)
+}
+
+// repair makes the next change that a lost disk asks for.
+func (c *chaos) repair() {
+	h := c.leader()
+	if h == nil {
+		return
+	}
+	defer c.handle(h)
+	for _, o := range c.hosts {
+		add := Change{Kind: ChangeAdd, Member: Member{ID: o.id, Name: o.name}}
+		if _, err := h.replica.ProposeChange(add); err == nil {
+			return
+		}
+	}
+	for _, m := range h.replica.Members() {
+		if !c.has(m.ID) {
+			_, _ = h.replica.ProposeChange(Change{Kind: ChangeRemove, Member: m})
+		} else if !m.Voter {
+			_, _ = h.replica.ProposeChange(Change{Kind: ChangePromote, Member: m})
+		}
+	}
+}
+
+func (c *chaos) transfer(t *rapid.T) {
+	if h := c.leader(); h != nil {
+		_ = h.replica.Transfer(c.host(t).id)
+		c.handle(h)
+	}
+}
+
+// heal ends all faults but lost disks.
+func (c *chaos) heal() {
+	clear(c.cut)
+	for _, h := range c.hosts {
+		h.frozen = false
+		if !h.up {
+			c.start(h)
+		}
+	}
+}
+
+// recovers checks that the group works again once nothing fails any more.
+func (c *chaos) recovers(t *rapid.T) {
+	c.heal()
+	for range 20 * testElection {
+		for _, h := range c.hosts {
+			c.tick(h)
+		}
+		c.settle()
+		c.repair()
+	}
+	h := c.leader()
+	if h == nil {
+		t.Fatalf("no leader after all faults ended")
+	}
+	p, err := h.replica.Propose([]byte("last"))
+	if err != nil {
+		t.Fatalf("no proposal after all faults ended: %v", err)
+	}
+	c.handle(h)
+	for range 2 * testHeartbeat {
+		c.settle()
+		for _, o := range c.hosts {
+			c.tick(o)
+		}
+	}
+	for _, o := range c.hosts {
+		if o.replica.Commit() < p.Index || len(votersOf(o.replica.Members())) != len(c.hosts) {
+			t.Fatalf("%s has committed %d of %d, members %v", o.name, o.replica.Commit(), p.Index, o.replica.Members())
+		}
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	var chosen, reads, terms int
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e"}[:rapid.SampledFrom([]int{3, 5}).Draw(t, "size")]
+		c := &chaos{group: newGroup(names...)}
+		t.Repeat(map[string]func(*rapid.T){
+			"":          c.check,
+			"ticks":     c.tickAll,
+			"flow":      c.flow,
+			"churn":     c.churn,
+			"deliver":   func(t *rapid.T) { c.deliver(c.message(t), false) },
+			"double":    func(t *rapid.T) { c.deliver(c.message(t), true) },
+			"drop":      c.drop,
+			"sync":      func(t *rapid.T) { c.sync(c.host(t), rapid.IntRange(1, 4).Draw(t, "writes")) },
+			"settle":    func(*rapid.T) { c.settle() },
+			"propose":   c.propose,
+			"read":      func(t *rapid.T) { c.ask(c.host(t)) },
+			"restart":   func(t *rapid.T) { c.restart(c.host(t), rapid.IntRange(0, 4).Draw(t, "reached")) },
+			"cut":       c.sever,
+			"heal":      func(*rapid.T) { c.heal() },
+			"compact":   func(t *rapid.T) { c.compact(c.host(t)) },
+			"lose_disk": c.loseDisk,
+			"repair":    func(*rapid.T) { c.repair() },
+			"transfer":  c.transfer,
+		})
+		c.recovers(t)
+		c.check(t)
+		chosen, reads, terms = chosen+len(c.chosen), reads+c.read, terms+len(c.leaders)
+	})
+	t.Logf("%d entries committed, %d reads confirmed, %d leaders elected", chosen, reads, terms)
+}
+
+func (c *chaos) check(t *rapid.T) {
+	if c.breach != "" {
+		t.Fatal(c.breach)
+	}
+}
--- a/internal/ctrl/quorum/replica.go
+++ b/internal/ctrl/quorum/replica.go
@@ -21,6 +21,8 @@
 	maxUncommittedBytes = 16 << 20
 	// keptEntries is the count of entries before a snapshot that are kept for followers that lag a little.
 	keptEntries = 1024
+	// DefaultMessageBytes is the usual bound of one message's entries.
+	DefaultMessageBytes = 256 << 10
 	// maxHeld bounds the messages that wait for the hard state; beyond it they are lost.
 	maxHeld = 1024
 )
@@ -41,6 +43,8 @@
 	ElectionTicks int
 	// Random returns a number from 0 up to, but not including, its argument.
 	Random func(int) int
+	// MessageBytes bounds the entries of one message; 0 for DefaultMessageBytes.
+	MessageBytes int
 }
 
 // Position names one entry for good.
@@ -105,6 +109,9 @@
 
 // New returns a replica with what its disk held.
 func New(o Options) *Replica {
+	if o.MessageBytes == 0 {
+		o.MessageBytes = DefaultMessageBytes
+	}
 	r := &Replica{
 		id: o.ID, options: o, hard: o.Hard, writtenHard: o.Hard, syncedHard: o.Hard,
 		log: newMemory(o.Snapshot, o.Entries), commit: o.Snapshot.Index, given: o.Snapshot.Index,
@@ -192,6 +199,8 @@
 		r.stepSnapshotted(m)
 	case MessageElect:
 		r.stepElect(m)
+	case MessageResigned:
+		r.stepResigned(m)
 	default:
 	}
 }
--- /dev/null
+++ b/internal/ctrl/quorum/script_test.go
@@ -0,0 +1,158 @@
+package quorum
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// script runs the commands of testdata on one group.
+type script struct{ *group }
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out := s.run(t, d)
+			if s.breach != "" {
+				d.Fatalf(t, "%s", s.breach)
+			}
+			return out
+		})
+	})
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	names := make([]string, 0, len(d.CmdArgs))
+	for _, a := range d.CmdArgs {
+		names = append(names, a.Key)
+	}
+	switch d.Cmd {
+	case "group":
+		s.group = newGroup(names...)
+	case "ticks":
+		var count int
+		d.ScanArgs(t, "count", &count)
+		for range count {
+			s.tickOnce()
+		}
+	case "until-leader":
+		return s.untilLeader(names[0])
+	case "cut":
+		// From the first to the second only.
+		s.cut[[2]ReplicaID{s.named(names[0]).id, s.named(names[1]).id}] = true
+	case "isolate":
+		for _, h := range s.hosts {
+			s.cut[[2]ReplicaID{s.named(names[0]).id, h.id}] = true
+			s.cut[[2]ReplicaID{h.id, s.named(names[0]).id}] = true
+		}
+	case "heal":
+		clear(s.cut)
+	case "status":
+	default:
+		return s.act(d.Cmd, s.named(names[0]), names[1:])
+	}
+	return s.status()
+}
+
+// act runs a command on one host.
+func (s *script) act(command string, h *host, rest []string) string {
+	var err error
+	switch command {
+	case "elect":
+		h.replica.preCampaign()
+		s.handle(h)
+		s.settle()
+		return s.status()
+	case "crash":
+		s.crash(h, 0)
+	case "start":
+		s.start(h)
+	case "freeze":
+		h.frozen = true
+	case "thaw":
+		h.frozen = false
+	case "lose-disk":
+		s.lastID++
+		h.id, h.disk = s.lastID, testDisk{}
+		s.start(h)
+	case "compact":
+		s.compact(h)
+	case "propose":
+		for range strings.Split(rest[0], "") {
+			_, err = h.replica.Propose([]byte(rest[0]))
+		}
+	case "transfer":
+		err = h.replica.Transfer(s.named(rest[0]).id)
+	case "add":
+		_, err = h.replica.ProposeChange(Change{Kind: ChangeAdd, Member: Member{ID: s.named(rest[0]).id, Name: rest[0]}})
+	case "promote":
+		_, err = h.replica.ProposeChange(Change{Kind: ChangePromote, Member: Member{ID: s.named(rest[0]).id}})
+	case "remove":
+		// The first member of that name is the oldest identity.
+		for _, m := range h.replica.Members() {
+			if m.Name == rest[0] {
+				_, err = h.replica.ProposeChange(Change{Kind: ChangeRemove, Member: m})
+				break
+			}
+		}
+	default:
+		return "unknown command"
+	}
+	if err != nil {
+		return err.Error()
+	}
+	if h.up {
+		s.handle(h)
+	}
+	return "ok"
+}
+
+// tickOnce lets a tick pass on each host and all messages and syncs reach their end.
+func (s *script) tickOnce() {
+	for _, h := range s.hosts {
+		s.tick(h)
+	}
+	s.settle()
+}
+
+// untilLeader counts the ticks until a leader other than the named one has committed an entry of its term.
+func (s *script) untilLeader(old string) string {
+	for ticks := range 10 * testElection {
+		for _, h := range s.hosts {
+			if h.running() && h.name != old && h.replica.Role() == RoleLeader && h.replica.committedInTerm() {
+				return fmt.Sprintf("%s after %d ticks\n%s", h.name, ticks, s.status())
+			}
+		}
+		s.tickOnce()
+	}
+	return "none"
+}
+
+func (s *script) status() string {
+	var b strings.Builder
+	for _, h := range s.hosts {
+		r := h.replica
+		switch {
+		case !h.up:
+			fmt.Fprintf(&b, "%s down\n", h.name)
+			continue
+		case h.frozen:
+			fmt.Fprintf(&b, "%s frozen, ", h.name)
+		default:
+			fmt.Fprintf(&b, "%s ", h.name)
+		}
+		fmt.Fprintf(&b, "%s term=%d commit=%d last=%d kept=%d members=", r.Role(), r.Term(), r.Commit(), r.log.last(), len(r.log.entries))
+		for _, m := range r.Members() {
+			fmt.Fprintf(&b, "%s%d", m.Name, m.ID)
+			if !m.Voter {
+				b.WriteString("(learner)")
+			}
+			b.WriteString(" ")
+		}
+		b.WriteString("\n")
+	}
+	return strings.ReplaceAll(b.String(), " \n", "\n")
+}
--- /dev/null
+++ b/internal/ctrl/store/folder_test.go
@@ -0,0 +1,162 @@
+package store
+
+import (
+	"encoding/json"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/ctrl/quorum"
+)
+
+var errInjected = errors.New("no space left on device")
+
+// fakeFolder is a folder that loses at a crash what was not synced, and whose operations fail from a chosen one on.
+type fakeFolder struct {
+	files  map[string]*fakeFile
+	synced map[string]*fakeFile
+	// changes are those of names since the last sync.
+	changes []func(map[string]*fakeFile)
+	count   int
+	failAt  int
+}
+
+type fakeFile struct {
+	folder *fakeFolder
+	data   []byte
+	synced int
+}
+
+func newFakeFolder() *fakeFolder {
+	return &fakeFolder{files: map[string]*fakeFile{}, synced: map[string]*fakeFile{}}
+}
+
+func (f *fakeFolder) fails() bool {
+	f.count++
+	return f.failAt > 0 && f.count >= f.failAt
+}
+
+// crash leaves what is synced, and of the rest some at random: a part of the names and of each file's end.
+func (f *fakeFolder) crash(r *rand.Rand) *fakeFolder {
+	after := newFakeFolder()
+	names := maps.Clone(f.synced)
+	for _, change := range f.changes[:r.IntN(len(f.changes)+1)] {
+		change(names)
+	}
+	for name, file := range names {
+		reached := file.synced + r.IntN(len(file.data)-file.synced+1)
+		data := slices.Clone(file.data[:reached])
+		if reached > file.synced && r.IntN(2) == 0 {
+			// Sectors of an unsynced write arrive in any order.
+			data[file.synced+r.IntN(reached-file.synced)] ^= 0x40
+		}
+		after.files[name] = &fakeFile{folder: after, data: data, synced: len(data)}
+	}
+	after.synced = maps.Clone(after.files)
+	return after
+}
+
+func (f *fakeFolder) Names() ([]string, error) {
+	return slices.Collect(maps.Keys(f.files)), nil
+}
+
+func (f *fakeFolder) Read(name string) ([]byte, error) {
+	file, ok := f.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(file.data), nil
+}
+
+func (f *fakeFolder) change(change func(map[string]*fakeFile)) error {
+	if f.fails() {
+		return errInjected
+	}
+	change(f.files)
+	f.changes = append(f.changes, change)
+	return nil
+}
+
+func (f *fakeFolder) Create(name string) (File, error) {
+	file := &fakeFile{folder: f}
+	return file, f.change(func(m map[string]*fakeFile) { m[name] = file })
+}
+
+func (f *fakeFolder) Append(name string) (File, error) {
+	return f.files[name], nil
+}
+
+func (f *fakeFolder) Rename(from, to string) error {
+	file := f.files[from]
+	return f.change(func(m map[string]*fakeFile) {
+		m[to] = file
+		delete(m, from)
+	})
+}
+
+func (f *fakeFolder) Remove(name string) error {
+	return f.change(func(m map[string]*fakeFile) { delete(m, name) })
+}
+
+func (f *fakeFolder) Sync() error {
+	if f.fails() {
+		return errInjected
+	}
+	f.synced, f.changes = maps.Clone(f.files), nil
+	return nil
+}
+
+func (f *fakeFile) Write(data []byte) (int, error) {
+	if f.folder.fails() {
+		f.data = append(f.data, data[:len(data)/2]...)
+		return len(data) / 2, errInjected
+	}
+	f.data = append(f.data, data...)
+	return len(data), nil
+}
+
+func (f *fakeFile) Truncate(size int64) error {
+	if f.folder.fails() {
+		return errInjected
+	}
+	f.data = f.data[:size]
+	f.synced = min(f.synced, int(size))
+	return nil
+}
+
+func (f *fakeFile) Sync() error {
+	if f.folder.fails() {
+		return errInjected
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
+
+// jsonCodec stands in for the wire's codec, which this area may not import.
+type jsonCodec struct{}
+
+func decode[T any](data []byte) (T, error) {
+	var v T
+	return v, json.Unmarshal(data, &v)
+}
+
+func (jsonCodec) EncodeWrites(w []quorum.Write) ([]byte, error) {
+	kept := slices.Clone(w)
+	for i := range kept {
+		if s := kept[i].Snapshot; s != nil {
+			kept[i].Snapshot = &quorum.Snapshot{Index: s.Index, Term: s.Term}
+		}
+	}
+	return json.Marshal(kept)
+}
+
+func (jsonCodec) DecodeWrites(d []byte) ([]quorum.Write, error)    { return decode[[]quorum.Write](d) }
+func (jsonCodec) EncodeSnapshot(s quorum.Snapshot) ([]byte, error) { return json.Marshal(s) }
+func (jsonCodec) DecodeSnapshot(d []byte) (quorum.Snapshot, error) { return decode[quorum.Snapshot](d) }
+func (jsonCodec) EncodeIdentity(i Identity) ([]byte, error)        { return json.Marshal(i) }
+func (jsonCodec) DecodeIdentity(d []byte) (Identity, error)        { return decode[Identity](d) }
--- a/internal/ctrl/store/frame.go
+++ b/internal/ctrl/store/frame.go
@@ -11,8 +11,8 @@
 const (
 	// formatVersion is the version of all files' format.
 	formatVersion = 1
-	// fileHeaderBytes is the size of a file's kind and format version.
-	fileHeaderBytes = 8
+	// fileHeaderBytes is the size of a file's kind, format version and their checksum.
+	fileHeaderBytes = 12
 	// frameHeaderBytes is the size of a frame's marker, length and checksum.
 	frameHeaderBytes = 12
 	// maxFrameBytes bounds a frame; a larger length is damage.
@@ -22,6 +22,9 @@
 // ErrDamaged says that the data folder holds what no crash leaves behind.
 var ErrDamaged = errors.New("data folder is damaged: move it away, start with an empty one, and run: cowslip replica replace NAME")
 
+// ErrVersion says that another version of the program wrote the data folder.
+var ErrVersion = errors.New("data folder is of another format version; use the program that wrote it, or a newer one")
+
 var (
 	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
 	frameMarker = []byte{0xc0, 0x51, 0x1f, 0xf5}
@@ -37,16 +40,18 @@
 )
 
 func fileHeader(kind fileKind) []byte {
-	return binary.LittleEndian.AppendUint32([]byte(kind), formatVersion)
+	header := binary.LittleEndian.AppendUint32([]byte(kind), formatVersion)
+	return binary.LittleEndian.AppendUint32(header, crc32.Checksum(header, castagnoli))
 }
 
 // checkHeader returns what follows a file's header.
 func checkHeader(kind fileKind, name string, content []byte) ([]byte, error) {
-	if len(content) < fileHeaderBytes || string(content[:4]) != string(kind) {
+	if len(content) < fileHeaderBytes || string(content[:4]) != string(kind) ||
+		crc32.Checksum(content[:8], castagnoli) != binary.LittleEndian.Uint32(content[8:]) {
 		return nil, errors.Wrapf(ErrDamaged, "%s: no header of kind %s", name, kind)
 	}
 	if v := binary.LittleEndian.Uint32(content[4:]); v != formatVersion {
-		return nil, errors.Newf("%s: format version %d; this program reads version %d", name, v, formatVersion)
+		return nil, errors.Wrapf(ErrVersion, "%s: format version %d; this program reads version %d", name, v, formatVersion)
 	}
 	return content[fileHeaderBytes:], nil
 }
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -81,7 +81,10 @@
 	if l.identity.Name != name {
 		return nil, Recovered{}, errors.Newf("the data folder belongs to %q, not to %q", l.identity.Name, name)
 	}
-	return l, found, l.resume(found)
+	if err := l.resume(found); err != nil {
+		return nil, Recovered{}, errors.CombineErrors(err, l.Close())
+	}
+	return l, found, nil
 }
 
 // Agree syncs the first members of a group, which this replica is one of.
--- a/internal/ctrl/store/recover.go
+++ b/internal/ctrl/store/recover.go
@@ -132,8 +132,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read log")
 	}
-	if final && len(content) < fileHeaderBytes {
-		// A crash while the segment was made: nothing in it was acknowledged.
+	if final && r.unborn(number, content) {
 		r.found.Torn = len(content)
 		r.found.Segments = append(r.found.Segments, s)
 		return nil
@@ -163,6 +162,31 @@
 	return nil
 }
 
+// unborn says whether a crash cut the making of the last segment short. Nothing in it was acknowledged then, and what
+// its first frame repeats is still held: the segment before it goes only once this one is synced.
+func (r *reader) unborn(number uint64, content []byte) bool {
+	first := number == 1 && r.found.Snapshot.Index == 0
+	before := len(r.found.Segments) > 0 && r.found.Segments[len(r.found.Segments)-1].Number == number-1
+	if !first && !before {
+		return false
+	}
+	rest, err := checkHeader(kindLog, "", content)
+	if errors.Is(err, ErrVersion) {
+		return false
+	}
+	if err != nil && len(content) > fileHeaderBytes {
+		rest = content[fileHeaderBytes:]
+	}
+	_, size, whole := readFrame(rest)
+	if whole && err == nil {
+		return false
+	}
+	if whole {
+		rest = rest[size:]
+	}
+	return !holdsFrame(rest)
+}
+
 func (r *reader) replay(s *Segment, payload []byte) error {
 	writes, err := r.codec.DecodeWrites(payload)
 	if err != nil {
@@ -212,13 +236,14 @@
 	}
 	first, last := r.log[0].Index, r.log[len(r.log)-1].Index
 	switch {
-	case first == s.Index+1 && r.log[0].Term >= s.Term:
-		r.found.Entries = r.log
 	case first > s.Index+1:
 		return errors.Wrapf(ErrDamaged, "the entries %d to %d are missing", s.Index+1, first-1)
-	case last >= s.Index && r.log[s.Index-first].Term == s.Term:
+	case first == s.Index+1 && r.log[0].Term >= s.Term:
+		r.found.Entries = r.log
+	case first <= s.Index && last >= s.Index && r.log[s.Index-first].Term == s.Term:
 		r.found.Entries = slices.Clone(r.log[s.Index-first+1:])
 	default:
+		// The entries are older than a snapshot that came from the leader.
 		r.found.unmatched = true
 	}
 	return nil
