--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
@@ -14,6 +15,9 @@
 	"cowslipstack/internal/wire/serve"
 )
 
+// compressFrom is the least size of a message, in bytes, for which compression pays.
+const compressFrom = 4096
+
 // peerParts are the services for the system's own processes; nil where a role is not played.
 type peerParts struct {
 	fx.In
@@ -21,6 +25,8 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+
+	Environment *serve.Environment `optional:"true"`
 }
 
 // peerHandler names the handler of the system's own processes for the container.
@@ -31,16 +37,20 @@
 }
 
 func newPeerHandler(parts peerParts) peerHandler {
+	compression := connect.WithCompressMinBytes(compressFrom)
 	handler := http.NewServeMux()
 	if parts.Replica != nil {
-		handler.Handle(peer.NewReplicaHandler(parts.Replica))
-		handler.Handle(peer.NewMembersHandler(parts.Replica))
+		handler.Handle(peer.NewReplicaHandler(parts.Replica, compression))
+		handler.Handle(peer.NewMembersHandler(parts.Replica, compression))
 	}
 	if parts.Control != nil {
-		handler.Handle(peer.NewControlHandler(parts.Control))
+		handler.Handle(peer.NewControlHandler(parts.Control, compression))
+	}
+	if parts.Environment != nil {
+		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
 	}
 	if parts.Entry != nil {
-		handler.Handle(peer.NewEntryHandler(parts.Entry))
+		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
 	return peerHandler{Handler: handler}
 }
@@ -69,6 +79,8 @@
 	router := mux.NewRouter()
 	path, handler := peer.NewOperatorHandler(service)
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: parts.Control})
+	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewMembersHandler(parts.Control)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -34,6 +34,7 @@
 type Arguments struct {
 	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
 	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
+	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
 	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
 	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
@@ -60,9 +61,10 @@
 
 // call is what a command works with.
 type call struct {
-	arguments Arguments
-	client    peer.OperatorClient
-	out       io.Writer
+	arguments   Arguments
+	client      peer.OperatorClient
+	environment peer.EnvironmentClient
+	out         io.Writer
 }
 
 // Run parses the arguments, without the program's name, runs the command and returns the exit code.
@@ -84,7 +86,13 @@
 	if err != nil {
 		return fail(t, &usageError{err: err})
 	}
-	c := &call{arguments: a, client: peer.NewOperatorClient(client, "http://"+a.Address, connect.WithInterceptors(retryUnavailable(clock.System{}))), out: t.Out}
+	retry := connect.WithInterceptors(retryUnavailable(clock.System{}))
+	c := &call{
+		arguments:   a,
+		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
+		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		out:         t.Out,
+	}
 	if err := c.run(ctx); err != nil {
 		return fail(t, err)
 	}
@@ -110,6 +118,8 @@
 		return c.arguments.Env.run(ctx, c)
 	case c.arguments.Status != nil:
 		return c.status(ctx)
+	case c.arguments.Watch != nil:
+		return c.arguments.Watch.run(ctx, c)
 	case c.arguments.Version != nil:
 		return c.version()
 	case c.arguments.Reference != nil:
--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -21,6 +21,16 @@
 	History []Revision
 	// VMs are the platform's VMs by name; each belongs to exactly one pool.
 	VMs map[string]fleet.VM
+	// Ledgers are the services' budgets by the service's name.
+	Ledgers map[string]fleet.Ledger
+	// Waves are the waves of maintenance, oldest first.
+	Waves []fleet.Wave
+	// Jobs are the jobs that are not done, by name.
+	Jobs map[string]fleet.Job
+	// Failures are the latest failures of jobs, oldest first.
+	Failures []fleet.JobFailure
+	// Demands are the pools' demands by the pool's name.
+	Demands map[string]fleet.Demand
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -44,7 +54,9 @@
 
 // NewMachine returns a machine on an empty state.
 func NewMachine() *Machine {
-	return &Machine{state: State{VMs: map[string]fleet.VM{}}, results: map[string]record.Result{}}
+	m := &Machine{}
+	m.Restore(State{})
+	return m
 }
 
 // State returns the state for reading; it must not be kept or changed.
@@ -57,6 +69,15 @@
 	if s.VMs == nil {
 		s.VMs = map[string]fleet.VM{}
 	}
+	if s.Ledgers == nil {
+		s.Ledgers = map[string]fleet.Ledger{}
+	}
+	if s.Demands == nil {
+		s.Demands = map[string]fleet.Demand{}
+	}
+	if s.Jobs == nil {
+		s.Jobs = map[string]fleet.Job{}
+	}
 	m.state = s
 	m.results = make(map[string]record.Result, len(s.Requests))
 	for _, r := range s.Requests {
@@ -88,6 +109,14 @@
 		return m.applyPromote(c, *c.Promote)
 	case c.VM != nil:
 		return m.applyVM(*c.VM, m.state.Time)
+	case c.Budget != nil:
+		return m.applyBudget(*c.Budget)
+	case c.Wave != nil:
+		return m.applyWave(*c.Wave, m.state.Time)
+	case c.Demand != nil:
+		return m.applyDemand(c.Demand.Demand)
+	case c.Job != nil:
+		return m.applyJob(*c.Job, m.state.Time)
 	default:
 		return record.Result{Code: record.CodeInvalid, Message: "the command holds no change that this version knows"}
 	}
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -22,6 +22,14 @@
 	Claim *ClaimChange
 	// VM moves a VM through its life.
 	VM *VMChange
+	// Budget counts or reserves a service's bad time.
+	Budget *BudgetChange
+	// Wave moves a wave through its life.
+	Wave *WaveChange
+	// Job moves a job through its life.
+	Job *JobChange
+	// Demand records what a pool's services ask of it.
+	Demand *DemandChange
 }
 
 // DocumentChange puts an environment document into force.
@@ -52,6 +60,8 @@
 	BaseRevision uint64
 	// Digest names the document that was tried.
 	Digest string
+	// AsTried builds on the revision that the document was tried on; BaseRevision is unused.
+	AsTried bool
 }
 
 // ClaimStep is what a change does to a claim; the zero value is not valid.
