Replace lost replicas and hand over the leadership from the command line

cowslip replica list, replace, remove and transfer; cowslip state inspect and verify work offline on a folder that no process holds.

The new script kills the leader, loses its disk, replaces it, loses a second disk right after the repair, replaces that one too, and then kills the only replica that was never replaced: the document accepted before is in force, and the next one is taken.

First it failed: a learner that joined an idle group was never sent anything, since the leader took it that the new member held all entries up to the one that added it. The random runs had not seen it, because they propose at their end. The leader now probes a new member with the entry that adds it; the script of members shows the learner at commit 3, where it stood at 0 before.

--- /dev/null
+++ b/internal/app/opcli/replica.go
@@ -0,0 +1,208 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/wire/peer"
+)
+
+// pollInterval is the time between two looks at a member that is to catch up.
+const pollInterval = 200 * time.Millisecond
+
+// ReplicaCommand works on the replicas of the control role.
+type ReplicaCommand struct {
+	List     *ReplicaListCommand     `arg:"subcommand:list" help:"show the replicas and how far each has come"`
+	Replace  *ReplicaReplaceCommand  `arg:"subcommand:replace" help:"put a process's new, empty replica in the place of its lost one"`
+	Remove   *ReplicaRemoveCommand   `arg:"subcommand:remove" help:"remove a process's replica"`
+	Transfer *ReplicaTransferCommand `arg:"subcommand:transfer" help:"hand the leadership to a process, before a planned stop"`
+}
+
+// ReplicaListCommand shows the replicas.
+type ReplicaListCommand struct{}
+
+// ReplicaReplaceCommand replaces a lost replica.
+type ReplicaReplaceCommand struct {
+	Name string `arg:"positional,required" help:"name of the process; it runs on an empty data folder"`
+}
+
+// ReplicaRemoveCommand removes a replica.
+type ReplicaRemoveCommand struct {
+	Name string `arg:"positional,required" help:"name of the process"`
+}
+
+// ReplicaTransferCommand hands the leadership over.
+type ReplicaTransferCommand struct {
+	Name string `arg:"positional,required" help:"name of the process that is to lead"`
+}
+
+func (r *ReplicaCommand) run(ctx context.Context, c *call) error {
+	switch {
+	case r.List != nil:
+		return c.listReplicas(ctx)
+	case r.Replace != nil:
+		return c.replaceReplica(ctx, r.Replace.Name)
+	case r.Remove != nil:
+		return c.removeReplica(ctx, r.Remove.Name)
+	case r.Transfer != nil:
+		return c.transferLeadership(ctx, r.Transfer.Name)
+	default:
+		return &usageError{err: errors.New("replica needs a command; see cowslip replica --help")}
+	}
+}
+
+// standings returns what the leader knows of the members.
+func (c *call) standings(ctx context.Context) (*peer.MembersListResponse, error) {
+	response, err := c.members.List(ctx, connect.NewRequest(&peer.MembersListRequest{}))
+	if err != nil {
+		return nil, errors.Wrap(err, "list replicas")
+	}
+	return response.Msg, nil
+}
+
+// find returns the first member of a name that is a voter, or is a learner; nil for none.
+func find(l *peer.MembersListResponse, name string, voter bool) *peer.MemberStatus {
+	at := slices.IndexFunc(l.GetMembers(), func(m *peer.MemberStatus) bool {
+		return m.GetMember().GetName() == name && m.GetMember().GetVoter() == voter
+	})
+	if at < 0 {
+		return nil
+	}
+	return l.GetMembers()[at]
+}
+
+func (c *call) change(ctx context.Context, kind quorum.ChangeKind, m *peer.Member) error {
+	_, err := c.members.Change(ctx, connect.NewRequest(&peer.MembersChangeRequest{Kind: uint32(kind), Member: m}))
+	return errors.Wrapf(err, "%s %s", kind, m.GetName())
+}
+
+func (c *call) listReplicas(ctx context.Context) error {
+	l, err := c.standings(ctx)
+	if err != nil {
+		return err
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(l)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, tabPadding, ' ', 0)
+	fmt.Fprintln(w, "REPLICA\tIDENTITY\tROLE\tSYNCED\tSTATE")
+	for _, m := range l.GetMembers() {
+		fmt.Fprintf(w, "%s\t%016x\t%s\t%d\t%s\n", m.GetMember().GetName(), m.GetMember().GetId(), roleOf(m), m.GetSynced(), stateOf(m))
+	}
+	return errors.Wrap(w.Flush(), "write replicas")
+}
+
+func roleOf(m *peer.MemberStatus) string {
+	switch {
+	case m.GetLeader():
+		return "leader"
+	case m.GetMember().GetVoter():
+		return "voter"
+	default:
+		return "learner"
+	}
+}
+
+func stateOf(m *peer.MemberStatus) string {
+	switch {
+	case m.GetCaughtUp():
+		return "caught up"
+	case m.GetHeard():
+		return "behind"
+	default:
+		return "not heard"
+	}
+}
+
+// replaceReplica waits until the new replica has caught up, then removes the lost one and lets the new one vote.
+func (c *call) replaceReplica(ctx context.Context, name string) error {
+	learner, err := c.awaitLearner(ctx, name)
+	if err != nil {
+		return err
+	}
+	l, err := c.standings(ctx)
+	if err != nil {
+		return err
+	}
+	if old := find(l, name, true); old != nil {
+		if err := c.change(ctx, quorum.ChangeRemove, old.GetMember()); err != nil {
+			return err
+		}
+	}
+	if err := c.change(ctx, quorum.ChangePromote, learner.GetMember()); err != nil {
+		return errors.Wrap(err, "the lost replica is removed, but the new one does not vote yet; run the command again")
+	}
+	_, err = fmt.Fprintf(c.out, "%s votes under the identity %016x\n", name, learner.GetMember().GetId())
+	return err
+}
+
+func (c *call) awaitLearner(ctx context.Context, name string) (*peer.MemberStatus, error) {
+	for {
+		l, err := c.standings(ctx)
+		if err != nil {
+			return nil, err
+		}
+		m := find(l, name, false)
+		if m != nil && m.GetCaughtUp() {
+			return m, nil
+		}
+		if !sleep(ctx, clock.System{}, pollInterval) {
+			if m == nil {
+				return nil, errors.Newf("%s has no new replica; start its process on an empty data folder", name)
+			}
+			return nil, errors.Newf("the new replica of %s has not caught up", name)
+		}
+	}
+}
+
+func (c *call) removeReplica(ctx context.Context, name string) error {
+	l, err := c.standings(ctx)
+	if err != nil {
+		return err
+	}
+	m := find(l, name, true)
+	if m == nil {
+		m = find(l, name, false)
+	}
+	if m == nil {
+		return &usageError{err: errors.Newf("no replica is named %q", name)}
+	}
+	if err := c.change(ctx, quorum.ChangeRemove, m.GetMember()); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.out, "%s removed, identity %016x\n", name, m.GetMember().GetId())
+	return err
+}
+
+func (c *call) transferLeadership(ctx context.Context, name string) error {
+	l, err := c.standings(ctx)
+	if err != nil {
+		return err
+	}
+	m := find(l, name, true)
+	if m == nil {
+		return &usageError{err: errors.Newf("no voter is named %q", name)}
+	}
+	if !m.GetLeader() {
+		request := &peer.MembersTransferRequest{Id: m.GetMember().GetId()}
+		if _, err := c.members.Transfer(ctx, connect.NewRequest(request)); err != nil {
+			return errors.Wrap(err, "transfer")
+		}
+		if l, err = c.standings(ctx); err != nil {
+			return err
+		}
+		if m = find(l, name, true); m == nil || !m.GetLeader() {
+			return errors.Newf("another replica than %s leads", name)
+		}
+	}
+	_, err = fmt.Fprintf(c.out, "%s leads\n", name)
+	return err
+}
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -35,6 +35,8 @@
 	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
 	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
 	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
+	Replica   *ReplicaCommand   `arg:"subcommand:replica" help:"show, replace and remove replicas of the control role, and hand over the leadership"`
+	State     *StateCommand     `arg:"subcommand:state" help:"show or check a data folder that no process uses"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
 	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
 	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
@@ -64,6 +66,7 @@
 	arguments   Arguments
 	client      peer.OperatorClient
 	environment peer.EnvironmentClient
+	members     peer.MembersClient
 	out         io.Writer
 }
 
@@ -91,6 +94,7 @@
 		arguments:   a,
 		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
 		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		members:     peer.NewMembersClient(client, "http://"+a.Address, retry),
 		out:         t.Out,
 	}
 	if err := c.run(ctx); err != nil {
@@ -120,6 +124,10 @@
 		return c.status(ctx)
 	case c.arguments.Watch != nil:
 		return c.arguments.Watch.run(ctx, c)
+	case c.arguments.Replica != nil:
+		return c.arguments.Replica.run(ctx, c)
+	case c.arguments.State != nil:
+		return c.arguments.State.run(c)
 	case c.arguments.Version != nil:
 		return c.version()
 	case c.arguments.Reference != nil:
--- a/internal/ctrl/node/join.go
+++ b/internal/ctrl/node/join.go
@@ -93,7 +93,7 @@
 			err = n.join(ctx, g, peers)
 		}
 		if err != nil && ctx.Err() == nil {
-			n.options.Logger.Info("group_not_found", zap.Error(err))
+			n.options.Logger.Info("group_not_found", zap.String("cause", err.Error()))
 		}
 		timer := n.options.Clock.NewTimer(joinRetry)
 		select {
--- a/internal/ctrl/quorum/elect.go
+++ b/internal/ctrl/quorum/elect.go
@@ -170,7 +170,7 @@
 	r.reads, r.readsSent, r.readsDone = 0, 0, 0
 	r.transferee = 0
 	r.peers = map[ReplicaID]*progress{}
-	r.enlist()
+	r.enlist(r.log.last() + 1)
 	r.propose(Entry{Kind: EntryEmpty})
 	r.broadcast()
 }
--- a/internal/ctrl/quorum/lead.go
+++ b/internal/ctrl/quorum/lead.go
@@ -63,20 +63,20 @@
 	r.append(e)
 	r.uncommitted += len(e.Data) + entryOverheadBytes
 	if e.Kind == EntryMembers {
-		r.enlist()
+		r.enlist(e.Index)
 	}
 	return Position{Index: e.Index, Term: e.Term}
 }
 
-// enlist keeps the leader's knowledge of members in step with who they are.
-func (r *Replica) enlist() {
+// enlist keeps the leader's knowledge of members in step with who they are; a new one is probed with the next entry.
+func (r *Replica) enlist(next uint64) {
 	peers := map[ReplicaID]*progress{}
 	for _, m := range r.members() {
 		if m.ID == r.id {
 			continue
 		}
 		if peers[m.ID] = r.peers[m.ID]; peers[m.ID] == nil {
-			peers[m.ID] = &progress{next: r.log.last() + 1, probing: true}
+			peers[m.ID] = &progress{next: next, probing: true}
 		}
 	}
 	r.peers = peers
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"slices"
 	"strings"
 
@@ -59,6 +60,19 @@
 	return l, found, nil
 }
 
+// Inspect returns what a data folder holds, and changes nothing; it fails where a process holds the folder.
+func Inspect(path string, codec Codec) (Recovered, error) {
+	if _, err := os.Stat(path); err != nil {
+		return Recovered{}, errors.Wrap(err, "data folder")
+	}
+	folder, lock, err := hold(path)
+	if err != nil {
+		return Recovered{}, err
+	}
+	found, err := read(folder, codec)
+	return found, errors.Wrapf(errors.CombineErrors(err, lock.Close()), "data folder %s", path)
+}
+
 // OpenFolder returns the log of a folder that the caller holds, with what it holds.
 func OpenFolder(folder Folder, name string, codec Codec) (*Log, Recovered, error) {
 	found, err := read(folder, codec)
--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -128,13 +128,18 @@
 		// A replica that was cut off is not the first to be asked by the next call too.
 		c.leader.CompareAndSwap(int64(failed), int64(max(next, 0)))
 	}
+	if connect.CodeOf(last) == connect.CodeFailedPrecondition {
+		// Nothing was done: a later try may find a leader.
+		last = connect.NewError(connect.CodeUnavailable, last)
+	}
 	return errors.Wrap(last, "no control process answered as the leader")
 }
 
 // refused says whether the leader itself answered that the call can't be done.
 func refused(err error) bool {
 	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAborted, connect.CodePermissionDenied:
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAborted, connect.CodePermissionDenied,
+		connect.CodeResourceExhausted:
 		return true
 	default:
 		return false
