--- a/doc.go
+++ b/doc.go
@@ -9,5 +9,6 @@
 //go:generate go tool -modfile=tools/go.mod stringer -type=Outcome,Phase -linecomment -output=internal/model/fleet/enums_gen.go ./internal/model/fleet
 //go:generate go tool -modfile=tools/go.mod stringer -type=Code,ClaimStep,VMStep -linecomment -output=internal/model/record/enums_gen.go ./internal/model/record
 //go:generate go tool -modfile=tools/go.mod stringer -type=Class,Verdict -linecomment -output=internal/edge/queue/enums_gen.go ./internal/edge/queue
+//go:generate go tool -modfile=tools/go.mod stringer -type=Cause -linecomment -output=internal/edge/slots/enums_gen.go ./internal/edge/slots
 //go:generate go tool -modfile=tools/go.mod stringer -type=MessageKind,EntryKind,Role -linecomment -output=internal/ctrl/quorum/enums_gen.go ./internal/ctrl/quorum
 //go:generate go tool -modfile=tools/go.mod stringer -type=Reason -linecomment -output=internal/edge/route/enums_gen.go ./internal/edge/route
--- a/internal/edge/queue/queue.go
+++ b/internal/edge/queue/queue.go
@@ -9,8 +9,10 @@
 type Pace struct {
 	// Slots is how many requests the owner may have in progress.
 	Slots int
-	// Service is the time that a request takes at an endpoint.
+	// Service is the mean time that a request takes at an endpoint.
 	Service time.Duration
+	// Tail is the time within which nearly all requests are answered.
+	Tail time.Duration
 }
 
 // Queue holds the waiting requests of one service; it is not safe for concurrent use.
@@ -46,7 +48,7 @@
 // Push adds a request, or returns why it can't wait. The second result is a
 // request that lost its place to it, or nil; its owner must be told.
 func (q *Queue) Push(item *Item, now time.Time, pace Pace) (Verdict, *Item) {
-	if now.Add(q.wait(item, pace) + pace.Service).After(item.Deadline) {
+	if now.Add(q.wait(item, pace) + pace.Tail).After(item.Deadline) {
 		return VerdictLate, nil
 	}
 	var displaced *Item
@@ -68,14 +70,14 @@
 }
 
 // Pop takes out the request that is next, or returns nil. Requests whose
-// deadline can't be met by an endpoint that needs the service time are taken
+// deadline can't be met by an endpoint that needs the tail are taken
 // out on the way and returned as late.
-func (q *Queue) Pop(now time.Time, service time.Duration) (next *Item, late []*Item) {
+func (q *Queue) Pop(now time.Time, tail time.Duration) (next *Item, late []*Item) {
 	for q.count > 0 {
 		c := q.nextClass()
 		item := c.pop()
 		q.count--
-		if now.Add(service).After(item.Deadline) || !now.Before(item.Deadline) {
+		if now.Add(tail).After(item.Deadline) || !now.Before(item.Deadline) {
 			late = append(late, item)
 			continue
 		}
--- a/internal/edge/queue/queue_test.go
+++ b/internal/edge/queue/queue_test.go
@@ -50,7 +50,7 @@
 					c, _ := ParseClass(class)
 					item := &Item{Class: c, Team: team, Weight: weight, Arrived: at, Deadline: epoch.Add(time.Duration(deadline) * time.Millisecond)}
 					names[item], waiting[name] = name, item
-					verdict, displaced := q.Push(item, at, Pace{Slots: slots, Service: took})
+					verdict, displaced := q.Push(item, at, Pace{Slots: slots, Service: took, Tail: took})
 					if verdict != 0 {
 						fmt.Fprintf(&out, "%s %s\n", name, verdict)
 					}
@@ -83,7 +83,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(0, 40).Draw(t, "limit")
 		q, waiting, now := New(limit), map[*Item]bool{}, epoch
-		pace := Pace{Slots: rapid.IntRange(0, 8).Draw(t, "slots"), Service: 10 * time.Millisecond}
+		pace := Pace{Slots: rapid.IntRange(0, 8).Draw(t, "slots"), Service: 10 * time.Millisecond, Tail: 10 * time.Millisecond}
 		leave := func(item *Item, how string) {
 			if !waiting[item] {
 				t.Fatalf("%s came out twice or never went in", how)
