--- a/doc.go
+++ b/doc.go
@@ -1,6 +1,7 @@
 // Package cowslipstack is the root of a fleet capacity and maintenance
 // manager. It holds no code: the programs are under cmd, their parts under
-// internal, and this file names the generators of the committed code.
+// internal. This file names the generators of the schemas; the doc.go of a
+// package with enums names theirs.
 package cowslipstack
 
 //go:generate go tool -modfile=tools/go.mod buf generate schema/peer
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/peer"
@@ -30,21 +29,6 @@
 	return CommandFromWire(&w), nil
 }
 
-// EncodeEntry returns a log entry's bytes.
-func (Codec) EncodeEntry(e quorum.Entry) ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(entryToWire(e))
-	return data, errors.Wrap(err, "encode log entry")
-}
-
-// DecodeEntry returns the log entry that the bytes hold.
-func (Codec) DecodeEntry(data []byte) (quorum.Entry, error) {
-	var w peer.LogEntry
-	if err := proto.Unmarshal(data, &w); err != nil {
-		return quorum.Entry{}, errors.Wrap(err, "decode log entry")
-	}
-	return entryFromWire(&w), nil
-}
-
 // CommandToWire returns the message of a command.
 func CommandToWire(c record.Command) *peer.Command {
 	w := &peer.Command{RequestId: c.RequestID, TimeNs: timeToWire(c.Time)}
@@ -60,7 +44,7 @@
 		}}
 	case c.Promote != nil:
 		w.Change = &peer.Command_Promote{Promote: &peer.PromoteChange{
-			BaseRevision: c.Promote.BaseRevision, Digest: c.Promote.Digest,
+			BaseRevision: c.Promote.BaseRevision, Digest: c.Promote.Digest, AsTried: c.Promote.AsTried,
 		}}
 	case c.Claim != nil:
 		w.Change = &peer.Command_Claim{Claim: &peer.ClaimChange{
@@ -69,6 +53,14 @@
 		}}
 	case c.VM != nil:
 		w.Change = &peer.Command_Vm{Vm: vmToWire(*c.VM)}
+	case c.Budget != nil:
+		w.Change = &peer.Command_Budget{Budget: budgetToWire(*c.Budget)}
+	case c.Wave != nil:
+		w.Change = &peer.Command_Wave{Wave: waveToWire(*c.Wave)}
+	case c.Job != nil:
+		w.Change = &peer.Command_Job{Job: jobChangeToWire(*c.Job)}
+	case c.Demand != nil:
+		w.Change = &peer.Command_Demand{Demand: &peer.DemandChange{Demand: demandToWire(c.Demand.Demand)}}
 	}
 	return w
 }
@@ -88,7 +80,7 @@
 		}
 	case *peer.Command_Promote:
 		c.Promote = &record.PromoteChange{
-			BaseRevision: change.Promote.GetBaseRevision(), Digest: change.Promote.GetDigest(),
+			BaseRevision: change.Promote.GetBaseRevision(), Digest: change.Promote.GetDigest(), AsTried: change.Promote.GetAsTried(),
 		}
 	case *peer.Command_Claim:
 		c.Claim = &record.ClaimChange{
@@ -98,6 +90,14 @@
 		}
 	case *peer.Command_Vm:
 		c.VM = vmFromWire(change.Vm)
+	case *peer.Command_Budget:
+		c.Budget = budgetFromWire(change.Budget)
+	case *peer.Command_Wave:
+		c.Wave = waveFromWire(change.Wave)
+	case *peer.Command_Job:
+		c.Job = jobChangeFromWire(change.Job)
+	case *peer.Command_Demand:
+		c.Demand = &record.DemandChange{Demand: demandFromWire(change.Demand.GetDemand())}
 	}
 	return c
 }
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -19,6 +19,7 @@
 		Environments: environmentsToWire(s),
 		Vms:          vmsToWire(s.VMs),
 		Requests:     requestsToWire(s.Requests),
+		Plan:         planToWire(s),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w)
 	return data, errors.Wrap(err, "encode state")
@@ -36,6 +37,7 @@
 		Requests: requestsFromWire(w.GetRequests()),
 	}
 	environmentsFromWire(w.GetEnvironments(), &s)
+	planFromWire(w.GetPlan(), &s)
 	return s, nil
 }
 
@@ -105,13 +107,7 @@
 func vmsToWire(vms map[string]fleet.VM) []*peer.VmState {
 	wire := make([]*peer.VmState, 0, len(vms))
 	for _, name := range slices.Sorted(maps.Keys(vms)) {
-		v := vms[name]
-		wire = append(wire, &peer.VmState{
-			Name: v.Name, Pool: v.Pool, Epoch: v.Epoch, Phase: uint32(v.Phase),
-			PhaseSinceNs: timeToWire(v.PhaseSince), MaintainedNs: timeToWire(v.Maintained),
-			DataCentre: v.Domain.DataCentre, Switch: v.Domain.Switch, Rack: v.Domain.Rack,
-			Cores: v.Size.Cores, MemoryMb: v.Size.MemoryMB, Accelerators: v.Size.Accelerators,
-		})
+		wire = append(wire, VMToWire(vms[name]))
 	}
 	return wire
 }
@@ -119,12 +115,7 @@
 func vmsFromWire(wire []*peer.VmState) map[string]fleet.VM {
 	vms := make(map[string]fleet.VM, len(wire))
 	for _, w := range wire {
-		vms[w.GetName()] = fleet.VM{
-			Name: w.GetName(), Pool: w.GetPool(), Epoch: w.GetEpoch(), Phase: fleet.Phase(w.GetPhase()),
-			PhaseSince: timeFromWire(w.GetPhaseSinceNs()), Maintained: timeFromWire(w.GetMaintainedNs()),
-			Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Switch: w.GetSwitch(), Rack: w.GetRack()},
-			Size:   fleet.Size{Cores: w.GetCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
-		}
+		vms[w.GetName()] = VMFromWire(w)
 	}
 	return vms
 }
--- a/internal/wire/codec/state_test.go
+++ b/internal/wire/codec/state_test.go
@@ -36,11 +36,13 @@
 	}
 	base := rapid.Uint64Range(0, 20).Draw(t, "base")
 	text := fmt.Appendf(nil, "document %d", rapid.IntRange(0, 20).Draw(t, "document"))
-	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
 		c.Document = &record.DocumentChange{Environment: "production", BaseRevision: base, Text: text}
 	case 1:
 		c.Trial = &record.TrialChange{Environment: "trial", BaseRevision: base, Text: text}
+	case 2:
+		planChange(t, &c)
 	default:
 		c.Promote = &record.PromoteChange{BaseRevision: base, Digest: docs.Digest(text)}
 	}
