--- a/internal/app/fakes/worker.go
+++ b/internal/app/fakes/worker.go
@@ -16,7 +16,7 @@
 const (
 	// HeaderMode names how the fake endpoint behaves for one request.
 	HeaderMode = "Fake-Mode"
-	// PathRan is where the counts are read.
+	// PathRan is where the counts are read, also through an entry.
 	PathRan = "/ran"
 	// lateAfter is how long a late answer takes.
 	lateAfter = 300 * time.Millisecond
@@ -91,15 +91,15 @@
 
 // ServeHTTP runs a request in its mode, or tells what ran.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == PathRan {
-		k.tell(w)
-		return
-	}
 	mode, ok := ParseMode(r.Header.Get(HeaderMode))
 	if !ok || r.Header.Get(HeaderMode) == "" {
 		mode = k.mode
 	}
 	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+	if r.URL.Path == PathRan {
+		k.tell(w)
+		return
+	}
 	if mode == ModeDecline {
 		w.Header().Set(relay.HeaderDeclined, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/internal/app/proof/stream_test.go
@@ -0,0 +1,77 @@
+package proof_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/edge/front"
+	"cowslipstack/internal/edge/relay"
+	"cowslipstack/internal/edge/route"
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
+)
+
+// zeros gives zero bytes without an end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestStreams passes bodies and answers of 100 MB, with and without a declared length, in a few MB of memory.
+func TestStreams(t *testing.T) {
+	const size = 100 << 20
+	is := is.New(t)
+	s := newSite(1, 0)
+	defer s.close()
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+		w.Header().Set("Received", strconv.FormatInt(n, 10))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if r.Header.Get("Declared") != "" {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+		}
+		_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
+	}))
+	defer endpoint.Close()
+	s.view.Store(&route.View{Services: map[string]route.Service{serviceName: {
+		Settings: docs.Service{Name: serviceName, DeadlineMs: 60000},
+		Endpoints: []fleet.Endpoint{{
+			Name: "one", Service: serviceName, Address: endpoint.Listener.Addr().String(), Slots: 8,
+			Expires: clock.System{}.Now().Add(time.Hour),
+		}},
+	}}})
+	for _, declared := range []string{"", "1"} {
+		request, err := http.NewRequest(http.MethodPost, s.entries[0].server.URL+"/"+serviceName+"/x", io.LimitReader(zeros{}, size))
+		is.NoErr(err)
+		request.Header.Set("Declared", declared)
+		if declared != "" {
+			request.ContentLength = size
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		response, err := s.client.Transport.RoundTrip(request)
+		is.NoErr(err)
+		got, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		runtime.ReadMemStats(&after)
+		is.Equal(response.Header.Get(front.HeaderOutcome), "answered")
+		is.Equal(response.Header.Get("Received"), strconv.Itoa(size))
+		is.Equal(got, int64(size))
+		// All memory that was ever taken meanwhile, by caller, entry and endpoint together.
+		is.True(after.TotalAlloc-before.TotalAlloc < 8<<20)
+	}
+}
--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -50,6 +50,7 @@
 		Dir: "testdata",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports":        ports,
+			"post":         post,
 			"fetch":        fetch,
 			"await":        await,
 			"code":         code,
--- /dev/null
+++ b/internal/edge/enrol/fuzz_test.go
@@ -0,0 +1,48 @@
+package enrol_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/edge/enrol"
+	"cowslipstack/internal/model/fleet"
+)
+
+// agent keeps what it is told.
+type agent struct{ heard []fleet.Endpoint }
+
+func (a *agent) Announce(_ context.Context, e fleet.Endpoint) (time.Duration, error) {
+	a.heard = append(a.heard, e)
+	return time.Second, nil
+}
+
+// FuzzAnnouncement posts any body: it is refused, or it tells of an endpoint that can be reached.
+func FuzzAnnouncement(f *testing.F) {
+	for _, seed := range []string{
+		`{"service":"s","endpoint":"e","address":"127.0.0.1:1","vm":"v","slots":8,"sequence":1}`,
+		`{"service":"s","endpoint":"e","address":":","vm":"v","slots":-1,"sequence":1}`, `{"colour":1}`, `[]`, ``,
+		`{"service":"s","endpoint":"e","address":"[::1]:80","vm":"v","slots":8,"sequence":18446744073709551615,"leaving":true}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a := &agent{}
+		w := httptest.NewRecorder()
+		enrol.Handler(a, zap.NewNop()).ServeHTTP(w, httptest.NewRequest(http.MethodPost, enrol.Path, bytes.NewReader(body)))
+		if (w.Code == http.StatusOK) != (len(a.heard) == 1) {
+			t.Fatalf("status %d, %d heard", w.Code, len(a.heard))
+		}
+		for _, e := range a.heard {
+			if _, _, err := net.SplitHostPort(e.Address); err != nil || e.Service == "" || e.Name == "" || e.VM == "" || e.Slots < 1 || e.Sequence < 1 {
+				t.Fatalf("taken: %+v", e)
+			}
+		}
+	})
+}
