--- /dev/null
+++ b/internal/app/chaos/process_test.go
@@ -0,0 +1,48 @@
+package chaos_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/matryer/is"
+)
+
+// write writes the settings of a process.
+func (r *run) write(p *process) {
+	is := is.New(r.t)
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\ndata_centre = \"dc-1\"\nroles = [\"entry\", \"control\"]\n", p.name)
+	fmt.Fprintf(&b, "[listen]\ncallers = %q\nendpoints = %q\npeers = %q\noperators = %q\n",
+		p.addresses[0], p.addresses[1], p.addresses[2], p.addresses[3])
+	fmt.Fprintf(&b, "[control]\ndata_folder = %q\n", filepath.Join(r.folder, p.name))
+	for _, o := range r.daemons {
+		fmt.Fprintf(&b, "[[peers]]\nname = %q\ndata_centre = \"dc-1\"\naddress = %q\nroles = [\"entry\", \"control\"]\n", o.name, o.addresses[2])
+	}
+	p.settings = filepath.Join(r.folder, p.name+".toml")
+	is.NoErr(os.WriteFile(p.settings, []byte(b.String()), 0o600))
+	log, err := os.Create(filepath.Join(r.folder, p.name+".log"))
+	is.NoErr(err)
+	p.log = log
+}
+
+func (r *run) start(p *process) {
+	p.command = exec.Command(os.Args[0])
+	p.command.Env = append(os.Environ(), daemonVariable+"="+p.settings)
+	p.command.Stderr = p.log
+	is.New(r.t).NoErr(p.command.Start())
+}
+
+func (r *run) kill(p *process) {
+	is.New(r.t).NoErr(p.command.Process.Signal(syscall.SIGKILL))
+	_ = p.command.Wait() // It says that the process was killed.
+}
+
+// stop ends a process, frozen or not, at the end of a run.
+func (r *run) stop(p *process) {
+	r.kill(p)
+	is.New(r.t).NoErr(p.log.Close())
+}
