--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 
 	"go.uber.org/fx"
@@ -12,23 +13,26 @@
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/edge/agent"
+	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/enrol"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
 	"cowslipstack/internal/edge/route"
+	"cowslipstack/internal/edge/tally"
 	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/serve"
 )
 
 // entryModule holds the parts of the entry role.
 var entryModule = fx.Options(
-	fx.Provide(newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newMemory, newRecaller, newRecallService, newFront, newCallersHandler, newEndpointsHandler),
 	fx.Invoke(startEntry),
 )
 
-func newAgent(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, control *dial.Control, others *dial.Entries) *agent.Agent {
+func newAgent(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, control *dial.Control, others *dial.Entries, t *tally.Tally) *agent.Agent {
 	return agent.New(agent.Options{
-		Name: string(settings.Name), Loop: l, Clock: c, Logger: logger, Control: control, Others: others,
+		Name: string(settings.Name), Loop: l, Clock: c, Logger: logger,
+		Control: control, Others: others, Traffic: t, Random: rand.IntN,
 		Lease: conf.Milliseconds(settings.Entry.LeaseMs),
 		Renew: conf.Milliseconds(settings.Entry.RenewMs),
 		TTL:   conf.Milliseconds(settings.Entry.AnnounceTTLMs),
@@ -36,32 +40,72 @@
 }
 
 func newEntrySender(settings conf.Daemon, client *http.Client, c clock.Clock, logger *zap.Logger) *dial.Entries {
-	var others []string
+	options := dial.EntriesOptions{Client: client, Clock: c, Logger: logger, TTL: conf.Milliseconds(settings.Entry.AnnounceTTLMs)}
 	for _, p := range settings.EntryPeers() {
 		if p.Name != settings.Name {
-			others = append(others, p.Address)
+			options.Addresses = append(options.Addresses, p.Address)
 		}
 	}
-	return dial.NewEntries(client, others, c, logger)
+	return dial.NewEntries(options)
 }
 
 func newEntryService(a *agent.Agent, c clock.Clock) *serve.Entry {
 	return &serve.Entry{Agent: a, Clock: c}
 }
 
-func newRelay(lc fx.Lifecycle) *relay.Relay {
-	r := relay.New()
+// endpointConnections is the most connections to one endpoint from all entries together.
+const endpointConnections = 64
+
+func newRelay(settings conf.Daemon, lc fx.Lifecycle) *relay.Relay {
+	r := relay.New(relay.Options{Connections: max(1, endpointConnections/len(settings.EntryPeers()))})
 	lc.Append(fx.StopHook(r.Close))
 	return r
 }
 
-func newDispatcher(a *agent.Agent, c clock.Clock) front.Dispatcher {
-	return route.NewDirect(a, c)
+func newDispatcher(a *agent.Agent, c clock.Clock, t *tally.Tally) front.Dispatcher {
+	return t.Count(route.NewDirect(a, c), a)
+}
+
+// answersBytes bounds the answers that are kept for resends.
+const answersBytes = 32 << 20
+
+func newMemory() *claim.Memory {
+	return claim.NewMemory(answersBytes)
+}
+
+func newRecaller(settings conf.Daemon, client *http.Client) *dial.Recaller {
+	addresses := map[string]string{}
+	for _, p := range settings.EntryPeers() {
+		if p.Name != settings.Name {
+			addresses[string(p.Name)] = p.Address
+		}
+	}
+	return dial.NewRecaller(client, addresses)
+}
+
+func newRecallService(m *claim.Memory) *serve.Recall {
+	return &serve.Recall{Memory: m}
+}
+
+// frontParts are what a front works with.
+type frontParts struct {
+	fx.In
+
+	Agent      *agent.Agent
+	Dispatcher front.Dispatcher
+	Relay      *relay.Relay
+	Control    *dial.Control
+	Recaller   *dial.Recaller
+	Memory     *claim.Memory
+	Clock      clock.Clock
+	Logger     *zap.Logger
 }
 
-func newFront(settings conf.Daemon, a *agent.Agent, d front.Dispatcher, r *relay.Relay, c clock.Clock, logger *zap.Logger) *front.Front {
+func newFront(settings conf.Daemon, p frontParts) *front.Front {
 	return front.New(front.Options{
-		Views: a, Dispatcher: d, Relay: r, Clock: c, Logger: logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
+		Name: string(settings.Name), Views: p.Agent, Dispatcher: p.Dispatcher, Relay: p.Relay,
+		Claims: p.Control, Others: p.Recaller, Memory: p.Memory,
+		Clock: p.Clock, Logger: p.Logger, BodyLimit: int64(settings.Entry.BodyLimitBytes),
 	})
 }
 
@@ -72,8 +116,8 @@
 	Handler http.Handler `name:"callers"`
 }
 
-func newCallersHandler(f *front.Front) callersHandler {
-	return callersHandler{Handler: f.Handler()}
+func newCallersHandler(f *front.Front, a *agent.Agent, t *tally.Tally) callersHandler {
+	return callersHandler{Handler: t.Handler(f.Handler(), a, front.HeaderOutcome)}
 }
 
 // endpointsHandler names the handler of announcements for the container.
@@ -87,8 +131,11 @@
 	return endpointsHandler{Handler: enrol.Handler(a, logger)}
 }
 
-func startEntry(a *agent.Agent, others *dial.Entries, g *tasks.Group) {
+func startEntry(a *agent.Agent, f *front.Front, others *dial.Entries, g *tasks.Group) {
+	g.Start("claim_releases", f.Run)
 	g.Start("agent", a.Run)
+	g.Start("endpoints_lapse", a.RunLapse)
+	g.Start("endpoints_sync", a.RunSync)
 	for i := range others.Count() {
 		g.Start("entry_sender", func(ctx context.Context) error { return others.Run(ctx, i) })
 	}
