--- a/internal/app/chaos/process_test.go
+++ b/internal/app/chaos/process_test.go
@@ -11,6 +11,36 @@
 	"github.com/matryer/is"
 )
 
+// connect puts a forwarder between a process and each other one.
+func (r *run) connect(p *process) {
+	p.forwarders = map[*process]*forwarder{}
+	for _, o := range r.daemons {
+		if o == p {
+			continue
+		}
+		f, err := newForwarder(o.addresses[2])
+		is.New(r.t).NoErr(err)
+		p.forwarders[o] = f
+		r.t.Cleanup(f.close)
+	}
+}
+
+// lose sets what is lost of all that a process hears and says.
+func (r *run) lose(victim *process, hears, says bool) {
+	for _, p := range r.daemons {
+		for o, f := range p.forwarders {
+			if p == victim {
+				f.loseIn.Store(hears)
+				f.loseOut.Store(says)
+			}
+			if o == victim {
+				f.loseIn.Store(says)
+				f.loseOut.Store(hears)
+			}
+		}
+	}
+}
+
 // write writes the settings of a process.
 func (r *run) write(p *process) {
 	is := is.New(r.t)
@@ -20,7 +50,11 @@
 		p.addresses[0], p.addresses[1], p.addresses[2], p.addresses[3])
 	fmt.Fprintf(&b, "[control]\ndata_folder = %q\n", filepath.Join(r.folder, p.name))
 	for _, o := range r.daemons {
-		fmt.Fprintf(&b, "[[peers]]\nname = %q\ndata_centre = \"dc-1\"\naddress = %q\nroles = [\"entry\", \"control\"]\n", o.name, o.addresses[2])
+		address := o.addresses[2]
+		if f := p.forwarders[o]; f != nil {
+			address = f.address()
+		}
+		fmt.Fprintf(&b, "[[peers]]\nname = %q\ndata_centre = \"dc-1\"\naddress = %q\nroles = [\"entry\", \"control\"]\n", o.name, address)
 	}
 	p.settings = filepath.Join(r.folder, p.name+".toml")
 	is.NoErr(os.WriteFile(p.settings, []byte(b.String()), 0o600))
--- a/internal/app/chaos/run_test.go
+++ b/internal/app/chaos/run_test.go
@@ -25,7 +25,7 @@
 const (
 	// limit is the longest wait for one event.
 	limit = 60 * time.Second
-	// frozen is how long a frozen process stands still; a lease lasts 3 s.
+	// frozen is how long a process stands still or is cut off; a lease lasts 3 s.
 	frozen = 4 * time.Second
 	// patience is how long a caller waits for one answer before it resends.
 	patience = time.Second
@@ -38,8 +38,10 @@
 	name      string
 	addresses [4]string
 	settings  string
-	log       *os.File
-	command   *exec.Cmd
+	// forwarders lead from this process to each other one.
+	forwarders map[*process]*forwarder
+	log        *os.File
+	command    *exec.Cmd
 }
 
 // run is one schedule under way.
@@ -69,6 +71,7 @@
 
 func (r *run) play() {
 	for _, p := range r.daemons {
+		r.connect(p)
 		r.write(p)
 		r.start(p)
 		defer r.stop(p)
@@ -111,6 +114,11 @@
 		// The length of the fault: longer than a lease, which the frozen process can't see lapse.
 		time.Sleep(frozen)
 		is.New(r.t).NoErr(victim.command.Process.Signal(syscall.SIGCONT))
+	case "cut", "deafen", "mute":
+		r.lose(victim, s.fault != "mute", s.fault != "deafen")
+		time.Sleep(frozen)
+		r.leaderOther(victim)
+		r.lose(victim, false, false)
 	default:
 		r.t.Fatalf("unknown fault %q", s.fault)
 	}
