Note acknowledgements at once, and measure only what was accepted before this replica's eyes

A leader that had just started logged document_in_force_everywhere for revisions of before its start, as it replayed them; the time was wrong. A request identity that is used again for another document is refused by promote and apply too.

--- a/internal/app/opcli/history.go
+++ b/internal/app/opcli/history.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/wire/peer"
 )
 
@@ -28,7 +29,12 @@
 }
 
 // ForceCommand shows which revision is in force on each entry.
-type ForceCommand struct{}
+type ForceCommand struct {
+	Wait bool `arg:"--wait" help:"wait until the latest revision is in force everywhere"`
+}
+
+// forcePoll is the time between looks while a command waits.
+const forcePoll = 200 * time.Millisecond
 
 func (d *DiffCommand) run(ctx context.Context, c *call) error {
 	response, err := c.environment.Diff(ctx, connect.NewRequest(&peer.DiffRequest{From: d.From, To: d.To}))
@@ -61,15 +67,35 @@
 	return errors.Wrap(w.Flush(), "write history")
 }
 
-func (*ForceCommand) run(ctx context.Context, c *call) error {
-	response, err := c.environment.Force(ctx, connect.NewRequest(&peer.ForceRequest{}))
+func (f *ForceCommand) run(ctx context.Context, c *call) error {
+	m, err := f.read(ctx, c)
 	if err != nil {
 		return errors.Wrap(err, "env status")
 	}
 	if c.arguments.JSON {
-		return c.writeJSON(response.Msg)
+		return c.writeJSON(m)
+	}
+	return c.writeForce(m)
+}
+
+// read returns the status, of the time when the latest revision is in force everywhere where that is waited for.
+func (f *ForceCommand) read(ctx context.Context, c *call) (*peer.ForceResponse, error) {
+	for {
+		response, err := c.environment.Force(ctx, connect.NewRequest(&peer.ForceRequest{}))
+		if err != nil {
+			return nil, err
+		}
+		revisions := response.Msg.GetRevisions()
+		if !f.Wait || len(revisions) == 0 || revisions[0].GetEverywhere() {
+			return response.Msg, nil
+		}
+		if !sleep(ctx, clock.System{}, forcePoll) {
+			return nil, errors.Newf("revision %d is not in force on %v yet", revisions[0].GetRevision(), revisions[0].GetWaiting())
+		}
 	}
-	m := response.Msg
+}
+
+func (c *call) writeForce(m *peer.ForceResponse) error {
 	w := tabwriter.NewWriter(c.out, 0, 0, tabPadding, ' ', 0)
 	fmt.Fprintf(w, "revision\t%d\ndigest\t%s\n\n", m.GetRevision(), m.GetDigest())
 	fmt.Fprintln(w, "ENTRY\tREVISION\tLEASE\tRENEWED")
@@ -82,7 +108,11 @@
 	}
 	fmt.Fprintln(w, "\nREVISION\tIN FORCE EVERYWHERE\tAFTER\tWAITING FOR")
 	for _, r := range m.GetRevisions() {
-		fmt.Fprintf(w, "%d\t%t\t%d ms\t%s\n", r.GetRevision(), r.GetEverywhere(), r.GetElapsedMs(), strings.Join(r.GetWaiting(), " "))
+		elapsed := "not measured"
+		if r.GetElapsedMs() >= 0 {
+			elapsed = fmt.Sprintf("%d ms", r.GetElapsedMs())
+		}
+		fmt.Fprintf(w, "%d\t%t\t%s\t%s\n", r.GetRevision(), r.GetEverywhere(), elapsed, strings.Join(r.GetWaiting(), " "))
 	}
 	return errors.Wrap(w.Flush(), "write status")
 }
--- a/internal/ctrl/lease/force.go
+++ b/internal/ctrl/lease/force.go
@@ -26,7 +26,9 @@
 	Revision uint64
 	// Everywhere means that each entry has acknowledged it or holds no lease from before it.
 	Everywhere bool
-	// Elapsed is the time from acceptance until then, or until now.
+	// Measured means that this replica saw the acceptance.
+	Measured bool
+	// Elapsed is the time from acceptance until then, or until now; from when it was seen, where not Measured.
 	Elapsed time.Duration
 	// Waiting are the entries that are waited for, by name.
 	Waiting []string
@@ -39,8 +41,8 @@
 	seen     time.Time
 	ended    time.Time
 	waiting  map[string]bool
-	// found means that the revision was there when this replica started; its time is not known.
-	found bool
+	// measured means that the revision was seen shortly after it was accepted.
+	measured bool
 }
 
 // force follows revisions until they are in force everywhere.
@@ -61,10 +63,10 @@
 		if h.Revision <= f.seen || (found && h.Revision < s.Document.Revision) {
 			continue
 		}
-		p := pending{revision: h.Revision, accepted: now, seen: now, waiting: map[string]bool{}, found: found}
-		// The leader stamped it before it was committed; another machine's clock may be off.
-		if before := now.Sub(h.Time); before > 0 && before < acceptedBefore {
-			p.accepted = h.Time
+		p := pending{revision: h.Revision, accepted: now, seen: now, waiting: map[string]bool{}}
+		// The leader stamped it before it was committed. An old one is replayed; another machine's clock may be off.
+		if before := now.Sub(h.Time); before >= 0 && before < acceptedBefore {
+			p.accepted, p.measured = h.Time, true
 		}
 		for _, name := range entries {
 			p.waiting[name] = true
@@ -100,7 +102,7 @@
 		return
 	}
 	p.ended = now
-	if p.found {
+	if !p.measured {
 		return
 	}
 	elapsed := now.Sub(p.accepted)
@@ -117,7 +119,7 @@
 			end = now
 		}
 		all = append(all, Force{
-			Revision: p.revision, Everywhere: len(p.waiting) == 0,
+			Revision: p.revision, Everywhere: len(p.waiting) == 0, Measured: p.measured,
 			Elapsed: end.Sub(p.accepted), Waiting: slices.Sorted(maps.Keys(p.waiting)),
 		})
 	}
--- a/internal/ctrl/lease/keeper.go
+++ b/internal/ctrl/lease/keeper.go
@@ -110,6 +110,10 @@
 	if r.Lease > k.options.Lease {
 		return grant.Grant{}, errors.Wrapf(ErrLeaseTooLong, "entry %q", r.Entry)
 	}
+	// What the entry tells holds whoever leads, and need not wait for a quorum.
+	if err := k.options.Node.View(ctx, func(*state.State) { k.told(r) }); err != nil {
+		return grant.Grant{}, err
+	}
 	if err := k.confirmer.confirm(ctx); err != nil {
 		return grant.Grant{}, err
 	}
@@ -134,6 +138,15 @@
 	return g, refused
 }
 
+// told notes at once that a revision is in force on an entry.
+func (k *Keeper) told(r grant.Renewal) {
+	if h, ok := k.holders[r.Entry]; ok && r.Revision > h.Revision {
+		h.Revision = r.Revision
+		k.force.acknowledged(r.Entry, r.Revision, k.options.Clock.Now(), k.options.Logger)
+		k.publish()
+	}
+}
+
 // behind fails where the entry knows a later state than this replica; a committed change was lost then.
 func behind(s *state.State, r grant.Renewal) error {
 	fields := []zap.Field{
--- a/internal/ctrl/lease/reports.go
+++ b/internal/ctrl/lease/reports.go
@@ -39,9 +39,13 @@
 	}
 	for _, next := range r.Reports {
 		before, sum := last[next.Service], total[next.Service]
-		sum.Answered += rise(before.Answered, next.Answered)
-		sum.NotRun += rise(before.NotRun, next.NotRun)
-		sum.Unknown += rise(before.Unknown, next.Unknown)
+		if next.Answered < before.Answered || next.NotRun < before.NotRun || next.Unknown < before.Unknown {
+			// A renewal that was overtaken by a later one.
+			continue
+		}
+		sum.Answered += next.Answered - before.Answered
+		sum.NotRun += next.NotRun - before.NotRun
+		sum.Unknown += next.Unknown - before.Unknown
 		last[next.Service], total[next.Service] = next, sum
 	}
 	p.last, p.total = last, total
@@ -76,10 +80,3 @@
 	}
 	return m
 }
-
-func rise(before, after uint64) uint64 {
-	if after < before {
-		return 0
-	}
-	return after - before
-}
--- a/internal/wire/serve/environment.go
+++ b/internal/wire/serve/environment.go
@@ -68,9 +68,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if result.Digest != digest {
-			return nil, connect.NewError(connect.CodeInvalidArgument,
-				fmt.Errorf("request %q was made for another document, with digest %s", c.RequestID, result.Digest))
+		if err := sameDocument(c.RequestID, result, digest); err != nil {
+			return nil, err
 		}
 		base = result.Revision
 	}
@@ -88,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := sameDocument(r.Msg.GetRequestId(), result, r.Msg.GetDigest()); err != nil {
+		return nil, err
+	}
 	return connect.NewResponse(&peer.PromoteResponse{Revision: result.Revision, Digest: result.Digest}), nil
 }
 
@@ -196,9 +198,11 @@
 		response.Entries = append(response.Entries, e)
 	}
 	for _, f := range known.Revisions {
-		response.Revisions = append(response.Revisions, &peer.RevisionForce{
-			Revision: f.Revision, Everywhere: f.Everywhere, ElapsedMs: f.Elapsed.Milliseconds(), Waiting: f.Waiting,
-		})
+		w := &peer.RevisionForce{Revision: f.Revision, Everywhere: f.Everywhere, ElapsedMs: -1, Waiting: f.Waiting}
+		if f.Measured {
+			w.ElapsedMs = f.Elapsed.Milliseconds()
+		}
+		response.Revisions = append(response.Revisions, w)
 	}
 	return connect.NewResponse(response), nil
 }
@@ -248,6 +252,15 @@
 	return docs.Look(from, to, v.vms), nil
 }
 
+// sameDocument fails where a request identity was used before for another document.
+func sameDocument(request string, result record.Result, digest string) error {
+	if result.Digest == digest {
+		return nil
+	}
+	return connect.NewError(connect.CodeInvalidArgument,
+		fmt.Errorf("request %q was made for another document, with digest %s", request, result.Digest))
+}
+
 func orDefault(text, other string) string {
 	if text == "" {
 		return other
--- a/internal/wire/serve/operator.go
+++ b/internal/wire/serve/operator.go
@@ -44,6 +44,9 @@
 	if err := result.Err(); err != nil {
 		return nil, connect.NewError(resultCode(result.Code), err)
 	}
+	if err := sameDocument(r.Msg.GetRequestId(), result, docs.Digest(r.Msg.GetDocument())); err != nil {
+		return nil, err
+	}
 	return connect.NewResponse(&peer.ApplyResponse{Revision: result.Revision, Digest: result.Digest}), nil
 }
 
