--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -81,7 +82,13 @@
 	return nil
 }
 
+// compiledSchemas holds compiled schemas by their text; a program has few.
+var compiledSchemas sync.Map
+
 func compile(schemaText string) (*jsonschema.Schema, error) {
+	if known, ok := compiledSchemas.Load(schemaText); ok {
+		return known.(*jsonschema.Schema), nil
+	}
 	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader([]byte(schemaText)))
 	if err != nil {
 		return nil, errors.Wrap(err, "parse schema")
@@ -92,5 +99,9 @@
 		return nil, errors.Wrap(err, "add schema")
 	}
 	compiled, err := compiler.Compile(location)
-	return compiled, errors.Wrap(err, "compile schema")
+	if err != nil {
+		return nil, errors.Wrap(err, "compile schema")
+	}
+	compiledSchemas.Store(schemaText, compiled)
+	return compiled, nil
 }
--- a/internal/base/conf/page.go
+++ b/internal/base/conf/page.go
@@ -26,6 +26,7 @@
 	Default     json.RawMessage `json:"default"`
 	Required    []string        `json:"required"`
 	Items       *node           `json:"items"`
+	AllOf       []node          `json:"allOf"`
 	Properties  map[string]node `json:"properties"`
 	Defs        map[string]node `json:"$defs"`
 }
@@ -101,6 +102,8 @@
 		return fmt.Sprintf("%s to %s", n.Minimum, n.Maximum)
 	case n.Pattern != "":
 		return "`" + n.Pattern + "`"
+	case len(n.AllOf) > 0:
+		return p.allowed(n.AllOf[0])
 	case n.Items != nil:
 		return "list of " + p.allowed(p.resolve(*n.Items))
 	default:
--- a/internal/model/docs/environment_gen.go
+++ b/internal/model/docs/environment_gen.go
@@ -4,7 +4,6 @@
 
 import "encoding/json"
 import "fmt"
-import "regexp"
 
 // Environment is the one document by which operators describe an environment.
 type Environment struct {
@@ -123,20 +122,6 @@
 // Name is a short lower-case name.
 type Name string
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *Name) UnmarshalJSON(value []byte) error {
-	type Plain Name
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9_-]{0,62}$`, string(plain)); !matched {
-		return fmt.Errorf("field %s pattern match: must match %s", "", `^[a-z0-9][a-z0-9_-]{0,62}$`)
-	}
-	*j = Name(plain)
-	return nil
-}
-
 // Pool is a set of VMs; a VM belongs to exactly one pool.
 type Pool struct {
 	// Name is the pool's name.
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -41,32 +41,6 @@
 	return s, nil
 }
 
-// Machine is the state machine with snapshots as bytes.
-type Machine struct {
-	*state.Machine
-	codec Codec
-}
-
-// NewMachine returns a machine on an empty state.
-func NewMachine() *Machine {
-	return &Machine{Machine: state.NewMachine()}
-}
-
-// Snapshot returns the state as bytes; replicas that applied the same entries give the same.
-func (m *Machine) Snapshot() ([]byte, error) {
-	return m.codec.EncodeState(m.State())
-}
-
-// Restore replaces the state by that of a snapshot, or leaves it where the bytes are no snapshot.
-func (m *Machine) Restore(data []byte) error {
-	s, err := m.codec.DecodeState(data)
-	if err != nil {
-		return err
-	}
-	m.Machine.Restore(s)
-	return nil
-}
-
 func environmentsToWire(s *state.State) *peer.Environments {
 	w := &peer.Environments{Production: &peer.DocumentState{
 		Environment: s.Document.Environment, Revision: s.Document.Revision,
--- a/internal/wire/codec/state_test.go
+++ b/internal/wire/codec/state_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
@@ -28,6 +29,32 @@
 	os.Exit(m.Run())
 }
 
+// machine is the state machine with snapshots as bytes.
+type machine struct {
+	*state.Machine
+	codec codec.Codec
+}
+
+// newMachine returns a machine on an empty state.
+func newMachine() *machine {
+	return &machine{Machine: state.NewMachine()}
+}
+
+// Snapshot returns the state as bytes; replicas that applied the same entries give the same.
+func (m *machine) Snapshot() ([]byte, error) {
+	return m.codec.EncodeState(m.State())
+}
+
+// Restore replaces the state by that of a snapshot, or leaves it where the bytes are no snapshot.
+func (m *machine) Restore(data []byte) error {
+	s, err := m.codec.DecodeState(data)
+	if err != nil {
+		return err
+	}
+	m.Machine.Restore(s)
+	return nil
+}
+
 // change draws one change of the replicated state; each part of the state adds its own.
 func change(t *rapid.T, n int) record.Command {
 	c := record.Command{
@@ -50,7 +77,7 @@
 }
 
 // apply applies a command by way of its bytes, as the log does, and returns the snapshot after it.
-func apply(m *codec.Machine, index uint64, c record.Command) (record.Result, error) {
+func apply(m *machine, index uint64, c record.Command) (record.Result, error) {
 	data, err := codec.Codec{}.EncodeCommand(c)
 	if err != nil {
 		return record.Result{}, err
@@ -62,19 +89,19 @@
 	return m.Apply(index, decoded), nil
 }
 
-func restored(m *codec.Machine) (*codec.Machine, error) {
+func restored(m *machine) (*machine, error) {
 	data, err := m.Snapshot()
 	if err != nil {
 		return nil, err
 	}
-	r := codec.NewMachine()
+	r := newMachine()
 	return r, r.Restore(data)
 }
 
 // TestSnapshot restarts one of two machines from its snapshot at random points: results and bytes stay equal.
 func TestSnapshot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		kept, restarted := codec.NewMachine(), codec.NewMachine()
+		kept, restarted := newMachine(), newMachine()
 		n := rapid.IntRange(1, 300).Draw(t, "commands")
 		for i := range n {
 			c := change(t, n)
@@ -100,7 +127,7 @@
 // TestSnapshotDamaged leaves the state as it is where the bytes are no snapshot.
 func TestSnapshotDamaged(t *testing.T) {
 	is := is.New(t)
-	m := codec.NewMachine()
+	m := newMachine()
 	_, err := apply(m, 1, record.Command{Document: &record.DocumentChange{Text: []byte("document")}})
 	is.NoErr(err)
 	is.True(m.Restore([]byte{0xff}) != nil)
