--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -95,6 +95,8 @@
 	// reported are the counts that the leader knows.
 	reported map[string]fleet.Report
 	reportAt time.Time
+	// reportAll means that the leader wants the counts of all services.
+	reportAll bool
 }
 
 // document is the document in force on the entry.
@@ -111,7 +113,7 @@
 	a := &Agent{
 		options: o, started: uint64(o.Clock.Now().UnixNano()),
 		marks: newMarks(), table: table.New(),
-		shared: map[string]time.Time{}, dirty: map[string]bool{}, reported: map[string]fleet.Report{},
+		shared: map[string]time.Time{}, dirty: map[string]bool{}, reported: map[string]fleet.Report{}, reportAll: true,
 	}
 	a.view.Store(&route.View{})
 	return a
@@ -125,7 +127,13 @@
 // publish makes the view that traffic reads; services without a change are taken from the last one.
 func (a *Agent) publish() {
 	last := a.view.Load()
-	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services}
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams}
+	if v.Revision != last.Revision {
+		v.Teams = map[string]bool{}
+		for _, t := range a.document.environment.Teams {
+			v.Teams[string(t.Name)] = true
+		}
+	}
 	if v.Revision != last.Revision || len(a.dirty) > 0 {
 		v.Services = a.services(last, v.Revision != last.Revision)
 		clear(a.dirty)
--- a/internal/edge/slots/doc.go
+++ b/internal/edge/slots/doc.go
@@ -5,3 +5,5 @@
 // held until every request under it must have ended. The package is pure: time
 // comes in as an argument, and messages are plain values.
 package slots
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Cause -linecomment -output=enums_gen.go
