Admit requests by queue, slots and ejection in place of route.Direct

A request's time at an endpoint is at most its service's deadline_ms, since that is how long a home holds the slots of an entry that it lost.

--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -12,12 +12,12 @@
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/edge/admit"
 	"cowslipstack/internal/edge/agent"
 	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/enrol"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
-	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/edge/tally"
 	"cowslipstack/internal/wire/dial"
 	"cowslipstack/internal/wire/serve"
@@ -25,7 +25,7 @@
 
 // entryModule holds the parts of the entry role.
 var entryModule = fx.Options(
-	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newDispatcher, newMemory, newRecaller, newRecallService, newFront, newCallersHandler, newEndpointsHandler),
+	fx.Provide(tally.New, newAgent, newEntrySender, newEntryService, newRelay, newAdmit, newSlots, newSlotsService, newDispatcher, newMemory, newRecaller, newRecallService, newFront, newCallersHandler, newEndpointsHandler),
 	fx.Invoke(startEntry),
 )
 
@@ -56,14 +56,40 @@
 // endpointConnections is the most connections to one endpoint from all entries together.
 const endpointConnections = 64
 
+// entryConnections is this entry's part of an endpoint's connections.
+func entryConnections(settings conf.Daemon) int {
+	return max(1, endpointConnections/len(settings.EntryPeers()))
+}
+
 func newRelay(settings conf.Daemon, lc fx.Lifecycle) *relay.Relay {
-	r := relay.New(relay.Options{Connections: max(1, endpointConnections/len(settings.EntryPeers()))})
+	r := relay.New(relay.Options{Connections: entryConnections(settings)})
 	lc.Append(fx.StopHook(r.Close))
 	return r
 }
 
-func newDispatcher(a *agent.Agent, c clock.Clock, t *tally.Tally) front.Dispatcher {
-	return t.Count(route.NewDirect(a, c), a)
+func newSlots(settings conf.Daemon, client *http.Client) *dial.Slots {
+	return dial.NewSlots(client, otherEntries(settings))
+}
+
+func newAdmit(settings conf.Daemon, l *loop.Loop, c clock.Clock, logger *zap.Logger, a *agent.Agent, homes *dial.Slots) *admit.Admit {
+	var names []string
+	for _, p := range settings.EntryPeers() {
+		names = append(names, string(p.Name))
+	}
+	return admit.New(admit.Options{
+		Name: string(settings.Name), Entries: names, Incarnation: rand.Uint64(),
+		Loop: l, Clock: c, Logger: logger, Views: a, Homes: homes, Random: rand.IntN,
+		Valid:     conf.Milliseconds(settings.Entry.LeaseMs),
+		PerRunner: entryConnections(settings),
+	})
+}
+
+func newSlotsService(a *admit.Admit) *serve.Slots {
+	return &serve.Slots{Home: a}
+}
+
+func newDispatcher(a *agent.Agent, d *admit.Admit, t *tally.Tally) front.Dispatcher {
+	return t.Count(d, a)
 }
 
 // answersBytes bounds the answers that are kept for resends.
@@ -74,13 +100,18 @@
 }
 
 func newRecaller(settings conf.Daemon, client *http.Client) *dial.Recaller {
+	return dial.NewRecaller(client, otherEntries(settings))
+}
+
+// otherEntries returns the addresses of the other entries, by name.
+func otherEntries(settings conf.Daemon) map[string]string {
 	addresses := map[string]string{}
 	for _, p := range settings.EntryPeers() {
 		if p.Name != settings.Name {
 			addresses[string(p.Name)] = p.Address
 		}
 	}
-	return dial.NewRecaller(client, addresses)
+	return addresses
 }
 
 func newRecallService(m *claim.Memory) *serve.Recall {
@@ -131,9 +162,13 @@
 	return endpointsHandler{Handler: enrol.Handler(a, logger)}
 }
 
-func startEntry(a *agent.Agent, f *front.Front, others *dial.Entries, g *tasks.Group) {
+func startEntry(settings conf.Daemon, a *agent.Agent, d *admit.Admit, f *front.Front, others *dial.Entries, g *tasks.Group) {
 	g.Start("claim_releases", f.Run)
 	g.Start("agent", a.Run)
+	g.Start("slots", d.Run)
+	for name := range otherEntries(settings) {
+		g.Start("slots_link", func(ctx context.Context) error { return d.RunLink(ctx, name) })
+	}
 	g.Start("endpoints_lapse", a.RunLapse)
 	g.Start("endpoints_sync", a.RunSync)
 	for i := range others.Count() {
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -25,6 +25,7 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+	Slots   *serve.Slots   `optional:"true"`
 	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
@@ -53,6 +54,9 @@
 	if parts.Recall != nil {
 		handler.Handle(peer.NewRecallHandler(parts.Recall))
 	}
+	if parts.Slots != nil {
+		handler.Handle(peer.NewSlotsHandler(parts.Slots, compression))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
--- /dev/null
+++ b/internal/edge/admit/metrics.go
@@ -0,0 +1,48 @@
+package admit
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowslipstack/internal/edge/queue"
+	"cowslipstack/internal/edge/route"
+)
+
+// verdict returns the refusal for a wait that ended without a slot.
+func (a *Admit) verdict(r route.Request, v queue.Verdict) (route.Ticket, error) {
+	switch v {
+	case queue.VerdictFull:
+		return a.refuse(r, route.ReasonQueueFull, "too many requests wait")
+	case queue.VerdictDisplaced:
+		return a.refuse(r, route.ReasonQueueFull, "a team below its share took the place")
+	default:
+		return a.refuse(r, route.ReasonTooLate, "the deadline can't be met")
+	}
+}
+
+func (a *Admit) refuse(r route.Request, reason route.Reason, message string) (route.Ticket, error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowslip_refusals_total{service=%q,reason=%q}`, r.Service, reason)).Inc()
+	return route.Ticket{}, &route.Refusal{Reason: reason, Message: message}
+}
+
+func ejected(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cowslip_ejections_total{service=%q}`, service)).Inc()
+}
+
+// gauges registers what is read of a service when metrics are asked for.
+func (s *service) gauges() {
+	gauge := func(name, extra string, read func() int) {
+		metrics.GetOrCreateGauge(fmt.Sprintf(`%s{service=%q%s}`, name, s.name, extra), func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(read())
+		})
+	}
+	for c := queue.ClassUrgent; c <= queue.ClassBatch; c++ {
+		gauge("cowslip_queue_length", fmt.Sprintf(`,class=%q`, c), func() int { return s.queue.LenClass(c) })
+	}
+	gauge("cowslip_in_progress", "", func() int { return len(s.flights) })
+	gauge("cowslip_slots_held", "", func() int { return s.pace().Slots })
+	gauge("cowslip_runners_out", "", func() int { return s.pool.Out() })
+}
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -129,9 +129,9 @@
 	last := a.view.Load()
 	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams}
 	if v.Revision != last.Revision {
-		v.Teams = map[string]bool{}
+		v.Teams = map[string]int{}
 		for _, t := range a.document.environment.Teams {
-			v.Teams[string(t.Name)] = true
+			v.Teams[string(t.Name)] = t.Weight
 		}
 	}
 	if v.Revision != last.Revision || len(a.dirty) > 0 {
--- a/internal/edge/front/attempt.go
+++ b/internal/edge/front/attempt.go
@@ -61,9 +61,15 @@
 	result := route.Result{Outcome: fleet.OutcomeUnknown, Load: route.NoLoad}
 	defer func() {
 		result.Elapsed = f.options.Clock.Now().Sub(sent)
+		result.Aborted = c.aborted || errors.Is(ctx.Err(), context.Canceled)
 		c.endpoint += result.Elapsed
 		f.options.Dispatcher.Release(ticket, result)
 	}()
+	if ticket.Most > 0 {
+		limited, cancel := context.WithTimeout(ctx, ticket.Most)
+		defer cancel()
+		ctx = limited
+	}
 	answer := f.options.Relay.Send(ctx, ticket.Endpoint, f.attemptOf(c))
 	result.Outcome = answer.Outcome
 	if answer.Outcome != fleet.OutcomeAnswered {
--- a/internal/edge/front/call.go
+++ b/internal/edge/front/call.go
@@ -63,7 +63,7 @@
 func (c *call) takeLabels(view *route.View) {
 	c.labels.Service = c.service
 	team, class := c.r.Header.Get(HeaderTeam), c.r.Header.Get(HeaderClass)
-	if c.labels.Team = team; team != "" && !view.Teams[team] {
+	if c.labels.Team = team; team != "" && view.Teams[team] == 0 {
 		c.labels.Team = otherLabel
 	}
 	c.labels.Class = otherLabel
--- a/internal/edge/route/dispatch.go
+++ b/internal/edge/route/dispatch.go
@@ -27,6 +27,8 @@
 	Endpoint fleet.Endpoint
 	// Number names the ticket where its maker needs that.
 	Number uint64
+	// Most is the longest that the attempt may take; zero for no limit.
+	Most time.Duration
 }
 
 // NoLoad says that an answer carried no load.
@@ -36,6 +38,8 @@
 type Result struct {
 	// Outcome is what came of the attempt.
 	Outcome fleet.Outcome
+	// Aborted says that the caller went away, so that nothing is known of the endpoint.
+	Aborted bool
 	// Declined says that the endpoint declined before it began.
 	Declined bool
 	// Status is the HTTP status of the answer, 0 where there was none.
--- a/internal/edge/route/view.go
+++ b/internal/edge/route/view.go
@@ -39,6 +39,6 @@
 	Revision uint64
 	// Services are the services by name.
 	Services map[string]Service
-	// Teams are the names of the teams in the document.
-	Teams map[string]bool
+	// Teams are the weights of the teams in the document, by name.
+	Teams map[string]int
 }
