Keep a script's free ports reserved until its daemon listens

Cause: a port that was released could be given to any connection of another script before the daemon that the script named it for listened on it: two of three runs of whole packages on the busy machine failed with address in use. Each port now keeps a connection that waits out its time there, so that the system gives the port to nobody. No check is eased.

--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -61,19 +61,29 @@
 	})
 }
 
-// ports NAME... sets each variable to a free port.
+// ports NAME... sets each variable to a free port that the system gives to nobody else for a while.
 func ports(ts *testscript.TestScript, _ bool, names []string) {
-	// All are held until each has its own.
-	var held []net.Listener
 	for _, name := range names {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		ts.Check(err)
-		held = append(held, listener)
 		ts.Setenv(name, strconv.Itoa(listener.Addr().(*net.TCPAddr).Port))
+		reserve(ts, listener)
 	}
-	for _, listener := range held {
-		ts.Check(listener.Close())
-	}
+}
+
+// reserve closes a listener so that its port stays reserved: a connection that the listener's side closed
+// first waits out its time there, and the system picks no such port; a daemon may still listen on it.
+func reserve(ts *testscript.TestScript, listener net.Listener) {
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	ts.Check(err)
+	accepted, err := listener.Accept()
+	ts.Check(err)
+	ts.Check(accepted.Close())
+	// The other side's end has come once this read ends.
+	_, err = io.ReadAll(caller)
+	ts.Check(err)
+	ts.Check(caller.Close())
+	ts.Check(listener.Close())
 }
 
 // expand FILE... replaces ${VARIABLE} in files.
