Ask again before the first byte whether the endpoint still gets requests

Cause: an entry that was frozen past its lease and renews it on waking passed the lease check with an endpoint chosen under the old one, which may have been drained since. The present view must hold the endpoint under its VM and epoch; the view that comes with a new lease holds the drains. With the new check off on a scratch copy the randomised runs fail (1 attempt sent); with it on they pass with -race.

--- a/internal/app/proof/outcomes_test.go
+++ b/internal/app/proof/outcomes_test.go
@@ -78,7 +78,7 @@
 var (
 	modes       = []string{"", "", "", "die_before", "die_after", "die_answering", "cut", "too_long", "unbounded", "crossed", "decline", "late"}
 	claimFaults = []string{"", "", "", "no_quorum", "late", "lost", "twice", "die"}
-	entryFaults = []string{"", "", "", "die_before", "die_after", "freeze"}
+	entryFaults = []string{"", "", "", "die_before", "die_after", "freeze", "freeze_long"}
 )
 
 // TestOutcomes sends requests and resends in random order, with failures of endpoints, entries and
--- a/internal/app/proof/site_test.go
+++ b/internal/app/proof/site_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,7 +111,9 @@
 	site   *site
 	server *httptest.Server
 	lapsed atomic.Bool
-	now    atomic.Pointer[process]
+	// drained is an endpoint that is not in the view by which the entry holds its lease.
+	drained atomic.Pointer[string]
+	now     atomic.Pointer[process]
 }
 
 // process is one life of an entry.
@@ -126,6 +130,11 @@
 	if !e.lapsed.Load() {
 		v.Lease = route.Lease{Start: clock.System{}.Now(), Length: time.Minute}
 	}
+	if name := e.drained.Load(); name != nil {
+		service := v.Services[serviceName]
+		service.Endpoints = slices.DeleteFunc(slices.Clone(service.Endpoints), func(o fleet.Endpoint) bool { return o.Name == *name })
+		v.Services = map[string]route.Service{serviceName: service}
+	}
 	return &v
 }
 
@@ -154,9 +163,12 @@
 	case "freeze":
 		r.entry.lapsed.Store(true)
 		defer r.entry.lapsed.Store(false)
+	case "freeze_long":
+		r.entry.drained.Store(&to.Name)
+		defer r.entry.drained.Store(nil)
 	}
 	answer := r.Relay.Send(ctx, to, a)
-	if *fault == "freeze" && answer.Outcome != fleet.OutcomeNotRun {
+	if strings.HasPrefix(*fault, "freeze") && answer.Outcome != fleet.OutcomeNotRun {
 		r.entry.site.slipped.Add(1)
 	}
 	if *fault == "die_after" {
--- a/internal/edge/front/attempt.go
+++ b/internal/edge/front/attempt.go
@@ -70,7 +70,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	answer := f.options.Relay.Send(ctx, ticket.Endpoint, f.attemptOf(c))
+	answer := f.options.Relay.Send(ctx, ticket.Endpoint, f.attemptOf(c, ticket.Endpoint))
 	result.Outcome = answer.Outcome
 	if answer.Outcome != fleet.OutcomeAnswered {
 		result.Declined = errors.Is(answer.Err, relay.ErrDeclined)
@@ -93,7 +93,7 @@
 	switch {
 	case errors.Is(a.Err, relay.ErrNotPermitted):
 		return &refusal{
-			status: http.StatusServiceUnavailable, outcome: a.Outcome, code: codeNoLease, message: "this entry holds no lease", retry: true, final: true,
+			status: http.StatusServiceUnavailable, outcome: a.Outcome, code: codeNoLease, message: "this entry may no longer send to the endpoint", retry: true,
 		}
 	case errors.Is(a.Err, relay.ErrDeclined):
 		r.status, r.code, r.retry = http.StatusServiceUnavailable, codeDeclined, true
@@ -108,10 +108,10 @@
 }
 
 // attemptOf returns the attempt that passes the caller's request on, with an identity of its own.
-func (f *Front) attemptOf(c *call) relay.Attempt {
+func (f *Front) attemptOf(c *call, e fleet.Endpoint) relay.Attempt {
 	u := c.r.URL
 	a := relay.Attempt{
-		ID: f.ids.next(), Method: c.r.Method, RawQuery: u.RawQuery, Permit: f.permit, Length: c.length,
+		ID: f.ids.next(), Method: c.r.Method, RawQuery: u.RawQuery, Permit: func() bool { return f.permit(e) }, Length: c.length,
 		Path: behind(u.Path, c.service), RawPath: behind(u.RawPath, c.service),
 		Header: make(http.Header, len(c.r.Header)+4),
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -158,9 +159,16 @@
 	return f.run(ctx, c)
 }
 
-// permit says whether the entry may still begin to send.
-func (f *Front) permit() bool {
-	return f.options.Views.View().Lease.Valid(f.options.Clock.Now())
+// permit says whether the entry may still begin to send to an endpoint. An entry that was frozen may
+// hold a new lease by now, under which the endpoint gets no new requests.
+func (f *Front) permit(e fleet.Endpoint) bool {
+	view := f.options.Views.View()
+	if !view.Lease.Valid(f.options.Clock.Now()) {
+		return false
+	}
+	return slices.ContainsFunc(view.Services[e.Service].Endpoints, func(o fleet.Endpoint) bool {
+		return o.Name == e.Name && o.VM == e.VM && o.Epoch == e.Epoch
+	})
 }
 
 // remaining returns the time that a request has left.
