--- a/internal/ctrl/quorum/script_test.go
+++ b/internal/ctrl/quorum/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -66,6 +68,18 @@
 		s.handle(h)
 		s.settle()
 		return s.status()
+	case "log":
+		s.logTerms(h, rest)
+	case "campaign":
+		h.replica.campaign(slices.Contains(rest, "transfer"))
+		s.handle(h)
+		s.sync(h, len(h.pending))
+	case "pass":
+		s.pass(h, s.named(rest[0]))
+		return s.status()
+	case "sync":
+		s.sync(h, 1)
+		return fmt.Sprintf("synced up to %d", h.replica.synced)
 	case "crash":
 		s.crash(h, 0)
 	case "start":
@@ -110,6 +124,31 @@
 	return "ok"
 }
 
+// logTerms gives a host a log of entries of the terms, behind the first members.
+func (s *script) logTerms(h *host, terms []string) {
+	h.disk.entries = h.disk.entries[:1]
+	h.disk.hard = HardState{Term: 3}
+	for _, text := range terms {
+		term, _ := strconv.ParseUint(text, 10, 64)
+		h.disk.entries = append(h.disk.entries, Entry{Index: uint64(len(h.disk.entries)) + 1, Term: term, Kind: EntryCommand, Data: []byte(text)})
+	}
+	s.start(h)
+}
+
+// pass delivers what now waits from one host to another, and nothing that follows from it; syncs are commands of their own.
+func (s *script) pass(from, to *host) {
+	for at := 0; at < len(s.net); {
+		m := s.net[at]
+		if m.From != from.id || m.To != to.id {
+			at++
+			continue
+		}
+		s.net = slices.Delete(s.net, at, at+1)
+		to.replica.Step(m)
+		s.handle(to)
+	}
+}
+
 // tickOnce lets a tick pass on each host and all messages and syncs reach their end.
 func (s *script) tickOnce() {
 	for _, h := range s.hosts {
