--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -86,6 +86,14 @@
 	return &serve.Environment{Node: n, Keeper: k, Clock: c, LeaseMs: int64(settings.Entry.LeaseMs)}
 }
 
+func handOverOnStop(lc fx.Lifecycle, n *node.Node, logger *zap.Logger) {
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		if err := n.HandOver(ctx); err != nil {
+			logger.Info("leadership_not_handed_over", zap.String("cause", err.Error()))
+		}
+	}))
+}
+
 func startControl(n *node.Node, k *lease.Keeper, sender *dial.Replicas, g *tasks.Group) {
 	g.Start("disk", n.RunDisk)
 	g.Start("node", n.Run)
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -48,7 +48,12 @@
 	if settings.HasRole(conf.RoleEntry) {
 		options = append(options, entryModule)
 	}
-	return fx.Options(append(options, fx.Invoke(startLoop, startServers))...)
+	options = append(options, fx.Invoke(startLoop, startServers))
+	if settings.HasRole(conf.RoleControl) {
+		// What is registered last is stopped first: the others elect while this process still answers them.
+		options = append(options, fx.Invoke(handOverOnStop))
+	}
+	return fx.Options(options...)
 }
 
 // wait returns nil when the context ends, or the failure of the part that ended first.
--- a/internal/ctrl/node/members.go
+++ b/internal/ctrl/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -41,3 +42,27 @@
 		return errors.Wrap(ctx.Err(), "wait for the other replica to lead")
 	}
 }
+
+// handOverTimeout bounds how long a stop waits for another replica to lead.
+const handOverTimeout = time.Second
+
+// HandOver hands the leadership to the voter that has come farthest, before a planned stop; it does nothing on a follower.
+func (n *Node) HandOver(ctx context.Context) error {
+	var best quorum.Standing
+	choose := func() {
+		if n.failure != nil || n.options.Replica.Role() != quorum.RoleLeader {
+			return
+		}
+		for _, s := range n.options.Replica.Standings() {
+			if !s.Leader && s.Member.Voter && s.Heard && (best.Member.ID == 0 || s.Synced > best.Synced) {
+				best = s
+			}
+		}
+	}
+	if err := n.options.Loop.Call(ctx, choose); err != nil || best.Member.ID == 0 {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	return n.Transfer(ctx, best.Member.ID)
+}
