--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -86,6 +86,14 @@
 	return &serve.Environment{Node: n, Keeper: k, Clock: c, LeaseMs: int64(settings.Entry.LeaseMs)}
 }
 
+func handOverOnStop(lc fx.Lifecycle, n *node.Node, logger *zap.Logger) {
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		if err := n.HandOver(ctx); err != nil {
+			logger.Info("leadership_not_handed_over", zap.String("cause", err.Error()))
+		}
+	}))
+}
+
 func startControl(n *node.Node, k *lease.Keeper, sender *dial.Replicas, g *tasks.Group) {
 	g.Start("disk", n.RunDisk)
 	g.Start("node", n.Run)
@@ -93,6 +101,6 @@
 	g.Start("lease_watch", k.RunWatch)
 	g.Start("join", func(ctx context.Context) error { return n.RunJoin(ctx, sender) })
 	for _, name := range sender.Names() {
-		g.Start("replica_sender", func(ctx context.Context) error { return sender.Run(ctx, name) })
+		g.Start("replica_sender", func(ctx context.Context) error { return sender.Run(ctx, name, n) })
 	}
 }
