Drain an entry on SIGTERM, and choose homes among the entries that hold a lease

SIGTERM fails the health check at once, serves on for entry.balancer_ms, then refuses and waits up to drain_ms; a second signal or the limit logs requests_cut and exits 1. Before, the listeners closed at the signal. drain.txtar holds both ways with an endpoint that answers only when it is told to. The leader's grant names the entries with a lease under a version that rises over leaders, so that the runners of a lost entry get a new home.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -23,7 +23,8 @@
 func Run(ctx context.Context, settings conf.Daemon) error {
 	var g *tasks.Group
 	var logger *zap.Logger
-	app := fx.New(Module(settings), fx.NopLogger, fx.Populate(&g, &logger))
+	var d *drainer
+	app := fx.New(Module(settings), fx.NopLogger, fx.Populate(&g, &logger, &d))
 	if err := app.Err(); err != nil {
 		return rootCause(err)
 	}
@@ -31,6 +32,9 @@
 		return rootCause(err)
 	}
 	failure := wait(ctx, g, logger)
+	if failure == nil {
+		failure = d.run(context.WithoutCancel(ctx))
+	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout(settings))
 	defer cancel()
 	return errors.CombineErrors(failure, rootCause(app.Stop(stop)))
@@ -40,7 +44,7 @@
 func Module(settings conf.Daemon) fx.Option {
 	options := []fx.Option{
 		fx.Supply(settings),
-		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler),
+		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler, newDrainer),
 	}
 	if settings.HasRole(conf.RoleControl) {
 		options = append(options, controlModule)
--- a/internal/app/daemon/listen.go
+++ b/internal/app/daemon/listen.go
@@ -76,7 +76,7 @@
 	Operators http.Handler `name:"operators"`
 }
 
-func startServers(lc fx.Lifecycle, settings conf.Daemon, l *listeners, h handlers, g *tasks.Group, logger *zap.Logger) {
+func startServers(lc fx.Lifecycle, settings conf.Daemon, l *listeners, h handlers, d *drainer, g *tasks.Group, logger *zap.Logger) {
 	fields := []zap.Field{zap.String("data_centre", string(settings.DataCentre))}
 	start := func(name string, listener net.Listener, handler http.Handler) {
 		if listener == nil {
@@ -84,6 +84,9 @@
 		}
 		fields = append(fields, zap.Stringer(name, listener.Addr()))
 		server := newServer(handler, logger)
+		if name == "callers" {
+			d.callers = server
+		}
 		lc.Append(fx.StopHook(func(ctx context.Context) error { return server.Shutdown(ctx) }))
 		g.Start("serve_"+name, func(context.Context) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -70,6 +70,7 @@
 	Control *dial.Control
 	Clock   clock.Clock
 	Agent   *agent.Agent `optional:"true"`
+	Drainer *drainer
 }
 
 // operatorHandler names the handler of operators' calls for the container.
@@ -95,6 +96,10 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if parts.Drainer.draining.Load() {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
 		if parts.Agent != nil && !parts.Agent.View().Lease.Valid(parts.Clock.Now()) {
 			http.Error(w, "no lease", http.StatusServiceUnavailable)
 			return
--- a/internal/app/fakes/command.go
+++ b/internal/app/fakes/command.go
@@ -34,7 +34,7 @@
 	Rack       string   `arg:"--rack" default:"rack-1" help:"rack of the VM"`
 	Slots      int      `arg:"--slots" default:"8" help:"requests in progress at one time"`
 	Listen     string   `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
-	Mode       string   `arg:"--mode" default:"answer" help:"answer, die_before, die_after, die_answering, cut, too_long, unbounded, crossed, decline or late"`
+	Mode       string   `arg:"--mode" default:"answer" help:"answer, die_before, die_after, die_answering, cut, too_long, unbounded, crossed, decline, late or hold"`
 	Entries    []string `arg:"--entry,separate,required" help:"announcement address of an entry"`
 }
 
--- a/internal/app/fakes/enums_gen.go
+++ b/internal/app/fakes/enums_gen.go
@@ -18,11 +18,12 @@
 	_ = x[ModeCrossed-8]
 	_ = x[ModeDecline-9]
 	_ = x[ModeLate-10]
+	_ = x[ModeHold-11]
 }
 
-const _Mode_name = "answerdie_beforedie_afterdie_answeringcuttoo_longunboundedcrosseddeclinelate"
+const _Mode_name = "answerdie_beforedie_afterdie_answeringcuttoo_longunboundedcrosseddeclinelatehold"
 
-var _Mode_index = [...]uint8{0, 6, 16, 25, 38, 41, 49, 58, 65, 72, 76}
+var _Mode_index = [...]uint8{0, 6, 16, 25, 38, 41, 49, 58, 65, 72, 76, 80}
 
 func (i Mode) String() string {
 	idx := int(i) - 1
--- a/internal/app/fakes/worker.go
+++ b/internal/app/fakes/worker.go
@@ -18,6 +18,10 @@
 	HeaderMode = "Fake-Mode"
 	// PathRan is where the counts are read.
 	PathRan = "/ran"
+	// PathHeld tells whether as many requests as its query says were held.
+	PathHeld = "/fake/held"
+	// PathFree answers all held requests; it is called once.
+	PathFree = "/fake/free"
 	// lateAfter is how long a late answer takes.
 	lateAfter = 300 * time.Millisecond
 	// declaredSurplus is how much more a cut answer declares than it holds.
@@ -48,6 +52,8 @@
 	ModeDecline // decline
 	// ModeLate answers after some time.
 	ModeLate // late
+	// ModeHold answers once the path for that was called.
+	ModeHold // hold
 )
 
 // ParseMode returns the mode of a name; an empty one answers.
@@ -55,7 +61,7 @@
 	if name == "" {
 		return ModeAnswer, true
 	}
-	for m := ModeAnswer; m <= ModeLate; m++ {
+	for m := ModeAnswer; m <= ModeHold; m++ {
 		if m.String() == name {
 			return m, true
 		}
@@ -82,18 +88,27 @@
 	clock clock.Clock
 	mu    sync.Mutex
 	ran   Ran
+	held  int
+	freed chan struct{}
 }
 
 // NewWorker returns a worker that has run nothing; requests without a mode of their own get the given one.
 func NewWorker(name string, mode Mode, c clock.Clock) *Worker {
-	return &Worker{name: name, mode: mode, clock: c, ran: Ran{Attempts: map[string]int{}, Keys: map[string]int{}, Requests: map[string]int{}}}
+	return &Worker{name: name, mode: mode, clock: c, freed: make(chan struct{}), ran: Ran{Attempts: map[string]int{}, Keys: map[string]int{}, Requests: map[string]int{}}}
 }
 
 // ServeHTTP runs a request in its mode, or tells what ran.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == PathRan {
+	switch r.URL.Path {
+	case PathRan:
 		k.tell(w)
 		return
+	case PathHeld:
+		k.tellHeld(w, r)
+		return
+	case PathFree:
+		close(k.freed)
+		return
 	}
 	mode, ok := ParseMode(r.Header.Get(HeaderMode))
 	if !ok || r.Header.Get(HeaderMode) == "" {
@@ -116,6 +131,27 @@
 	k.answer(w, r, mode, length)
 }
 
+// hold waits until the held requests are freed.
+func (k *Worker) hold(r *http.Request) {
+	k.mu.Lock()
+	k.held++
+	k.mu.Unlock()
+	select {
+	case <-k.freed:
+	case <-r.Context().Done():
+	}
+}
+
+// tellHeld answers 200 where at least as many requests were held as the query says, else 404.
+func (k *Worker) tellHeld(w http.ResponseWriter, r *http.Request) {
+	least, err := strconv.Atoi(r.URL.RawQuery)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil || k.held < least {
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
 // answer writes the name, the request and its identity, as far as the mode lets it.
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, mode Mode, length int64) {
 	attempt := r.Header.Get(relay.HeaderAttempt)
@@ -124,6 +160,8 @@
 	switch mode {
 	case ModeCrossed:
 		w.Header().Set(relay.HeaderAttempt, "another")
+	case ModeHold:
+		k.hold(r)
 	case ModeLate:
 		timer := k.clock.NewTimer(lateAfter)
 		defer timer.Stop()
--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -160,6 +160,10 @@
 	// AnnounceTtlMs is how long an endpoint's announcement lasts without renewal.
 	AnnounceTTLMs int `json:"announce_ttl_ms,omitempty,omitzero"`
 
+	// BalancerMs is how long a stopping entry goes on serving after its health check
+	// fails, so that the balancer moves callers.
+	BalancerMs int `json:"balancer_ms,omitempty,omitzero"`
+
 	// BodyLimitBytes is the largest request body taken from a caller.
 	BodyLimitBytes int `json:"body_limit_bytes,omitempty,omitzero"`
 
@@ -194,6 +198,15 @@
 	if 500 > plain.AnnounceTTLMs {
 		return fmt.Errorf("field %s: must be >= %v", "announce_ttl_ms", 500)
 	}
+	if v, ok := raw["balancer_ms"]; !ok || v == nil {
+		plain.BalancerMs = 2000
+	}
+	if 600000 < plain.BalancerMs {
+		return fmt.Errorf("field %s: must be <= %v", "balancer_ms", 600000)
+	}
+	if 0 > plain.BalancerMs {
+		return fmt.Errorf("field %s: must be >= %v", "balancer_ms", 0)
+	}
 	if v, ok := raw["body_limit_bytes"]; !ok || v == nil {
 		plain.BodyLimitBytes = 16777216
 	}
--- a/internal/ctrl/lease/keeper.go
+++ b/internal/ctrl/lease/keeper.go
@@ -61,6 +61,7 @@
 	holders map[string]*Holder
 	force   force
 	marks   marks
+	members members
 }
 
 // NewKeeper returns a keeper that has heard of no entry yet.
@@ -150,11 +151,19 @@
 func (k *Keeper) grant(s *state.State, h *Holder, r grant.Renewal) grant.Grant {
 	now := k.options.Clock.Now()
 	h.take(r, now)
+	k.members.granting(now, k.options.Lease)
+	k.members.version = max(k.members.version, r.Version)
+	k.updateMembers(s.Applied)
 	k.force.acknowledged(r.Entry, r.Revision, now, k.options.Logger)
-	return grant.Grant{
+	g := grant.Grant{
 		Revision: s.Document.Revision, Digest: s.Document.Digest, Document: documentFor(s, r),
 		Index: s.Applied, Marks: k.marks.since(r.Index), WantReports: !h.reports.whole,
+		Version: k.members.version,
 	}
+	if r.Version != g.Version {
+		g.Entries = k.members.names
+	}
+	return g
 }
 
 // documentFor returns what turns the entry's text into the one in force, nil where it has that.
--- a/internal/edge/admit/table.go
+++ b/internal/edge/admit/table.go
@@ -36,6 +36,11 @@
 	if view == last.view {
 		return
 	}
+	if view.Version > 0 {
+		members := slots.Members{Version: view.Version, Names: view.Entries}
+		a.holder.SetMembers(members)
+		a.ledger.SetMembers(members, a.options.Clock.Now())
+	}
 	next := &table{view: view, services: make(map[string]*set, len(view.Services))}
 	keep := make(map[slots.Key]bool, len(a.known))
 	var runners []slots.Runner
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -86,6 +86,8 @@
 	// The fields below belong to the loop.
 	lease    route.Lease
 	document document
+	version  uint64
+	entries  []string
 	marks    marks
 	table    *table.Table
 	// shared is when an endpoint's refresh was last passed on by any entry, by its key.
@@ -127,7 +129,7 @@
 // publish makes the view that traffic reads; services without a change are taken from the last one.
 func (a *Agent) publish() {
 	last := a.view.Load()
-	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams}
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams, Version: a.version, Entries: a.entries}
 	if v.Revision != last.Revision {
 		v.Teams = map[string]int{}
 		for _, t := range a.document.environment.Teams {
--- a/internal/edge/agent/renew.go
+++ b/internal/edge/agent/renew.go
@@ -78,7 +78,7 @@
 	r := grant.Renewal{
 		Entry: a.options.Name, Started: a.started, Lease: a.options.Lease,
 		Revision: a.document.revision, Whole: a.document.whole, Index: a.marks.index,
-		Usages: a.marks.usages(a.options.Traffic, now, settleTime),
+		Version: a.version, Usages: a.marks.usages(a.options.Traffic, now, settleTime),
 	}
 	if !a.reportAll && now.Sub(a.reportAt) < reportEvery {
 		return r
@@ -132,6 +132,9 @@
 	a.document = next
 	a.marks.take(g.Marks, a.options.Clock.Now())
 	a.marks.index = g.Index
+	if g.Version > a.version && len(g.Entries) > 0 {
+		a.version, a.entries = g.Version, g.Entries
+	}
 	a.touch(g.Marks)
 	a.told(r, g)
 	if !a.lease.Valid(sent) {
--- a/internal/edge/route/view.go
+++ b/internal/edge/route/view.go
@@ -39,6 +39,10 @@
 	Revision uint64
 	// Services are the services by name.
 	Services map[string]Service
+	// Version is that of Entries; it rises with each change.
+	Version uint64
+	// Entries are the names of the entries that hold a lease.
+	Entries []string
 	// Teams are the weights of the teams in the document, by name.
 	Teams map[string]int
 }
--- a/internal/model/grant/grant.go
+++ b/internal/model/grant/grant.go
@@ -25,6 +25,8 @@
 	Usages []fleet.Usage
 	// Reports are the services whose counts have changed.
 	Reports []fleet.Report
+	// Version is that of the entries which hold a lease, as the entry knows them.
+	Version uint64
 	// AllReports means that Reports holds every service with counts.
 	AllReports bool
 }
@@ -43,4 +45,8 @@
 	Marks []fleet.Mark
 	// WantReports asks for the counts of all services with the next renewal.
 	WantReports bool
+	// Version is that of the entries which hold a lease; it rises with each change.
+	Version uint64
+	// Entries are their names, nil where the entry knows the version.
+	Entries []string
 }
--- a/internal/wire/codec/lease.go
+++ b/internal/wire/codec/lease.go
@@ -13,7 +13,7 @@
 func RenewalToWire(r grant.Renewal) *peer.RenewRequest {
 	w := &peer.RenewRequest{
 		Entry: r.Entry, Started: r.Started, LeaseMs: r.Lease.Milliseconds(),
-		Revision: r.Revision, Whole: r.Whole, Index: r.Index, AllReports: r.AllReports,
+		Revision: r.Revision, Whole: r.Whole, Index: r.Index, AllReports: r.AllReports, Version: r.Version,
 	}
 	for _, u := range r.Usages {
 		w.Usages = append(w.Usages, &peer.Usage{Vm: u.VM, Epoch: u.Epoch, InProgress: countToWire(u.InProgress)})
@@ -31,7 +31,7 @@
 func RenewalFromWire(w *peer.RenewRequest) grant.Renewal {
 	r := grant.Renewal{
 		Entry: w.GetEntry(), Started: w.GetStarted(), Lease: time.Duration(w.GetLeaseMs()) * time.Millisecond,
-		Revision: w.GetRevision(), Whole: w.GetWhole(), Index: w.GetIndex(), AllReports: w.GetAllReports(),
+		Revision: w.GetRevision(), Whole: w.GetWhole(), Index: w.GetIndex(), AllReports: w.GetAllReports(), Version: w.GetVersion(),
 	}
 	for _, u := range w.GetUsages() {
 		r.Usages = append(r.Usages, fleet.Usage{VM: u.GetVm(), Epoch: u.GetEpoch(), InProgress: int(u.GetInProgress())})
@@ -47,7 +47,7 @@
 
 // GrantToWire returns the message of a grant.
 func GrantToWire(g grant.Grant) *peer.RenewResponse {
-	w := &peer.RenewResponse{Revision: g.Revision, Index: g.Index, WantReports: g.WantReports}
+	w := &peer.RenewResponse{Revision: g.Revision, Index: g.Index, WantReports: g.WantReports, Version: g.Version, Entries: g.Entries}
 	if d := g.Document; d != nil {
 		w.Digest = g.Digest
 		w.Document = &peer.DocumentDelta{Base: d.Base, Prefix: uint64(d.Prefix), Suffix: uint64(d.Suffix), Middle: d.Middle}
@@ -60,7 +60,7 @@
 
 // GrantFromWire returns the grant of a message.
 func GrantFromWire(w *peer.RenewResponse) grant.Grant {
-	g := grant.Grant{Revision: w.GetRevision(), Digest: w.GetDigest(), Index: w.GetIndex(), WantReports: w.GetWantReports()}
+	g := grant.Grant{Revision: w.GetRevision(), Digest: w.GetDigest(), Index: w.GetIndex(), WantReports: w.GetWantReports(), Version: w.GetVersion(), Entries: w.GetEntries()}
 	if d := w.GetDocument(); d != nil {
 		g.Document = &docs.Delta{Base: d.GetBase(), Prefix: int(d.GetPrefix()), Suffix: int(d.GetSuffix()), Middle: d.GetMiddle()}
 	}
