--- a/internal/edge/admit/admit.go
+++ b/internal/edge/admit/admit.go
@@ -9,7 +9,6 @@
 
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
-	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/edge/queue"
 	"cowslipstack/internal/edge/route"
@@ -107,8 +106,8 @@
 	s.offered.Arrive(now)
 	if s.queue.Len() == 0 {
 		if ticket, ok := s.take(r.Tried, now); ok {
+			s.observe(whose, 0)
 			s.mu.Unlock()
-			hist.Observe(queueSeconds, whose, 0)
 			return ticket, nil
 		}
 	}
@@ -129,16 +128,15 @@
 	}
 	a.signalHungry()
 	verdict = s.wait(ctx, w)
-	hist.Observe(queueSeconds, whose, a.options.Clock.Now().Sub(now))
+	s.mu.Lock()
+	s.observe(whose, a.options.Clock.Now().Sub(now))
+	s.mu.Unlock()
 	if verdict == queue.VerdictAdmitted {
 		return w.ticket, nil
 	}
 	return a.verdict(r, verdict)
 }
 
-// queueSeconds is the name of the histogram of the time in the queue.
-const queueSeconds = "cowslip_queue_seconds"
-
 // wait waits for the end of a request's time in the queue.
 func (s *service) wait(ctx context.Context, w *waiter) queue.Verdict {
 	select {
--- /dev/null
+++ b/internal/edge/admit/admit_test.go
@@ -0,0 +1,208 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/edge/route"
+	"cowslipstack/internal/edge/slots"
+	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
+)
+
+// entries are admissions of one process that reach each other directly.
+type entries map[string]*Admit
+
+func (e entries) Report(ctx context.Context, home string, r slots.Report) (slots.Answer, error) {
+	return e[home].Take(ctx, r)
+}
+
+func (e entries) Wake(ctx context.Context, entry, home string) error {
+	return e[entry].Wake(ctx, home)
+}
+
+type fixedView struct{ view *route.View }
+
+func (v fixedView) View() *route.View { return v.view }
+
+func viewOf(runners, slots, limit int) fixedView {
+	s := route.Service{Settings: docs.Service{Name: "s", QueueLimit: limit, DeadlineMs: 5000}}
+	for i := range runners {
+		s.Endpoints = append(s.Endpoints, fleet.Endpoint{Service: "s", Name: fmt.Sprint(i), VM: fmt.Sprint(i), Slots: slots})
+	}
+	return fixedView{&route.View{Services: map[string]route.Service{"s": s}}}
+}
+
+// start runs admissions until the returned function is called, once all slots are granted.
+func start(t testing.TB, names []string, view fixedView) (entries, func()) {
+	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	all, g := entries{}, tasks.NewGroup(context.Background())
+	for i, name := range names {
+		a := New(Options{
+			Name: name, Entries: names, Incarnation: uint64(i + 1), Loop: loop.New(loop.DefaultCapacity), Clock: clock.System{},
+			Logger: zap.NewNop(), Views: view, Homes: all, Random: rand.IntN, Valid: 3 * time.Second, PerRunner: 8,
+		})
+		all[name] = a
+		g.Start("loop", a.options.Loop.Run)
+	}
+	for _, a := range all {
+		g.Start("run", a.Run)
+		for _, other := range names {
+			if other != a.options.Name {
+				g.Start("link", func(ctx context.Context) error { return a.RunLink(ctx, other) })
+			}
+		}
+	}
+	for _, a := range all {
+		for deadline := time.Now().Add(20 * time.Second); granted(a) == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s got no slots", a.options.Name)
+			}
+		}
+	}
+	return all, func() {
+		if err := g.Stop(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func granted(a *Admit) int {
+	entry, ok := a.table.Load().services["s"]
+	if !ok {
+		return 0
+	}
+	entry.service.mu.Lock()
+	defer entry.service.mu.Unlock()
+	return entry.service.pace().Slots
+}
+
+// TestShared lets callers press on one entry of three, then on all: no runner ever has more than its slots,
+// every request is admitted or refused, and nothing is left behind.
+func TestShared(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	const runners, most = 4, 3
+	all, stop := start(t, []string{"a", "b", "c"}, viewOf(runners, most, 64))
+	var inProgress [runners]atomic.Int64
+	var over, admitted, refused atomic.Int64
+	call := func(a *Admit) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		ticket, err := a.Acquire(ctx, route.Request{Service: "s", Deadline: time.Now().Add(5 * time.Second)})
+		var refusal *route.Refusal
+		if errors.As(err, &refusal) {
+			refused.Add(1)
+			return
+		}
+		admitted.Add(1)
+		var runner int
+		_, err = fmt.Sscan(ticket.Endpoint.Name, &runner)
+		if inProgress[runner].Add(1) > most || err != nil {
+			over.Add(1)
+		}
+		time.Sleep(time.Millisecond)
+		inProgress[runner].Add(-1)
+		a.Release(ticket, route.Result{Outcome: fleet.OutcomeAnswered, Status: 200})
+	}
+	var wait sync.WaitGroup
+	for i, names := range [][]string{{"a"}, {"a", "b", "c"}} {
+		for worker := range 24 {
+			wait.Go(func() {
+				for range 40 * (i + 1) {
+					call(all[names[worker%len(names)]])
+				}
+			})
+		}
+		wait.Wait()
+	}
+	is.Equal(over.Load(), int64(0))                                       // a runner had more than its slots
+	is.Equal(admitted.Load()+refused.Load(), int64(24*40*3))              // a request was lost
+	is.True(admitted.Load() > 24*40)                                      // most requests were admitted
+	is.Equal(len(all["a"].table.Load().services["s"].service.flights), 0) // a ticket was left
+	stop()
+}
+
+// BenchmarkAcquire measures choice, slot and release at the sizes of today and of the plan, from all cores.
+func BenchmarkAcquire(b *testing.B) {
+	for _, runners := range []int{50, 250, 1300} {
+		b.Run(fmt.Sprint(runners), func(b *testing.B) {
+			all, stop := start(b, []string{"a"}, viewOf(runners, 8, 64))
+			defer stop()
+			a, r := all["a"], route.Request{Service: "s", Deadline: time.Now().Add(time.Hour)}
+			b.ReportAllocs()
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					ticket, err := a.Acquire(context.Background(), r)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					a.Release(ticket, route.Result{Outcome: fleet.OutcomeAnswered, Status: 200})
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkView measures the reading of the table through an atomic pointer against one behind a
+// read-write lock, while a writer replaces it 40 times a second.
+func BenchmarkView(b *testing.B) {
+	var pointer atomic.Pointer[route.View]
+	var lock sync.RWMutex
+	view := viewOf(250, 8, 64).view
+	pointer.Store(view)
+	read := map[string]func() *route.View{
+		"pointer": pointer.Load,
+		"lock": func() *route.View {
+			lock.RLock()
+			defer lock.RUnlock()
+			return view
+		},
+	}
+	for _, way := range []string{"pointer", "lock"} {
+		b.Run(way, func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				ticker := time.NewTicker(25 * time.Millisecond)
+				defer ticker.Stop()
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-ticker.C:
+						pointer.Store(&route.View{Services: view.Services})
+						lock.Lock()
+						view = &route.View{Services: view.Services}
+						lock.Unlock()
+					}
+				}
+			}()
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					if len(read[way]().Services["s"].Endpoints) == 0 {
+						b.Error("no endpoints")
+					}
+				}
+			})
+			cancel()
+			<-ended
+		})
+	}
+}
--- a/internal/edge/admit/service.go
+++ b/internal/edge/admit/service.go
@@ -4,8 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/edge/eject"
 	"cowslipstack/internal/edge/queue"
 	"cowslipstack/internal/edge/route"
@@ -40,6 +43,8 @@
 	mistake time.Duration
 	// hold is the longest that a request may be in progress.
 	hold time.Duration
+	// times are the histograms of the time in the queue; the labels are bounded by the document.
+	times map[hist.Labels]*metrics.Histogram
 }
 
 // waiter is a request in the queue.
@@ -58,7 +63,7 @@
 func newService(name string, c clock.Clock, random func(int) int) *service {
 	s := &service{
 		name: name, clock: c, random: random, mean: firstService,
-		queue: queue.New(0), waiters: map[*queue.Item]*waiter{}, flights: map[uint64]*flight{},
+		queue: queue.New(0), waiters: map[*queue.Item]*waiter{}, times: map[hist.Labels]*metrics.Histogram{}, flights: map[uint64]*flight{},
 		pool: eject.Pool{Runners: map[string]*eject.Runner{}, Random: func(n int64) int64 { return int64(random(int(n))) }},
 	}
 	s.gauges()
@@ -157,6 +162,16 @@
 	}
 }
 
+// observe notes a request's time in the queue; mu is held.
+func (s *service) observe(l hist.Labels, waited time.Duration) {
+	h, ok := s.times[l]
+	if !ok {
+		h = metrics.GetOrCreateHistogram(hist.Name("cowslip_queue_seconds", l))
+		s.times[l] = h
+	}
+	h.Update(waited.Seconds())
+}
+
 // undo gives a ticket back that nothing was sent under; mu is held.
 func (s *service) undo(t route.Ticket) {
 	f := s.flights[t.Number]
--- a/internal/edge/eject/eject.go
+++ b/internal/edge/eject/eject.go
@@ -29,15 +29,25 @@
 	Until time.Time
 
 	inRow     int
-	count     int
-	failed    int
-	total     time.Duration
+	seen      tally
 	began     time.Time
 	ejections int
 	probing   bool
 	busy      bool
 }
 
+// tally adds up answers.
+type tally struct {
+	count  int
+	failed int
+	total  time.Duration
+}
+
+// minus takes another tally out.
+func (t tally) minus(o tally) tally {
+	return tally{count: t.count - o.count, failed: t.failed - o.failed, total: t.total - o.total}
+}
+
 // Pool holds the runners of one service; its owner guards it against concurrent use.
 type Pool struct {
 	// Runners are by key.
@@ -46,6 +56,10 @@
 	Size int
 	// Random returns a number from 0 to below n.
 	Random func(n int64) int64
+
+	// all adds up the tallies of the runners.
+	all tally
+	out int
 }
 
 // Usable says whether a runner may get a request: it is in, or its time is up and it has no probe in progress.
@@ -74,15 +88,15 @@
 	if r.probing {
 		return p.probed(r, ok, now)
 	}
-	r.count++
-	r.total += took
+	answer := tally{count: 1, total: took}
+	r.inRow++
 	if ok {
 		r.inRow = 0
 	} else {
-		r.inRow++
-		r.failed++
+		answer.failed = 1
 	}
-	if r.inRow < failuresInRow && !p.outlier(key, r) || p.Out()+1 > p.Size/capPart {
+	p.add(r, answer)
+	if r.inRow < failuresInRow && !p.outlier(r) || p.Out()+1 > p.Size/capPart {
 		return false
 	}
 	p.eject(r, now)
@@ -91,21 +105,31 @@
 
 // Out returns how many runners are out or being tried.
 func (p *Pool) Out() int {
-	out := 0
-	for _, r := range p.Runners {
-		if r.probing {
-			out++
-		}
-	}
-	return out
+	return p.out
+}
+
+func (p *Pool) add(r *Runner, t tally) {
+	r.seen = tally{count: r.seen.count + t.count, failed: r.seen.failed + t.failed, total: r.seen.total + t.total}
+	p.all = tally{count: p.all.count + t.count, failed: p.all.failed + t.failed, total: p.all.total + t.total}
+}
+
+// clear forgets what a runner answered.
+func (p *Pool) clear(r *Runner) {
+	p.all = p.all.minus(r.seen)
+	r.seen = tally{}
 }
 
 // Keep drops runners that are not in use any more.
 func (p *Pool) Keep(keys map[string]bool) {
-	for key := range p.Runners {
-		if !keys[key] {
-			delete(p.Runners, key)
+	for key, r := range p.Runners {
+		if keys[key] {
+			continue
 		}
+		p.clear(r)
+		if r.probing {
+			p.out--
+		}
+		delete(p.Runners, key)
 	}
 	p.Size = len(keys)
 }
@@ -117,7 +141,8 @@
 		p.Runners[key] = r
 	}
 	if now.Sub(r.began) >= window {
-		r.count, r.failed, r.total, r.began = 0, 0, 0, now
+		p.clear(r)
+		r.began = now
 	}
 	return r
 }
@@ -133,34 +158,30 @@
 		p.eject(r, now)
 		return true
 	}
+	p.out--
 	*r = Runner{Until: r.Until, began: now, ejections: r.ejections}
 	return false
 }
 
 // outlier compares a runner with the others over the window.
-func (p *Pool) outlier(key string, r *Runner) bool {
-	if r.count < sampleLeast {
+func (p *Pool) outlier(r *Runner) bool {
+	others := p.all.minus(r.seen)
+	if r.seen.count < sampleLeast || others.count < sampleLeast {
 		return false
 	}
-	count, failed := 0, 0
-	var total time.Duration
-	for other, o := range p.Runners {
-		if other != key && !o.probing {
-			count, failed, total = count+o.count, failed+o.failed, total+o.total
-		}
-	}
-	if count < sampleLeast {
-		return false
-	}
-	worse := float64(r.failed)/float64(r.count)-float64(failed)/float64(count) >= failShare
-	slower := r.total/time.Duration(r.count) >= slowFactor*(total/time.Duration(count))
-	return worse || slower && total > 0
+	worse := float64(r.seen.failed)/float64(r.seen.count)-float64(others.failed)/float64(others.count) >= failShare
+	slower := r.seen.total/time.Duration(r.seen.count) >= slowFactor*(others.total/time.Duration(others.count))
+	return worse || slower && others.total > 0
 }
 
 func (p *Pool) eject(r *Runner, now time.Time) {
 	if !r.Until.IsZero() && now.Sub(r.Until) >= forgiveAfter {
 		r.ejections = 0
 	}
+	p.clear(r)
+	if !r.probing {
+		p.out++
+	}
 	length := min(firstEjection<<min(r.ejections, 8), longestEjection)
 	// Half as much again at random keeps the probes of many runners apart.
 	length += time.Duration(p.Random(int64(length / 2)))
--- /dev/null
+++ b/internal/edge/eject/eject_test.go
@@ -0,0 +1,125 @@
+package eject
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed; a flag on the command line goes before it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func newPool(size int) *Pool {
+	return &Pool{Runners: map[string]*Runner{}, Size: size, Random: func(int64) int64 { return 0 }}
+}
+
+// TestScripts gives runners answers as testdata says, each line one runner: name, count, good or bad, milliseconds.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		p := newPool(0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			ms := 0
+			d.MaybeScanArgs(t, "ms", &ms)
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				var name, result string
+				var count, took int
+				switch d.Cmd {
+				case "new":
+					d.ScanArgs(t, "size", &count)
+					p = newPool(count)
+				case "answers":
+					if _, err := fmt.Sscan(line, &name, &count, &result, &took); err != nil {
+						d.Fatalf(t, "%q: %v", line, err)
+					}
+					for range count {
+						// A runner that is out gets no request, but for a probe that has begun.
+						if r := p.Runners[name]; !p.Usable(name, now) && !r.busy {
+							continue
+						}
+						p.Began(name)
+						if p.Ended(name, result == "good", time.Duration(took)*time.Millisecond, now) {
+							fmt.Fprintf(&out, "%s out until %s\n", name, p.Runners[name].Until.Sub(epoch))
+						}
+					}
+				case "usable":
+					fmt.Fprintf(&out, "%s %t\n", line, p.Usable(line, now))
+				case "began":
+					p.Began(line)
+				}
+			}
+			return out.String() + fmt.Sprintf("out %d\n", p.Out())
+		})
+	})
+}
+
+// TestCap holds that no more than a third of a service's runners are out, whatever they answer, and that a
+// runner that is out has at most one probe at a time.
+func TestCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 12).Draw(t, "size")
+		p, now, probes := newPool(size), epoch, map[string]int{}
+		keys := map[string]bool{}
+		for i := range size {
+			keys[fmt.Sprint(i)] = true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"answers": func(t *rapid.T) {
+				key, ok := fmt.Sprint(rapid.IntRange(0, size-1).Draw(t, "runner")), rapid.Bool().Draw(t, "ok")
+				for range rapid.IntRange(1, 30).Draw(t, "count") {
+					if !p.Usable(key, now) {
+						return
+					}
+					r, known := p.Runners[key]
+					if known && r.probing {
+						if probes[key]++; probes[key] > 1 {
+							t.Fatalf("two probes of a runner that is out")
+						}
+					}
+					p.Began(key)
+					if rapid.Bool().Draw(t, "open") {
+						continue
+					}
+					p.Ended(key, ok, 10*time.Millisecond, now)
+					probes[key] = 0
+				}
+			},
+			"end": func(t *rapid.T) {
+				key := fmt.Sprint(rapid.IntRange(0, size-1).Draw(t, "runner"))
+				p.Unheard(key)
+				probes[key] = 0
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 40_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"keep": func(*rapid.T) { p.Keep(keys) },
+			"": func(t *rapid.T) {
+				out := 0
+				for _, r := range p.Runners {
+					if r.probing {
+						out++
+					}
+				}
+				if out > size/3 || out != p.Out() {
+					t.Fatalf("%d of %d runners are out, counted as %d", out, size, p.Out())
+				}
+			},
+		})
+	})
+}
