Share spare VMs by un-throttled runners, and stand in for the platform

Cause: nothing sized or used the spare. Surges come in turn, so one spare is shared: it is the least that carries the largest shortage of those that surge together, and each failure domain's loss as far as the budgets don't pay for it; waiting for up to half the deadline carries the rest. Spare VMs hold throttled, loaded runners; a full pool is given one without a move.

--- a/internal/ctrl/lead/decide.go
+++ b/internal/ctrl/lead/decide.go
@@ -1,10 +1,10 @@
 package lead
 
 import (
+	"math"
 	"time"
 
 	"cowslipstack/internal/model/docs"
-	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/budget"
 	"cowslipstack/internal/plan/spare"
@@ -24,7 +24,45 @@
 	actions := admit(s)
 	in := WavesInput(s)
 	actions = append(actions, waves.Orphans(in)...)
-	return append(actions, waves.Plan(in)...)
+	actions = append(actions, waves.Plan(in)...)
+	return append(actions, spare.Plan(SpareInput(s, in))...)
+}
+
+// SpareInput returns what the plan of the spare VMs decides from.
+func SpareInput(s Situation, maintenance waves.Input) spare.Input {
+	in := spare.Input{
+		Now: s.Now, VMs: s.VMs, Jobs: s.Jobs, SparePools: map[string]bool{},
+		Weights: s.Environment.Weights, Outage: maintenance.Policy.Outage, Limit: maintenance.Policy.Limit,
+	}
+	due := map[string]int{}
+	if w, ok := waves.Current(s.Waves); ok {
+		for _, v := range s.VMs {
+			if w.Due(v) {
+				due[v.Pool]++
+			}
+		}
+	}
+	deadlines := deadlines(s.Environment)
+	for _, p := range s.Environment.Pools {
+		name := string(p.Name)
+		if p.Spare {
+			in.SparePools[name] = true
+			continue
+		}
+		pool := spare.Pool{Name: name, Size: p.Size, Need: need(s, p, deadlines[name]), Due: due[name], LeftMS: math.MaxInt64}
+		d := s.Demands[name]
+		pool.Mean, pool.DutyMilli, pool.NowMilli = spare.MeanNeed(d), spare.DutyMilli(d), d.NowMilli
+		for i, sv := range s.Environment.Services {
+			if string(sv.Pool) == name {
+				pool.Services = append(pool.Services, string(sv.Name))
+				pool.LeftMS = min(pool.LeftMS, maintenance.Budgets[i].LeftMS())
+			}
+		}
+		if len(pool.Services) > 0 {
+			in.Pools = append(in.Pools, pool)
+		}
+	}
+	return in
 }
 
 // WavesInput returns what the plan of maintenance decides from.
@@ -32,7 +70,7 @@
 	m := s.Environment.Maintenance
 	probation := time.Duration(m.ProbationS) * time.Second
 	in := waves.Input{
-		Now: s.Now, VMs: s.VMs, Waves: s.Waves,
+		Now: s.Now, VMs: s.VMs, Waves: s.Waves, SparePools: map[string]bool{},
 		Policy: waves.Policy{
 			Cycle: time.Duration(m.CycleDays) * day, Limit: m.WaveLimit,
 			Probation: probation, Recent: recentFailure, Outage: rebootTime + probation,
@@ -42,10 +80,13 @@
 	for _, p := range s.Environment.Pools {
 		name := string(p.Name)
 		if p.Spare {
-			in.Spare += active(s.VMs, name)
+			in.SparePools[name] = true
 			continue
 		}
-		in.Pools = append(in.Pools, waves.Pool{Name: name, Need: need(s, p, deadlines[name])})
+		d := s.Demands[name]
+		in.Pools = append(in.Pools, waves.Pool{
+			Name: name, Need: need(s, p, deadlines[name]), Mean: spare.MeanNeed(d), DutyMilli: spare.DutyMilli(d),
+		})
 	}
 	for _, sv := range s.Environment.Services {
 		in.Budgets = append(in.Budgets, budget.Read(budget.FromService(sv), s.Ledgers[string(sv.Name)], s.Now))
@@ -74,16 +115,6 @@
 	return shortest
 }
 
-func active(vms []fleet.VM, pool string) int {
-	count := 0
-	for _, v := range vms {
-		if v.Pool == pool && v.Phase == fleet.PhaseActive {
-			count++
-		}
-	}
-	return count
-}
-
 // admit adds the platform's new VMs to pools: to the one that the platform names, or to the one that lacks most.
 func admit(s Situation) []record.Action {
 	known, counts := map[string]bool{}, map[string]int{}
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -72,6 +72,8 @@
 	environment docs.Environment
 	// seen counts the steps in a row that saw a VM lost or back.
 	seen map[string]int
+	// leases are the leases that the platform was told of in this term.
+	leases map[string]time.Time
 	// samples are the reports that the next ones are compared with.
 	samples samples
 	steps   *metrics.Summary
@@ -115,13 +117,20 @@
 		return err
 	}
 	began := l.options.Clock.Now()
-	actions := append(Decide(s), l.observe(s)...)
+	observed := l.observe(s)
+	for name, d := range l.samples.demands {
+		s.Demands[name] = d
+	}
+	actions := append(Decide(s), observed...)
 	l.steps.Update(l.options.Clock.Now().Sub(began).Seconds())
 	for _, a := range actions {
 		if err := l.submit(ctx, a); err != nil {
 			return err
 		}
 	}
+	if err := l.driveJobs(ctx, s); err != nil {
+		return err
+	}
 	return l.drive(ctx, s)
 }
 
@@ -154,5 +163,5 @@
 
 // forget drops what was seen as the leader; a new term starts anew.
 func (l *Leader) forget() {
-	l.seen, l.samples = map[string]int{}, samples{}
+	l.seen, l.samples, l.leases = map[string]int{}, samples{}, map[string]time.Time{}
 }
--- a/internal/ctrl/state/job.go
+++ b/internal/ctrl/state/job.go
@@ -41,7 +41,7 @@
 
 // applyJob makes a change of one job, or removes many that were cancelled together.
 func (m *Machine) applyJob(c record.JobChange, now time.Time) record.Result {
-	if len(c.Names) == 0 || len(c.Names) > cancelLimit || (len(c.Names) > 1 && c.Step != record.JobCancel) {
+	if len(c.Names) == 0 || len(c.Names) > cancelLimit || (len(c.Names) > 1 && c.Step != record.JobCancel && c.Step != record.JobRenew) {
 		return record.Result{Code: record.CodeInvalid, Message: fmt.Sprintf("%d jobs were named", len(c.Names))}
 	}
 	name := c.Names[0]
@@ -49,6 +49,8 @@
 	switch {
 	case c.Step == record.JobCancel:
 		return m.cancelJobs(c)
+	case len(c.Names) > 1:
+		return m.renewJobs(c)
 	case c.Step == record.JobSubmit:
 		return m.submitJob(c, known, now)
 	case !known:
@@ -120,6 +122,17 @@
 	return record.Result{Code: record.CodeOK, Message: fmt.Sprintf("%d of %d jobs were cancelled", removed, len(c.Names))}
 }
 
+// renewJobs extends the leases of the named jobs that still stand on a worker.
+func (m *Machine) renewJobs(c record.JobChange) record.Result {
+	for _, name := range c.Names {
+		if j, ok := m.state.Jobs[name]; ok && slices.Contains(placedJob, j.Phase) {
+			renewJob(&j, c)
+			m.state.Jobs[name] = j
+		}
+	}
+	return record.Result{Code: record.CodeOK}
+}
+
 func placeJob(j *fleet.Job, c record.JobChange) {
 	j.Phase, j.VM, j.LeaseUntil = fleet.JobRunning, c.VM, c.LeaseUntil
 	j.Attempt++
--- a/internal/model/record/plan.go
+++ b/internal/model/record/plan.go
@@ -118,7 +118,7 @@
 type JobChange struct {
 	// Step is what the change does.
 	Step JobStep
-	// Names are the jobs; more than one only for a cancellation.
+	// Names are the jobs; more than one only for a cancellation and for renewals without a size.
 	Names []string
 	// Attempt is the job's attempt that the change builds on; 0 for any.
 	Attempt uint64
--- a/internal/plan/budget/domain.go
+++ b/internal/plan/budget/domain.go
@@ -53,6 +53,11 @@
 	LevelDataCentre: 5 * time.Minute,
 }
 
+// Outage returns how long the loss of a domain of a level is planned for.
+func Outage(l Level) time.Duration {
+	return outages[l]
+}
+
 // Loss is the costliest loss of one failure domain for a pool.
 type Loss struct {
 	// Domain names the domain; empty where no loss leaves the pool short.
--- a/internal/plan/spare/demand.go
+++ b/internal/plan/spare/demand.go
@@ -28,7 +28,7 @@
 		return fleet.Demand{Pool: d.Pool, MeanMilli: sampleMilli, PeakMilli: sampleMilli, NowMilli: sampleMilli, Updated: now}
 	}
 	step := min(interval, meanWindow)
-	d.MeanMilli += (sampleMilli - d.MeanMilli) * int64(step) / int64(meanWindow)
+	d.MeanMilli += towards(sampleMilli-d.MeanMilli, step)
 	d.PeakMilli = max(sampleMilli, d.PeakMilli-d.PeakMilli*int64(min(interval, peakWindow))/int64(peakWindow))
 	if sampleMilli > surgeFactor*d.MeanMilli {
 		d.RunMS += interval.Milliseconds()
@@ -40,14 +40,27 @@
 	return d
 }
 
-// OfferedMilli returns the load in thousandths of a VM that requests in progress and new in the queue stand for.
+// towards returns the part of a difference that one interval makes up for; it is never rounded to nothing.
+func towards(difference int64, step time.Duration) int64 {
+	part := difference * int64(step) / int64(meanWindow)
+	switch {
+	case part == 0 && difference > 0:
+		return 1
+	case part == 0 && difference < 0:
+		return -1
+	default:
+		return part
+	}
+}
+
+// OfferedMilli returns the load in thousandths of a VM that requests in progress and the change of the queue stand for.
 func OfferedMilli(inProgress, queuedMore, answered int64, slots int64) int64 {
-	load := inProgress
-	if queuedMore > 0 && answered > 0 {
-		// What queues up would be in progress for as long as what was answered.
-		load += inProgress * queuedMore / answered
+	load := inProgress * thousand
+	if answered > 0 {
+		// What queues up would be in progress for as long as what was answered; what is worked off was offered before.
+		load += load * queuedMore / answered
 	}
-	return load * thousand / max(1, slots)
+	return max(0, load/max(1, slots))
 }
 
 // Need returns the VMs that carry a pool's surges with requests waiting for up to half their deadline.
@@ -61,6 +74,16 @@
 	return ceilVMs(max(surge, d.MeanMilli*meanMargin/percent))
 }
 
+// DutyMilli returns the share of time in which a pool surges, in thousandths.
+func DutyMilli(d fleet.Demand) int64 {
+	return min(thousand, d.MeanMilli*thousand/max(1, d.PeakMilli))
+}
+
+// MeanNeed returns the VMs that carry a pool's mean load.
+func MeanNeed(d fleet.Demand) int {
+	return ceilVMs(d.MeanMilli * meanMargin / percent)
+}
+
 func ceilVMs(milli int64) int {
 	return int((milli + thousand - 1) / thousand)
 }
--- a/internal/plan/waves/choose.go
+++ b/internal/plan/waves/choose.go
@@ -84,7 +84,7 @@
 // way is how many rounds a pool still needs, in thousandths.
 func (v *view) way(p *pool) int {
 	const thousand = 1000
-	return thousand * p.due / max(1, p.have+v.Spare-p.Need)
+	return thousand * p.due / max(1, p.have+v.spareFor(p)-p.Need)
 }
 
 // verdict says whether a VM may be taken out now, and by which rule.
@@ -96,7 +96,10 @@
 			Change: "time without a failure there",
 		}, false
 	}
-	spare := v.Spare - v.drawn + p.short(0)
+	if v.SparePools[p.Name] {
+		return v.spareVerdict(w, m)
+	}
+	spare := v.spareFor(p)
 	if p.have-1+spare < p.Need && (!w.Urgent || !v.affordable(p, spare)) {
 		return record.Reason{
 			Inputs: fmt.Sprintf("pool %s: %d active, needs %d, %d spare", p.Name, p.have, p.Need, spare),
@@ -121,6 +124,24 @@
 	}, true
 }
 
+// spareVerdict says whether a spare VM may be taken out: the others must carry what the pools draw.
+func (v *view) spareVerdict(w fleet.Wave, m fleet.VM) (record.Reason, bool) {
+	for _, p := range v.order {
+		if short := p.share().Short(); short > 0 && short > v.drawn.LeftFor(p.share(), v.spare-1) {
+			return record.Reason{
+				Inputs: fmt.Sprintf("pool %s draws on %d spare VMs of %d", p.Name, short, v.spare),
+				Rule:   "the pools keep the spare VMs that they draw on",
+				Change: "less demand or VMs that come back",
+			}, false
+		}
+	}
+	return record.Reason{
+		Inputs: fmt.Sprintf("maintained %s ago; %d spare VMs", v.Now.Sub(m.Maintained).Round(time.Second), v.spare),
+		Rule:   "the spare VM is due in wave " + w.Name,
+		Change: "cowslip wave hold",
+	}, true
+}
+
 // affordable says whether an urgent wave may leave a pool short: half of its need stays, and each budget pays for twice the cost.
 func (v *view) affordable(p *pool, spare int) bool {
 	if 2*(p.have-1+spare) < p.Need {
@@ -137,7 +158,7 @@
 
 // reserve promises the bad time of a pool that an urgent wave leaves short.
 func (v *view) reserve(w fleet.Wave, p *pool) []record.Action {
-	spare := v.Spare - v.drawn + p.short(0)
+	spare := v.spareFor(p)
 	cost := budget.ShortMS(p.Need, p.have-1+spare, v.Policy.Outage)
 	if cost == 0 {
 		return nil
@@ -157,8 +178,11 @@
 
 // remove takes a VM out of the pool's working view.
 func (v *view) remove(p *pool, m fleet.VM) {
-	v.drawn += p.short(1) - p.short(0)
 	p.have--
+	if v.SparePools[p.Name] {
+		v.spare--
+	}
+	v.draw()
 	p.due--
 	p.vms = without(p.vms, m.Name)
 }
--- a/internal/plan/waves/input.go
+++ b/internal/plan/waves/input.go
@@ -13,6 +13,10 @@
 	Name string
 	// Need is the count of VMs that carry the pool's demand.
 	Need int
+	// Mean is the count of VMs that carry the pool's mean load.
+	Mean int
+	// DutyMilli is the share of time in which the pool surges, in thousandths.
+	DutyMilli int64
 }
 
 // Policy is how the environment wants maintenance done.
@@ -41,8 +45,8 @@
 	Pools []Pool
 	// Budgets are the services' budgets without the loss of a domain.
 	Budgets []budget.Status
-	// Spare is the count of spare VMs that can carry any pool's load.
-	Spare int
+	// SparePools are the names of the pools whose VMs can carry any pool's load.
+	SparePools map[string]bool
 	// Policy is how maintenance is to be done.
 	Policy Policy
 }
@@ -57,9 +61,9 @@
 	budgets []budget.Status
 }
 
-// short returns how many spare VMs the pool draws on with n of its active VMs taken out.
-func (p *pool) short(n int) int {
-	return max(0, p.Need-(p.have-n))
+// share is what the pool asks of the spare VMs.
+func (p *pool) share() budget.Share {
+	return budget.Share{Need: p.Need, Mean: p.Mean, Have: p.have, DutyMilli: p.DutyMilli}
 }
 
 // view sorts the input by pool; pools without demand are among them.
@@ -67,14 +71,19 @@
 	Input
 
 	pools map[string]*pool
-	// drawn is how many spare VMs the pools draw on already.
-	drawn int
+	// order is the pools that have a demand.
+	order []*pool
+	// spare counts the active spare VMs.
+	spare int
+	// drawn is what the pools draw on them.
+	drawn budget.Drawn
 }
 
 func newView(in Input) *view {
 	v := &view{Input: in, pools: map[string]*pool{}}
 	for _, p := range in.Pools {
 		v.pools[p.Name] = &pool{Pool: p}
+		v.order = append(v.order, v.pools[p.Name])
 	}
 	for _, m := range in.VMs {
 		p := v.pools[m.Pool]
@@ -85,6 +94,9 @@
 		p.vms = append(p.vms, m)
 		if budget.Counted(m) {
 			p.have++
+			if in.SparePools[m.Pool] {
+				v.spare++
+			}
 		}
 	}
 	for _, s := range in.Budgets {
@@ -92,12 +104,24 @@
 			p.budgets = append(p.budgets, s)
 		}
 	}
-	for _, p := range v.pools {
-		v.drawn += p.short(0)
-	}
+	v.draw()
 	return v
 }
 
+// draw works out again what the pools draw on the spare VMs.
+func (v *view) draw() {
+	shares := make([]budget.Share, 0, len(v.order))
+	for _, p := range v.order {
+		shares = append(shares, p.share())
+	}
+	v.drawn = budget.Draw(shares)
+}
+
+// spareFor returns how many spare VMs a pool can draw on in its surge.
+func (v *view) spareFor(p *pool) int {
+	return v.drawn.LeftFor(p.share(), v.spare)
+}
+
 // outOf says whether a piece of work has a VM out of service.
 func outOf(m fleet.VM, work string) bool {
 	return m.Work == work && m.Phase != fleet.PhaseActive
--- a/internal/plan/waves/plan.go
+++ b/internal/plan/waves/plan.go
@@ -208,7 +208,7 @@
 			}
 		}
 		total += due
-		atOnce := max(1, min(p.have+v.Spare-p.Need, v.Policy.Limit))
+		atOnce := max(1, min(p.have+v.spare-p.Need, v.Policy.Limit))
 		longest = max(longest, rounds(due, atOnce)*v.Policy.Outage)
 	}
 	return max(longest, rounds(total, v.Policy.Limit)*v.Policy.Outage)
