--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -25,8 +25,8 @@
 
 // controlModule holds the parts of the control role.
 var controlModule = fx.Options(
-	fx.Provide(newNode, newKeeper, newReplicaSender, newReplicaService, newControlService, newEnvironmentService),
-	fx.Invoke(startControl),
+	fx.Provide(newNode, newKeeper, newReplicaSender, newReplicaService, newControlService, newEnvironmentService, newFleetService),
+	fx.Invoke(startControl, startLeader),
 )
 
 // ticksPerHeartbeat divides the time between heartbeats into ticks of the log.
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -27,6 +27,7 @@
 	Entry   *serve.Entry   `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
+	Fleet       *serve.Fleet       `optional:"true"`
 }
 
 // peerHandler names the handler of the system's own processes for the container.
@@ -49,6 +50,9 @@
 	if parts.Environment != nil {
 		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
 	}
+	if parts.Fleet != nil {
+		handler.Handle(peer.NewFleetHandler(parts.Fleet, compression))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
@@ -81,6 +85,8 @@
 	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: parts.Control})
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewFleetHandler(&dial.Fleet{Control: parts.Control})
+	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewMembersHandler(parts.Control)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/fakes/command.go
+++ b/internal/app/fakes/command.go
@@ -23,6 +23,7 @@
 // Arguments are the commands of cowslipfake.
 type Arguments struct {
 	Endpoint *EndpointCommand `arg:"subcommand:endpoint" help:"run a fake endpoint"`
+	Platform *PlatformCommand `arg:"subcommand:platform" help:"run a stand-in for the platform, with an endpoint on each of its VMs"`
 }
 
 // EndpointCommand runs one fake endpoint.
@@ -50,10 +51,16 @@
 	} else if err != nil {
 		return fail(out, err, exitUsage)
 	}
-	if a.Endpoint == nil {
+	var run func(context.Context) error
+	switch {
+	case a.Endpoint != nil:
+		run = a.Endpoint.run
+	case a.Platform != nil:
+		run = a.Platform.run
+	default:
 		return fail(out, errors.New("a command is needed; see cowslipfake --help"), exitUsage)
 	}
-	if err := a.Endpoint.run(ctx); err != nil {
+	if err := run(ctx); err != nil {
 		return fail(out, err, exitFailure)
 	}
 	return exitOK
--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -33,6 +33,10 @@
 	Listen string
 	// Entries are the announcement addresses of entries; the first that answers is enough.
 	Entries []string
+	// Works is how long each request takes.
+	Works time.Duration
+	// Hard stops the endpoint as a VM stops: it doesn't leave, and cuts what is in progress.
+	Hard bool
 	// Clock gives the time.
 	Clock clock.Clock
 	// Logger takes the endpoint's events.
@@ -43,6 +47,8 @@
 type Endpoint struct {
 	options EndpointOptions
 	ran     atomic.Int64
+	// inProgress counts the requests that were taken and not answered yet.
+	inProgress atomic.Int64
 }
 
 // NewEndpoint returns an endpoint that does nothing until it is run.
@@ -63,6 +69,12 @@
 	go func() { ended <- server.Serve(listener) }()
 	e.options.Logger.Info("endpoint_started", zap.String("address", e.options.Announcement.Address))
 	e.announceUntil(ctx)
+	if e.options.Hard {
+		e.options.Logger.Info("endpoint_stopped", zap.Int64("cut", e.inProgress.Load()))
+		err := server.Close()
+		<-ended
+		return err
+	}
 	e.options.Announcement.Leaving = true
 	e.announce(context.WithoutCancel(ctx))
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), headerTimeout)
@@ -82,11 +94,22 @@
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.inProgress.Add(1)
+	defer e.inProgress.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	e.ran.Add(1)
+	if e.options.Works > 0 {
+		timer := e.options.Clock.NewTimer(e.options.Works)
+		defer timer.Stop()
+		select {
+		case <-timer.C():
+		case <-r.Context().Done():
+			return
+		}
+	}
 	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
 	answer := fmt.Sprintf("%s %s %s %d bytes\n", e.options.Announcement.Endpoint, r.Method, r.URL.RequestURI(), len(body))
 	if _, err := io.WriteString(w, answer); err != nil {
--- a/internal/app/fakes/platform.go
+++ b/internal/app/fakes/platform.go
@@ -150,6 +150,11 @@
 	case fleet.VerbJoin:
 		v.machine.Pool = o.Pool
 		v.until = now.Add(p.options.Join)
+		if v.machine.Up {
+			// What runs is started again under the new epoch.
+			v.until = now
+			p.tell(v, true)
+		}
 	default:
 	}
 	p.touch(v)
@@ -224,7 +229,7 @@
 
 func (v *platformVM) report() fleet.Machine {
 	m := v.machine
-	m.Tasks = nil
+	m.Tasks, m.Epoch = nil, v.epoch
 	for _, t := range v.tasks {
 		m.Tasks = append(m.Tasks, t.task)
 	}
--- /dev/null
+++ b/internal/app/fakes/platform_command.go
@@ -0,0 +1,175 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/logs"
+	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/edge/enrol"
+	"cowslipstack/internal/model/fleet"
+)
+
+// PlatformCommand runs a stand-in for the platform.
+type PlatformCommand struct {
+	Listen   string        `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	Pools    []string      `arg:"--pool,separate" help:"pool with its count of VMs, as name=count"`
+	Services []string      `arg:"--service,separate" help:"service that each VM of a pool runs, as name=pool"`
+	Entries  []string      `arg:"--entry,separate" help:"announcement address of an entry"`
+	Drain    time.Duration `arg:"--drain" default:"1s" help:"how long a drain takes"`
+	Reboot   time.Duration `arg:"--reboot" default:"5s" help:"how long a reboot takes"`
+	Join     time.Duration `arg:"--join" default:"2s" help:"how long a join takes"`
+	Lag      time.Duration `arg:"--lag" default:"10s" help:"how late use is reported"`
+	Works    time.Duration `arg:"--works" help:"how long each request takes"`
+}
+
+// The shape of the stand-in's fleet.
+const (
+	// rackVMs is how many VMs stand in one rack.
+	rackVMs = 4
+	// dataCentres is how many data centres there are.
+	dataCentres = 3
+	// runnerSlots is how many requests an endpoint works on at a time.
+	runnerSlots = 8
+)
+
+// host runs the endpoints of the stand-in's VMs; only its own goroutine changes it.
+type host struct {
+	command  *PlatformCommand
+	platform *Platform
+	logger   *zap.Logger
+	group    *tasks.Group
+	events   chan hostEvent
+	running  map[string]*tasks.Group
+	// count makes each start's endpoint name new.
+	count int
+}
+
+// hostEvent is a VM that came up or went down.
+type hostEvent struct {
+	vm    string
+	epoch uint64
+	up    bool
+}
+
+// hostEvents is the room for events of VMs.
+const hostEvents = 4096
+
+func (c *PlatformCommand) run(ctx context.Context) error {
+	logger, err := logs.New(logs.Options{})
+	if err != nil {
+		return err
+	}
+	h := &host{command: c, logger: logger, group: tasks.NewGroup(ctx), events: make(chan hostEvent, hostEvents), running: map[string]*tasks.Group{}}
+	h.platform = NewPlatform(PlatformOptions{
+		Clock: clock.System{}, Drain: c.Drain, Reboot: c.Reboot, Join: c.Join, Lag: c.Lag,
+		Started: func(vm string, epoch uint64) { h.events <- hostEvent{vm: vm, epoch: epoch, up: true} },
+		Stopped: func(vm string) { h.events <- hostEvent{vm: vm} },
+	})
+	if err := h.addVMs(); err != nil {
+		return err
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h.platform.Handler(), ReadHeaderTimeout: headerTimeout}
+	h.group.Start("serve", func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	h.group.Start("host", h.run)
+	logger.Info("platform_started", zap.Stringer("address", listener.Addr()))
+	<-ctx.Done()
+	return errors.CombineErrors(server.Close(), h.group.Stop())
+}
+
+func (h *host) addVMs() error {
+	position := 0
+	for _, text := range h.command.Pools {
+		pool, countText, _ := strings.Cut(text, "=")
+		count, err := strconv.Atoi(countText)
+		if err != nil {
+			return errors.Wrapf(err, "--pool %s", text)
+		}
+		for i := range count {
+			rack := position / rackVMs
+			h.platform.Add(fleet.Machine{
+				Name: fmt.Sprintf("%s-%d", pool, i+1), Pool: pool, Size: fleet.Size{Cores: 16, MemoryMB: 64000},
+				Domain: fleet.Domain{DataCentre: fmt.Sprintf("dc-%d", position%dataCentres+1), Switch: "switch-1", Rack: fmt.Sprintf("rack-%d", rack+1)},
+			})
+			position++
+		}
+	}
+	return nil
+}
+
+// run starts and stops endpoints as VMs come and go.
+func (h *host) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			for _, running := range h.running {
+				if err := running.Stop(); err != nil {
+					return err
+				}
+			}
+			return nil
+		case e := <-h.events:
+			if err := h.change(ctx, e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (h *host) change(ctx context.Context, e hostEvent) error {
+	h.logger.Info("vm_changed", zap.String("vm", e.vm), zap.Bool("up", e.up), zap.Uint64("epoch", e.epoch))
+	if running := h.running[e.vm]; running != nil {
+		delete(h.running, e.vm)
+		if err := running.Stop(); err != nil {
+			return err
+		}
+	}
+	m, service := h.find(e.vm)
+	if !e.up || service == "" {
+		return nil
+	}
+	h.count++
+	endpoint := NewEndpoint(EndpointOptions{
+		Announcement: enrol.Announcement{
+			Service: service, Endpoint: fmt.Sprintf("%s-%d", m.Name, h.count), VM: m.Name, Epoch: max(e.epoch, 1),
+			Slots: runnerSlots, DataCentre: m.Domain.DataCentre, Rack: m.Domain.Rack,
+		},
+		Listen: "127.0.0.1:0", Entries: h.command.Entries, Works: h.command.Works, Hard: true, Clock: clock.System{}, Logger: h.logger.With(zap.String("vm", m.Name)),
+	})
+	running := tasks.NewGroup(ctx)
+	running.Start("endpoint", endpoint.Run)
+	h.running[e.vm] = running
+	return nil
+}
+
+// find returns a VM and the service that its pool runs.
+func (h *host) find(vm string) (fleet.Machine, string) {
+	machines, _ := h.platform.since(0)
+	for _, m := range machines {
+		for _, text := range h.command.Services {
+			if service, pool, _ := strings.Cut(text, "="); m.Name == vm && m.Pool == pool {
+				return m, service
+			}
+		}
+	}
+	return fleet.Machine{}, ""
+}
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -15,6 +15,7 @@
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/lead"
+	"cowslipstack/internal/ctrl/lease"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
@@ -25,9 +26,6 @@
 // start is when each scenario begins.
 var start = time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC)
 
-// tick is the time between planning steps of a scenario.
-const tick = 500 * time.Millisecond
-
 // service is the load of one service, worked out as a fluid in thousandths of a VM.
 type service struct {
 	docs.Service
@@ -51,20 +49,23 @@
 	index       uint64
 	commands    int
 	refused     int
+	moves       int
 	heldSum     int
 	heldMost    int
 	ticks       int
 	// surge is how long one service surges before the next.
 	surge time.Duration
+	// tick is the time between planning steps.
+	tick time.Duration
 }
 
 func newScenario(t testing.TB, e docs.Environment, text []byte, racks int, truth func(job, vm string) fakes.Truth) *scenario {
 	check.SetHandler(func(name string, fields []zap.Field) { t.Fatalf("invariant %s breached: %v", name, fields) })
-	s := &scenario{clock: clock.NewManual(start), machine: state.NewMachine(), environment: e, surge: 10 * time.Second}
+	s := &scenario{clock: clock.NewManual(start), machine: state.NewMachine(), environment: e, surge: 10 * time.Second, tick: 500 * time.Millisecond}
 	s.platform = fakes.NewPlatform(fakes.PlatformOptions{
 		Clock: s.clock, Drain: 20 * time.Second, Reboot: 100 * time.Second, Join: 20 * time.Second, Lag: 30 * time.Second, Truth: truth,
 	})
-	s.leader = lead.New(lead.Options{Node: s, Entries: s, Platform: s.platform, Clock: s.clock, Logger: zap.NewNop()})
+	s.restart()
 	position := 0
 	for i := range 10000 {
 		added := false
@@ -100,6 +101,8 @@
 	result := s.machine.Apply(s.index, c)
 	if result.Code != record.CodeOK {
 		s.refused++
+	} else if c.VM != nil && c.VM.Step == record.VMMove {
+		s.moves++
 	}
 	return result, nil
 }
@@ -113,19 +116,24 @@
 
 func (s *scenario) Drained(string, uint64) bool { return true }
 
-func (s *scenario) Reports() []fleet.Report {
-	reports := make([]fleet.Report, 0, len(s.services))
+// restart puts a new leader in the old one's place, as a change of leader does.
+func (s *scenario) restart() {
+	s.leader = lead.New(lead.Options{Node: s, Entries: s, Platform: s.platform, Clock: s.clock, Logger: zap.NewNop()})
+}
+
+func (s *scenario) Reports() []lease.EntryReport {
+	reports := map[string]fleet.Report{}
 	for _, sv := range s.services {
-		reports = append(reports, sv.report)
+		reports[string(sv.Name)] = sv.report
 	}
-	return reports
+	return []lease.EntryReport{{Entry: "entry", Started: 1, Reports: reports}}
 }
 
 // run lets time pass, with loads and plans, until done says so or the time is over; it returns how long it took.
 func (s *scenario) run(t testing.TB, limit time.Duration, done func() bool) time.Duration {
 	began := s.clock.Now()
 	for s.clock.Now().Sub(began) < limit {
-		s.clock.Advance(tick)
+		s.clock.Advance(s.tick)
 		s.load(t)
 		if err := s.leader.Step(context.Background()); err != nil {
 			t.Fatal(err)
@@ -147,17 +155,17 @@
 			offered = sv.meanMilli * 5
 		}
 		have := capacity[string(sv.Name)]
-		arrived := offered * tick.Milliseconds() / 1000
+		arrived := offered * s.tick.Milliseconds() / 1000
 		sv.backlog += arrived
-		served := min(sv.backlog, have*tick.Milliseconds()/1000)
+		served := min(sv.backlog, have*s.tick.Milliseconds()/1000)
 		sv.backlog -= served
 		late := max(0, sv.backlog-have*int64(sv.DeadlineMs)/1000)
 		sv.backlog -= late
-		sv.bad += tick * time.Duration(late) / time.Duration(max(1, arrived+late))
+		sv.bad += s.tick * time.Duration(late) / time.Duration(max(1, arrived+late))
 		sv.answered += served * 8
 		sv.notRun += late * 8
 		sv.report.Answered, sv.report.NotRun = uint64(sv.answered/1000), uint64(sv.notRun/1000)
-		sv.report.InProgress = int(served * 8 / tick.Milliseconds())
+		sv.report.InProgress = int(served * 8 / s.tick.Milliseconds())
 		sv.report.Queued = int(sv.backlog * 8 / 1000)
 	}
 	held := map[string]bool{}
@@ -198,17 +206,6 @@
 	return capacity
 }
 
-// moves counts the changes of pools, which each raise an epoch of a VM that was never repaired.
-func (s *scenario) moves() int {
-	moves := 0
-	for _, v := range s.machine.State().VMs {
-		if v.Failed.IsZero() {
-			moves += int(v.Epoch) - 1
-		}
-	}
-	return moves
-}
-
 // broken names the services whose bad time is more than their budget.
 func (s *scenario) broken() []string {
 	var names []string
--- /dev/null
+++ b/internal/app/opcli/fleet.go
@@ -0,0 +1,81 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/peer"
+)
+
+// ChangeFlags are the flags of every change of the fleet.
+type ChangeFlags struct {
+	DryRun  bool   `arg:"--dry-run" help:"say what would come of it, and change nothing"`
+	Force   bool   `arg:"--force" help:"make the change even where a pool would be left short"`
+	Request string `arg:"--request" help:"request identity; a resend under the same one gets the first result"`
+}
+
+// change makes an operator's change of the fleet and tells what came of it.
+func (c *call) change(ctx context.Context, f ChangeFlags, command record.Command, done string) error {
+	command.RequestID = f.Request
+	if command.RequestID == "" {
+		command.RequestID = uuid.NewString()
+	}
+	response, err := c.fleet.Change(ctx, connect.NewRequest(&peer.ChangeRequest{
+		Command: codec.CommandToWire(command), DryRun: f.DryRun, Force: f.Force,
+	}))
+	if err != nil {
+		return errors.Wrap(err, "change")
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(response.Msg)
+	}
+	message := response.Msg.GetMessage()
+	if message == "" {
+		message = done
+	}
+	_, err = fmt.Fprintln(c.out, message)
+	return err
+}
+
+// fleetState returns the state that the plans work on.
+func (c *call) fleetState(ctx context.Context) (*peer.ShowResponse, error) {
+	response, err := c.fleet.Show(ctx, connect.NewRequest(&peer.ShowRequest{}))
+	if err != nil {
+		return nil, errors.Wrap(err, "show")
+	}
+	return response.Msg, nil
+}
+
+// table writes rows below a heading.
+func (c *call) table(write func(*tabwriter.Writer)) error {
+	w := tabwriter.NewWriter(c.out, 0, 0, tabPadding, ' ', 0)
+	write(w)
+	return errors.Wrap(w.Flush(), "write table")
+}
+
+// ExplainCommand tells the inputs and the rule of a decision.
+type ExplainCommand struct {
+	Kind string `arg:"positional,required" help:"vm, job, wave or spare"`
+	Name string `arg:"positional" help:"the name; none for spare"`
+}
+
+func (e *ExplainCommand) run(ctx context.Context, c *call) error {
+	response, err := c.fleet.Explain(ctx, connect.NewRequest(&peer.ExplainRequest{Kind: e.Kind, Name: e.Name}))
+	if err != nil {
+		return errors.Wrap(err, "explain")
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(response.Msg)
+	}
+	return c.table(func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "decision\t%s\ninputs\t%s\nrule\t%s\nwhat would change it\t%s\n",
+			response.Msg.GetSubject(), response.Msg.GetInputs(), response.Msg.GetRule(), response.Msg.GetChange())
+	})
+}
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -35,6 +35,11 @@
 	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
 	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
 	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
+	VM        *VMCommand        `arg:"subcommand:vm" help:"list, drain, move and return VMs"`
+	Pool      *PoolCommand      `arg:"subcommand:pool" help:"list pools with their demand and budgets"`
+	Wave      *WaveCommand      `arg:"subcommand:wave" help:"start, hold, resume and cancel waves of maintenance"`
+	Job       *JobCommand       `arg:"subcommand:job" help:"list, submit, hold, release and cancel jobs"`
+	Explain   *ExplainCommand   `arg:"subcommand:explain" help:"tell the inputs and the rule of a decision"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
 	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
 	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
@@ -64,6 +69,7 @@
 	arguments   Arguments
 	client      peer.OperatorClient
 	environment peer.EnvironmentClient
+	fleet       peer.FleetClient
 	out         io.Writer
 }
 
@@ -91,6 +97,7 @@
 		arguments:   a,
 		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
 		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		fleet:       peer.NewFleetClient(client, "http://"+a.Address, retry),
 		out:         t.Out,
 	}
 	if err := c.run(ctx); err != nil {
@@ -120,6 +127,16 @@
 		return c.status(ctx)
 	case c.arguments.Watch != nil:
 		return c.arguments.Watch.run(ctx, c)
+	case c.arguments.VM != nil:
+		return c.arguments.VM.run(ctx, c)
+	case c.arguments.Pool != nil:
+		return c.arguments.Pool.run(ctx, c)
+	case c.arguments.Wave != nil:
+		return c.arguments.Wave.run(ctx, c)
+	case c.arguments.Job != nil:
+		return c.arguments.Job.run(ctx, c)
+	case c.arguments.Explain != nil:
+		return c.arguments.Explain.run(ctx, c)
 	case c.arguments.Version != nil:
 		return c.version()
 	case c.arguments.Reference != nil:
--- /dev/null
+++ b/internal/app/opcli/vm.go
@@ -0,0 +1,122 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+// VMCommand works on VMs.
+type VMCommand struct {
+	List   *VMListCommand   `arg:"subcommand:list" help:"list VMs with their pool and phase"`
+	Drain  *VMDrainCommand  `arg:"subcommand:drain" help:"take a VM out of service without cutting a request"`
+	Return *VMReturnCommand `arg:"subcommand:return" help:"bring a drained VM back"`
+	Move   *VMMoveCommand   `arg:"subcommand:move" help:"drain a VM and give it to another pool"`
+}
+
+// VMListCommand lists VMs.
+type VMListCommand struct {
+	Pool string `arg:"--pool" help:"list this pool only"`
+}
+
+// VMDrainCommand drains a VM.
+type VMDrainCommand struct {
+	Name    string `arg:"positional,required" help:"the VM"`
+	Reboot  bool   `arg:"--reboot" help:"reboot the VM and bring it back"`
+	Cause   string `arg:"--cause" default:"an operator asked for it" help:"why, for the others"`
+	Version uint64 `arg:"--version" help:"VM's version that the change builds on; default: the present one"`
+	ChangeFlags
+}
+
+// VMReturnCommand brings a VM back.
+type VMReturnCommand struct {
+	Name string `arg:"positional,required" help:"the VM"`
+	ChangeFlags
+}
+
+// VMMoveCommand moves a VM.
+type VMMoveCommand struct {
+	Name string `arg:"positional,required" help:"the VM"`
+	Pool string `arg:"positional,required" help:"the pool that gets it"`
+	ChangeFlags
+}
+
+func (v *VMCommand) run(ctx context.Context, c *call) error {
+	switch {
+	case v.List != nil:
+		return v.List.run(ctx, c)
+	case v.Drain != nil:
+		work := fleet.WorkOperator
+		if v.Drain.Reboot {
+			work = fleet.WorkReboot
+		}
+		return c.change(ctx, v.Drain.ChangeFlags, record.Command{VM: &record.VMChange{
+			Step: record.VMDrain, VM: v.Drain.Name, Version: v.Drain.Version, Work: work, Cause: v.Drain.Cause,
+		}}, "draining "+v.Drain.Name)
+	case v.Return != nil:
+		return c.change(ctx, v.Return.ChangeFlags, record.Command{VM: &record.VMChange{
+			Step: record.VMReturn, VM: v.Return.Name, Cause: "an operator returned it",
+		}}, "returning "+v.Return.Name)
+	case v.Move != nil:
+		return c.change(ctx, v.Move.ChangeFlags, record.Command{VM: &record.VMChange{
+			Step: record.VMDrain, VM: v.Move.Name, Pool: v.Move.Pool, Work: "operator-move", Cause: "an operator moves it",
+		}}, "draining "+v.Move.Name+" for pool "+v.Move.Pool)
+	default:
+		return &usageError{err: errors.New("vm needs a command; see cowslip vm --help")}
+	}
+}
+
+func (v *VMListCommand) run(ctx context.Context, c *call) error {
+	shown, err := c.fleetState(ctx)
+	if err != nil {
+		return err
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(shown)
+	}
+	return c.table(func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "VM\tPOOL\tPHASE\tTARGET\tWORK\tEPOCH\tVERSION\tDATA CENTRE\tRACK\tCAUSE")
+		for _, m := range shown.GetVms() {
+			if v.Pool != "" && v.Pool != m.GetPool() {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", m.GetName(), m.GetPool(), fleet.Phase(m.GetPhase()), m.GetTarget(),
+				m.GetWork(), m.GetEpoch(), m.GetVersion(), m.GetDataCentre(), m.GetRack(), m.GetCause())
+		}
+	})
+}
+
+// PoolCommand works on pools.
+type PoolCommand struct {
+	List *struct{} `arg:"subcommand:list" help:"list pools with their demand and budgets"`
+}
+
+func (p *PoolCommand) run(ctx context.Context, c *call) error {
+	shown, err := c.fleetState(ctx)
+	if err != nil {
+		return err
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(shown)
+	}
+	return c.table(func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "POOL\tSPARE\tSIZE\tACTIVE\tNEED\tMEAN\tPEAK")
+		for _, s := range shown.GetPools() {
+			fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%.2f\t%.2f\n", s.GetName(), s.GetSpare(), s.GetSize(), s.GetActive(),
+				s.GetNeed(), float64(s.GetMeanMilli())/thousand, float64(s.GetPeakMilli())/thousand)
+		}
+		fmt.Fprintln(w, "\nSERVICE\tPOOL\tALLOWED\tSEEN\tRESERVED\tLEFT")
+		for _, b := range shown.GetBudgets() {
+			fmt.Fprintf(w, "%s\t%s\t%d s\t%d s\t%d s\t%d s\n", b.GetService(), b.GetPool(), b.GetAllowedMs()/thousand,
+				b.GetSeenMs()/thousand, b.GetReservedMs()/thousand, b.GetLeftMs()/thousand)
+		}
+	})
+}
+
+// thousand turns milliseconds into seconds and thousandths of a VM into VMs.
+const thousand = 1000
--- /dev/null
+++ b/internal/app/opcli/wave.go
@@ -0,0 +1,79 @@
+package opcli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+)
+
+// WaveCommand works on waves of maintenance.
+type WaveCommand struct {
+	Start  *WaveStartCommand `arg:"subcommand:start" help:"start a wave over all VMs, a pool or a data centre"`
+	Hold   *WaveStepCommand  `arg:"subcommand:hold" help:"take no further VM out; what was begun to drain returns"`
+	Resume *WaveStepCommand  `arg:"subcommand:resume" help:"go on with a wave that was held or has stopped itself"`
+	Cancel *WaveStepCommand  `arg:"subcommand:cancel" help:"end a wave early"`
+	Status *struct{}         `arg:"subcommand:status" help:"show the waves, the latest last"`
+}
+
+// WaveStartCommand starts a wave.
+type WaveStartCommand struct {
+	Name       string `arg:"positional,required" help:"the wave's name"`
+	Urgent     bool   `arg:"--urgent" help:"go before the regular wave, and spend budget where a pool has no VM to spare"`
+	Pool       string `arg:"--pool" help:"this pool only"`
+	DataCentre string `arg:"--data-centre" help:"this data centre only"`
+	ChangeFlags
+}
+
+// WaveStepCommand holds, resumes or cancels a wave.
+type WaveStepCommand struct {
+	Name string `arg:"positional" help:"the wave; default: the one that goes first"`
+	ChangeFlags
+}
+
+func (v *WaveCommand) run(ctx context.Context, c *call) error {
+	switch {
+	case v.Start != nil:
+		return c.change(ctx, v.Start.ChangeFlags, record.Command{Wave: &record.WaveChange{
+			Step: record.WaveStart, Wave: v.Start.Name, Urgent: v.Start.Urgent, Pool: v.Start.Pool,
+			DataCentre: v.Start.DataCentre, Cause: "an operator started it",
+		}}, "started "+v.Start.Name)
+	case v.Hold != nil:
+		return v.Hold.run(ctx, c, record.WaveHold)
+	case v.Resume != nil:
+		return v.Resume.run(ctx, c, record.WaveResume)
+	case v.Cancel != nil:
+		return v.Cancel.run(ctx, c, record.WaveCancel)
+	case v.Status != nil:
+		return c.waves(ctx)
+	default:
+		return &usageError{err: errors.New("wave needs a command; see cowslip wave --help")}
+	}
+}
+
+func (v *WaveStepCommand) run(ctx context.Context, c *call, step record.WaveStep) error {
+	return c.change(ctx, v.ChangeFlags, record.Command{Wave: &record.WaveChange{
+		Step: step, Wave: v.Name, Cause: "an operator asked for it",
+	}}, step.String()+" "+v.Name)
+}
+
+func (c *call) waves(ctx context.Context) error {
+	shown, err := c.fleetState(ctx)
+	if err != nil {
+		return err
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(shown)
+	}
+	return c.table(func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "WAVE\tURGENT\tPHASE\tRETURNED\tPROVEN\tFAILED\tCAUSE")
+		for _, v := range shown.GetWaves() {
+			fmt.Fprintf(w, "%s\t%t\t%s\t%d\t%d\t%d\t%s\n", v.GetName(), v.GetUrgent(), fleet.WavePhase(v.GetPhase()),
+				v.GetReturned(), v.GetProven(), v.GetFailed(), v.GetCause())
+		}
+	})
+}
--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -56,6 +56,9 @@
 			"expand":       expand,
 			"certificates": certificates,
 			"listening":    listening,
+			"until":        until,
+			"load":         load,
+			"unload":       unload,
 		},
 	})
 }
--- a/internal/ctrl/lead/drive.go
+++ b/internal/ctrl/lead/drive.go
@@ -14,8 +14,9 @@
 	"cowslipstack/internal/model/record"
 )
 
-// drainGrace is the time from a drain to when all entries have seen it or have lost their lease.
-const drainGrace = 4 * time.Second
+// drainGrace is the least time from a drain to a stop: a drain that is cancelled and made again within one
+// look of the keeper at the state is then not taken for the first one.
+const drainGrace = time.Second
 
 // drive takes each VM one step towards the state; what fails is tried again in the next step.
 func (l *Leader) drive(ctx context.Context, s Situation) error {
@@ -42,8 +43,8 @@
 	case fleet.PhaseStopped:
 		return l.driveStopped(ctx, v)
 	case fleet.PhaseActive, fleet.PhaseProbation:
-		if machine.Draining {
-			_, err := l.operate(ctx, v, fleet.VerbActivate)
+		if verb, ok := behind(v, machine); ok {
+			_, err := l.operate(ctx, v, verb)
 			return err
 		}
 	default:
@@ -51,6 +52,19 @@
 	return nil
 }
 
+// behind returns the operation that a running VM lacks: to be given its epoch, without which its endpoints
+// are fenced off, or to end a drain.
+func behind(v fleet.VM, m fleet.Machine) (fleet.Verb, bool) {
+	switch {
+	case max(m.Epoch, 1) < v.Epoch:
+		return fleet.VerbJoin, true
+	case m.Draining:
+		return fleet.VerbActivate, true
+	default:
+		return 0, false
+	}
+}
+
 // driveHealth records the loss of a VM, and the return of a lost one, once seen in steps that follow one another.
 func (l *Leader) driveHealth(ctx context.Context, v fleet.VM, m fleet.Machine, known bool) (bool, error) {
 	up := known && m.Up
--- a/internal/ctrl/lead/jobs.go
+++ b/internal/ctrl/lead/jobs.go
@@ -145,3 +145,16 @@
 	}
 	return JobLease
 }
+
+// ExplainJob returns why a job is in its phase.
+func ExplainJob(s Situation, name string) (record.Reason, bool) {
+	for _, j := range s.Jobs {
+		if j.Name == name {
+			return record.Reason{
+				Inputs: fmt.Sprintf("%s since %s on %q, attempt %d, declared %+v, in use %+v", j.Phase, j.Since.Format("15:04:05"), j.VM, j.Attempt, j.Declared, j.Used),
+				Rule:   j.Cause, Change: "capacity, the team's quota, or cowslip job release",
+			}, true
+		}
+	}
+	return record.Reason{}, false
+}
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/lease"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
@@ -40,7 +41,7 @@
 	// Drained says whether no entry has, or can still start, a request on a VM.
 	Drained(vm string, epoch uint64) bool
 	// Reports returns what each entry saw of each service.
-	Reports() []fleet.Report
+	Reports() []lease.EntryReport
 }
 
 // Platform runs the VMs.
@@ -96,7 +97,7 @@
 			return nil
 		case <-ticker.C():
 			if err := l.Step(ctx); err != nil && ctx.Err() == nil {
-				l.options.Logger.Warn("plan_step_failed", zap.Error(err))
+				l.options.Logger.Warn("plan_step_failed", zap.String("error", err.Error()))
 			}
 		}
 	}
@@ -140,8 +141,6 @@
 	if err := l.options.Node.View(ctx, func(st *state.State) { take(st, &c) }); err != nil {
 		return Situation{}, errors.Wrap(err, "read the state")
 	}
-	c.s.Now = l.options.Clock.Now()
-	c.s.sorted()
 	if c.revision != l.revision {
 		environment, err := docs.Parse("document in force", c.text)
 		if err != nil {
@@ -149,16 +148,16 @@
 		}
 		l.environment, l.revision = environment, c.revision
 	}
-	c.s.Environment = l.environment
+	s := c.situation(l.options.Clock.Now(), l.environment)
 	machines, err := l.options.Platform.Machines(ctx)
 	if err != nil {
 		return Situation{}, errors.Wrap(err, "read the platform's VMs")
 	}
-	c.s.Machines = make(map[string]fleet.Machine, len(machines))
+	s.Machines = make(map[string]fleet.Machine, len(machines))
 	for _, m := range machines {
-		c.s.Machines[m.Name] = m
+		s.Machines[m.Name] = m
 	}
-	return c.s, nil
+	return s, nil
 }
 
 // forget drops what was seen as the leader; a new term starts anew.
--- a/internal/ctrl/lead/observe.go
+++ b/internal/ctrl/lead/observe.go
@@ -1,8 +1,10 @@
 package lead
 
 import (
+	"maps"
 	"time"
 
+	"cowslipstack/internal/ctrl/lease"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/budget"
@@ -26,6 +28,10 @@
 
 // samples are what the next reports are compared with.
 type samples struct {
+	// entries are the last counts of each run of an entry.
+	entries map[entryRun]map[string]fleet.Report
+	// sum adds up what all entries counted in this term; it only rises.
+	sum     totals
 	at      time.Time
 	last    totals
 	counted time.Time
@@ -35,15 +41,17 @@
 
 // observe learns the pools' demands and counts the services' bad time.
 func (l *Leader) observe(s Situation) []record.Action {
-	now, sum := s.Now, add(l.options.Entries.Reports())
-	p := &l.samples
+	now, p := s.Now, &l.samples
 	if p.at.IsZero() {
-		*p = samples{at: now, last: sum, counted: now, base: sum, demands: map[string]fleet.Demand{}}
+		*p = samples{entries: map[entryRun]map[string]fleet.Report{}, sum: totals{}, demands: map[string]fleet.Demand{}}
+		p.add(l.options.Entries.Reports())
+		p.at, p.counted, p.last, p.base = now, now, maps.Clone(p.sum), maps.Clone(p.sum)
 		for pool, d := range s.Demands {
 			p.demands[pool] = d
 		}
 		return nil
 	}
+	sum := p.add(l.options.Entries.Reports())
 	actions := p.learn(s, sum)
 	p.at, p.last = now, sum
 	if now.Sub(p.counted) < countEvery {
@@ -98,19 +106,34 @@
 	return actions
 }
 
-// add adds the reports of all entries up by service.
-func add(reports []fleet.Report) totals {
-	sum := totals{}
-	for _, r := range reports {
-		t := sum[r.Service]
-		t.Service = r.Service
-		t.Answered += r.Answered
-		t.NotRun += r.NotRun
-		t.Unknown += r.Unknown
-		t.InProgress += r.InProgress
-		t.Queued += r.Queued
-		sum[r.Service] = t
+// entryRun is one run of one entry; its counts begin at 0.
+type entryRun struct {
+	entry   string
+	started uint64
+}
+
+// add adds what the entries counted since the last time, and returns the sums by service.
+func (p *samples) add(reports []lease.EntryReport) totals {
+	sum := maps.Clone(p.sum)
+	for name, t := range sum {
+		t.InProgress, t.Queued = 0, 0
+		sum[name] = t
+	}
+	for _, e := range reports {
+		run := entryRun{e.Entry, e.Started}
+		for name, r := range e.Reports {
+			before, t := p.entries[run][name], sum[name]
+			t.Service = name
+			t.Answered += r.Answered - before.Answered
+			t.NotRun += r.NotRun - before.NotRun
+			t.Unknown += r.Unknown - before.Unknown
+			t.InProgress += r.InProgress
+			t.Queued += r.Queued
+			sum[name] = t
+		}
+		p.entries[run] = e.Reports
 	}
+	p.sum = sum
 	return sum
 }
 
--- a/internal/ctrl/lead/situation.go
+++ b/internal/ctrl/lead/situation.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -58,6 +59,29 @@
 	}
 }
 
+// situation returns what one step decides from.
+func (c *copied) situation(now time.Time, e docs.Environment) Situation {
+	c.s.Now, c.s.Environment = now, e
+	c.s.sorted()
+	return c.s
+}
+
+// Read returns the situation without the platform's VMs, confirmed by a quorum, for those who only look.
+func Read(ctx context.Context, n Node, now time.Time) (Situation, error) {
+	if err := n.Confirm(ctx); err != nil {
+		return Situation{}, err
+	}
+	var c copied
+	if err := n.View(ctx, func(st *state.State) { take(st, &c) }); err != nil {
+		return Situation{}, err
+	}
+	if c.revision == 0 {
+		return c.situation(now, docs.Environment{}), nil
+	}
+	environment, err := docs.Parse("document in force", c.text)
+	return c.situation(now, environment), err
+}
+
 // sorted puts VMs and jobs in the order of their names, so that a step doesn't depend on the order of a map.
 func (s *Situation) sorted() {
 	slices.SortFunc(s.VMs, func(a, b fleet.VM) int { return compare(a.Name, b.Name) })
--- a/internal/ctrl/state/vm.go
+++ b/internal/ctrl/state/vm.go
@@ -103,8 +103,10 @@
 	}
 }
 
+// stopVM fences off what ran on the VM: its endpoints may be announced for a while after they are gone.
 func stopVM(v *fleet.VM, _ record.VMChange, _ time.Time) {
 	v.Phase = fleet.PhaseStopped
+	v.Epoch++
 }
 
 // moveVM fences the old pool off: what carries the old epoch is refused from here on.
--- a/internal/ctrl/state/wave.go
+++ b/internal/ctrl/state/wave.go
@@ -47,7 +47,7 @@
 	if !slices.Contains(step.from, w.Phase) {
 		return record.Result{Code: record.CodeConflict, Message: fmt.Sprintf("wave %q is %s; %s needs one of %v", w.Name, w.Phase, c.Step, step.from)}
 	}
-	if c.Step == record.WaveResume {
+	if c.Step == record.WaveResume && w.Phase == fleet.WaveStopped {
 		// An operator who resumes a stopped wave has looked at its failures.
 		w.Failed, w.Proven, w.Returned = 0, 0, 0
 	}
--- a/internal/model/fleet/platform.go
+++ b/internal/model/fleet/platform.go
@@ -16,6 +16,8 @@
 	Up bool
 	// Draining says whether the platform starts no new work on the VM.
 	Draining bool
+	// Epoch is the VM's epoch that the platform was told last; 0 for none.
+	Epoch uint64
 	// Tasks are the jobs that the VM runs or has just ended.
 	Tasks []Task
 }
--- a/internal/model/fleet/vm.go
+++ b/internal/model/fleet/vm.go
@@ -44,7 +44,7 @@
 	Name string
 	// Pool is the one pool that the VM belongs to.
 	Pool string
-	// Epoch rises with each change of pool and each repair; what carries an older one is fenced off.
+	// Epoch rises with each stop, change of pool and repair; what carries an older one is fenced off.
 	Epoch uint64
 	// Version rises with each change of the VM; a change that builds on an older one is refused.
 	Version uint64
--- a/internal/plan/waves/choose.go
+++ b/internal/plan/waves/choose.go
@@ -253,3 +253,33 @@
 	reason, _ := v.verdict(w, v.pools[m.Pool], m, v.recentDomains(), v.takenDomains(w))
 	return reason, true
 }
+
+// Short returns why a pool would be left short without a VM; it is empty where the VM can be spared.
+func Short(in Input, name string) string {
+	v := newView(in)
+	for _, m := range in.VMs {
+		if m.Name != name || m.Phase != fleet.PhaseActive {
+			continue
+		}
+		if reason, ok := v.verdict(fleet.Wave{}, v.pools[m.Pool], m, domains{}, domains{}); !ok {
+			return reason.String()
+		}
+	}
+	return ""
+}
+
+// Forecast says before a wave starts how long it takes at the least, and which pools it can't touch now.
+func Forecast(in Input, w fleet.Wave) string {
+	v := newView(in)
+	_, due := v.progress(w)
+	text := fmt.Sprintf("%d VMs due, %s at the least", due, Bound(in, w))
+	told := map[string]bool{}
+	recent, taken := v.recentDomains(), v.takenDomains(w)
+	for _, m := range v.candidates(w) {
+		if reason, ok := v.verdict(w, v.pools[m.Pool], m, recent, taken); !ok && !told[reason.Inputs] {
+			told[reason.Inputs] = true
+			text += "; waits: " + reason.String()
+		}
+	}
+	return text
+}
--- a/internal/wire/codec/platform.go
+++ b/internal/wire/codec/platform.go
@@ -31,7 +31,7 @@
 func MachineToWire(m fleet.Machine) *peer.PlatformVm {
 	w := &peer.PlatformVm{
 		Name: m.Name, Pool: m.Pool, DataCentre: m.Domain.DataCentre, Switch: m.Domain.Switch, Rack: m.Domain.Rack,
-		Size: SizeToWire(m.Size), Up: m.Up, Draining: m.Draining,
+		Size: SizeToWire(m.Size), Up: m.Up, Draining: m.Draining, Epoch: m.Epoch,
 	}
 	for _, t := range m.Tasks {
 		w.Tasks = append(w.Tasks, &peer.PlatformTask{Job: t.Job, Attempt: t.Attempt, State: t.State.String(), Used: SizeToWire(t.Used)})
@@ -42,7 +42,7 @@
 // MachineFromWire returns the VM of a message.
 func MachineFromWire(w *peer.PlatformVm) fleet.Machine {
 	m := fleet.Machine{
-		Name: w.GetName(), Pool: w.GetPool(), Size: SizeFromWire(w.GetSize()), Up: w.GetUp(), Draining: w.GetDraining(),
+		Name: w.GetName(), Pool: w.GetPool(), Size: SizeFromWire(w.GetSize()), Up: w.GetUp(), Draining: w.GetDraining(), Epoch: w.GetEpoch(),
 		Domain: fleet.Domain{DataCentre: w.GetDataCentre(), Switch: w.GetSwitch(), Rack: w.GetRack()},
 	}
 	for _, t := range w.GetTasks() {
--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -40,6 +40,7 @@
 	control     peer.ControlClient
 	members     peer.MembersClient
 	environment peer.EnvironmentClient
+	fleet       peer.FleetClient
 }
 
 // Control reaches the leader among the control processes; it is safe for concurrent use.
@@ -57,6 +58,7 @@
 		c.replicas = append(c.replicas, replica{
 			name: t.Name, control: peer.NewControlClient(client, url), members: peer.NewMembersClient(client, url),
 			environment: peer.NewEnvironmentClient(client, url),
+			fleet:       peer.NewFleetClient(client, url),
 		})
 	}
 	return c
--- a/internal/wire/dial/environment.go
+++ b/internal/wire/dial/environment.go
@@ -43,9 +43,18 @@
 type environmentCall[Q, S any] func(peer.EnvironmentClient, context.Context, *connect.Request[Q]) (*connect.Response[S], error)
 
 func forward[Q, S any](ctx context.Context, c *Control, q *connect.Request[Q], call environmentCall[Q, S]) (*connect.Response[S], error) {
+	return forwardTo(ctx, c, q, func(ctx context.Context, r replica, q *connect.Request[Q]) (*connect.Response[S], error) {
+		return call(r.environment, ctx, q)
+	})
+}
+
+// replicaCall is one method of a replica's clients.
+type replicaCall[Q, S any] func(context.Context, replica, *connect.Request[Q]) (*connect.Response[S], error)
+
+func forwardTo[Q, S any](ctx context.Context, c *Control, q *connect.Request[Q], call replicaCall[Q, S]) (*connect.Response[S], error) {
 	var response *connect.Response[S]
 	err := c.each(ctx, func(ctx context.Context, r replica) error {
-		answer, err := call(r.environment, ctx, connect.NewRequest(q.Msg))
+		answer, err := call(ctx, r, connect.NewRequest(q.Msg))
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/wire/serve/fleet.go
@@ -0,0 +1,220 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/lead"
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/plan/spare"
+	"cowslipstack/internal/plan/waves"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/peer"
+)
+
+// Fleet serves operators' calls on VMs, pools, waves and jobs, on the leader.
+type Fleet struct {
+	// Node holds the replicated state.
+	Node Node
+	// Clock gives the time.
+	Clock clock.Clock
+}
+
+// Show tells the state that the plans work on.
+func (s *Fleet) Show(ctx context.Context, _ *connect.Request[peer.ShowRequest]) (*connect.Response[peer.ShowResponse], error) {
+	situation, err := lead.Read(ctx, s.Node, s.Clock.Now())
+	if err != nil {
+		return nil, controlError(err)
+	}
+	w := &peer.ShowResponse{}
+	for _, v := range situation.VMs {
+		w.Vms = append(w.Vms, codec.VMToWire(v))
+	}
+	for _, v := range situation.Waves {
+		w.Waves = append(w.Waves, codec.WaveToWire(v))
+	}
+	for _, j := range situation.Jobs {
+		w.Jobs = append(w.Jobs, codec.JobToWire(j))
+	}
+	in := lead.WavesInput(situation)
+	w.Pools = poolStatus(situation, in)
+	for _, b := range in.Budgets {
+		w.Budgets = append(w.Budgets, &peer.BudgetStatus{
+			Service: b.Policy.Service, Pool: b.Policy.Pool, AllowedMs: b.Policy.AllowedMS,
+			SeenMs: b.SeenMS, ReservedMs: b.ReservedMS, LeftMs: b.LeftMS(),
+		})
+	}
+	return connect.NewResponse(w), nil
+}
+
+func poolStatus(situation lead.Situation, in waves.Input) []*peer.PoolStatus {
+	active := map[string]int64{}
+	for _, v := range situation.VMs {
+		if v.Phase == fleet.PhaseActive {
+			active[v.Pool]++
+		}
+	}
+	needs := map[string]int{}
+	for _, p := range in.Pools {
+		needs[p.Name] = p.Need
+	}
+	var pools []*peer.PoolStatus
+	for _, p := range situation.Environment.Pools {
+		name := string(p.Name)
+		d := situation.Demands[name]
+		pools = append(pools, &peer.PoolStatus{
+			Name: name, Spare: p.Spare, Size: int64(p.Size), Active: active[name],
+			Need: int64(needs[name]), MeanMilli: d.MeanMilli, PeakMilli: d.PeakMilli,
+		})
+	}
+	return pools
+}
+
+// Change makes an operator's change, or says what would come of it.
+func (s *Fleet) Change(ctx context.Context, r *connect.Request[peer.ChangeRequest]) (*connect.Response[peer.ChangeResponse], error) {
+	c := codec.CommandFromWire(r.Msg.GetCommand())
+	if first, ok := s.first(ctx, c.RequestID); ok {
+		return changed(first)
+	}
+	situation, err := lead.Read(ctx, s.Node, s.Clock.Now())
+	if err != nil {
+		return nil, controlError(err)
+	}
+	short := ""
+	switch {
+	case c.VM != nil:
+		if short, err = prepareVM(situation, c.VM); err != nil {
+			return nil, err
+		}
+	case c.Wave != nil:
+		prepareWave(situation, c.Wave)
+	case c.Job == nil || !slices.Contains(operatorSteps, c.Job.Step):
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("operators change VMs, waves and jobs only"))
+	}
+	switch {
+	case short != "" && !r.Msg.GetForce() && !r.Msg.GetDryRun():
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("%s; --force makes the change all the same", short))
+	case r.Msg.GetDryRun():
+		return connect.NewResponse(&peer.ChangeResponse{Message: preview(situation, c, short)}), nil
+	}
+	c.Time = s.Clock.Now()
+	result, err := s.Node.Submit(ctx, c)
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return changed(result)
+}
+
+// first returns the first result of a request that is sent again; the state may have moved on since.
+func (s *Fleet) first(ctx context.Context, id string) (result record.Result, found bool) {
+	err := s.Node.View(ctx, func(st *state.State) {
+		for _, r := range slices.Backward(st.Requests) {
+			if r.ID == id && id != "" {
+				result, found = r.Result, true
+				return
+			}
+		}
+	})
+	return result, found && err == nil
+}
+
+func changed(result record.Result) (*connect.Response[peer.ChangeResponse], error) {
+	if err := result.Err(); err != nil {
+		return nil, connect.NewError(resultCode(result.Code), err)
+	}
+	return connect.NewResponse(&peer.ChangeResponse{Message: result.Message}), nil
+}
+
+// operatorSteps are the steps of a job that operators take.
+var operatorSteps = []record.JobStep{record.JobSubmit, record.JobCancel, record.JobHold, record.JobRelease}
+
+// prepareVM fills in what the change builds on, and says whether a pool would be left short.
+func prepareVM(situation lead.Situation, c *record.VMChange) (string, error) {
+	index := slices.IndexFunc(situation.VMs, func(v fleet.VM) bool { return v.Name == c.VM })
+	if index < 0 {
+		return "", connect.NewError(connect.CodeNotFound, fmt.Errorf("no VM is named %q", c.VM))
+	}
+	v := situation.VMs[index]
+	c.Epoch = v.Epoch
+	if c.Version == 0 {
+		c.Version = v.Version
+	}
+	switch {
+	case c.Step == record.VMReturn && v.Phase == fleet.PhaseDraining:
+		c.Step = record.VMActivate
+	case c.Step == record.VMReturn && (v.Phase != fleet.PhaseStopped || v.Work != fleet.WorkOperator):
+		return "", connect.NewError(connect.CodeAborted, fmt.Errorf("VM %q is %s for %q; only what an operator drained is returned", v.Name, v.Phase, v.Work))
+	case c.Step == record.VMDrain:
+		return waves.Short(lead.WavesInput(situation), c.VM), nil
+	case c.Step != record.VMReturn:
+		return "", connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("operators drain, move and return VMs only"))
+	}
+	return "", nil
+}
+
+// prepareWave gives a wave that starts its cutoff, and finds the one that is open where none is named.
+func prepareWave(situation lead.Situation, c *record.WaveChange) {
+	if c.Step == record.WaveStart {
+		c.Cutoff = situation.Now
+		return
+	}
+	if w, ok := waves.Current(situation.Waves); ok && c.Wave == "" {
+		c.Wave = w.Name
+	}
+}
+
+func preview(situation lead.Situation, c record.Command, short string) string {
+	switch {
+	case short != "":
+		return "would be refused: " + short
+	case c.Wave != nil && c.Wave.Step == record.WaveStart:
+		in := lead.WavesInput(situation)
+		w := fleet.Wave{Name: c.Wave.Wave, Urgent: c.Wave.Urgent, Pool: c.Wave.Pool, DataCentre: c.Wave.DataCentre, Cutoff: c.Wave.Cutoff, Phase: fleet.WaveRunning}
+		return waves.Forecast(in, w)
+	default:
+		return "the change would be made"
+	}
+}
+
+// Explain tells the inputs and the rule of a decision.
+func (s *Fleet) Explain(ctx context.Context, r *connect.Request[peer.ExplainRequest]) (*connect.Response[peer.ExplainResponse], error) {
+	situation, err := lead.Read(ctx, s.Node, s.Clock.Now())
+	if err != nil {
+		return nil, controlError(err)
+	}
+	reason, found := explain(situation, r.Msg.GetKind(), r.Msg.GetName())
+	if !found {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no %s is named %q", r.Msg.GetKind(), r.Msg.GetName()))
+	}
+	return connect.NewResponse(&peer.ExplainResponse{
+		Subject: r.Msg.GetKind() + " " + r.Msg.GetName(), Inputs: reason.Inputs, Rule: reason.Rule, Change: reason.Change,
+	}), nil
+}
+
+func explain(situation lead.Situation, kind, name string) (record.Reason, bool) {
+	in := lead.WavesInput(situation)
+	switch kind {
+	case "vm":
+		return waves.Explain(in, name)
+	case "wave":
+		for _, w := range situation.Waves {
+			if w.Name == name {
+				return record.Reason{
+					Inputs: fmt.Sprintf("%s since %s: %d returned, %d proven, %d failed", w.Phase, w.Changed.Format("15:04:05"), w.Returned, w.Proven, w.Failed),
+					Rule:   w.Cause, Change: waves.Forecast(in, w),
+				}, true
+			}
+		}
+	case "spare":
+		return spare.Size(lead.SpareInput(situation, in)).Reason, true
+	case "job":
+		return lead.ExplainJob(situation, name)
+	}
+	return record.Reason{}, false
+}
