Measure the spare, the roll-out and the moves, and let the weights decide

Cause: a wave took whole pools out and drew on every spare VM, whatever the weights said. At most half of a pool is out at once, the pool with most rounds left goes next, and a wave draws on the spare VMs that the weights hold.

--- a/internal/app/fakes/measure_test.go
+++ b/internal/app/fakes/measure_test.go
@@ -61,7 +61,7 @@
 // measure warms a scenario up, rolls out over all VMs and reports the figures beside the baseline and the bound.
 func measure(b *testing.B, s *scenario, limit time.Duration) {
 	s.run(b, 30*time.Minute, nil)
-	warm := s.heldMost
+	warm := s.held()
 	s.heldSum, s.heldMost, s.ticks = 0, 0, 0
 	s.startWave(b)
 	least := bound(s, lead.WavesInput(s.situation()), s.wave())
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -168,15 +168,21 @@
 		sv.report.InProgress = int(served * 8 / s.tick.Milliseconds())
 		sv.report.Queued = int(sv.backlog * 8 / 1000)
 	}
+	held := s.held()
+	s.ticks++
+	s.heldSum += held
+	s.heldMost = max(s.heldMost, held)
+}
+
+// held counts the VMs that hold spare runners.
+func (s *scenario) held() int {
 	held := map[string]bool{}
 	for _, j := range s.machine.State().Jobs {
 		if strings.HasPrefix(j.Name, "runner.") && j.VM != "" {
 			held[j.VM] = true
 		}
 	}
-	s.ticks++
-	s.heldSum += len(held)
-	s.heldMost = max(s.heldMost, len(held))
+	return len(held)
 }
 
 // capacity is what serves each service: VMs of its pool that take work, and restored spare runners.
--- a/internal/ctrl/lead/decide.go
+++ b/internal/ctrl/lead/decide.go
@@ -91,6 +91,7 @@
 	for _, sv := range s.Environment.Services {
 		in.Budgets = append(in.Budgets, budget.Read(budget.FromService(sv), s.Ledgers[string(sv.Name)], s.Now))
 	}
+	in.SpareLimit = spare.Size(SpareInput(s, in)).Held
 	return in
 }
 
--- a/internal/plan/spare/input.go
+++ b/internal/plan/spare/input.go
@@ -58,6 +58,8 @@
 	spares []fleet.VM
 	// active counts the pools' active VMs, in the order of the pools.
 	active []int
+	// fit counts the pools' VMs that are not lost.
+	fit []int
 	// parts counts the pools' active VMs by failure domain.
 	parts map[part]map[int]int
 	// drawn is what the pools draw on the spare VMs.
@@ -73,7 +75,7 @@
 }
 
 func newView(in Input) *view {
-	v := &view{Input: in, active: make([]int, len(in.Pools)), parts: map[part]map[int]int{}, runners: map[string][]fleet.Job{}}
+	v := &view{Input: in, active: make([]int, len(in.Pools)), fit: make([]int, len(in.Pools)), parts: map[part]map[int]int{}, runners: map[string][]fleet.Job{}}
 	index := make(map[string]int, len(in.Pools))
 	for i, p := range in.Pools {
 		index[p.Name] = i
@@ -84,6 +86,9 @@
 		}
 	}
 	for _, m := range in.VMs {
+		if i, ok := index[m.Pool]; ok && m.Phase != fleet.PhaseFailed {
+			v.fit[i]++
+		}
 		if !budget.Counted(m) {
 			continue
 		}
--- a/internal/plan/spare/size.go
+++ b/internal/plan/spare/size.go
@@ -13,6 +13,8 @@
 	rollOutUnit = 10 * time.Minute
 	// lossShare is the part of what is left of a budget that the loss of one failure domain may cost: one half.
 	lossShare = 2
+	// neverRounds stands for the rounds of a VM that can't be taken out.
+	neverRounds = 100
 )
 
 // Sizing is how many spare VMs are held, and why.
@@ -68,13 +70,18 @@
 	return int64(v.Weights.Buffer)*int64(held)*int64(rollOutUnit) + int64(v.Weights.RollOut)*int64(v.rollOut(held))
 }
 
-// rollOut returns how long the VMs that are due take with a count of spare VMs held.
+// rollOut returns how long the VMs that are due take with a count of spare VMs held; a pool that can
+// spare no VM at all counts as if it took neverRounds for each.
 func (v *view) rollOut(held int) time.Duration {
 	total, longest := 0, 0
 	for i, p := range v.Pools {
 		total += p.Due
-		atOnce := max(1, min(v.Limit, v.active[i]+held-p.Need))
-		longest = max(longest, (p.Due+atOnce-1)/atOnce)
+		atOnce := min(v.Limit, (v.fit[i]+1)/2, v.fit[i]+held-p.Need)
+		rounds := p.Due * neverRounds
+		if atOnce > 0 {
+			rounds = (p.Due + atOnce - 1) / atOnce
+		}
+		longest = max(longest, rounds)
 	}
 	return time.Duration(max(longest, (total+v.Limit-1)/max(1, v.Limit))) * v.Outage
 }
--- a/internal/plan/waves/choose.go
+++ b/internal/plan/waves/choose.go
@@ -35,11 +35,15 @@
 	// A refusal holds for all VMs of a pool in one rack, and only gets stricter within a step.
 	refused := map[place]bool{}
 	drained := 0
-	for _, m := range v.candidates(w) {
-		if drained >= room {
+	v.queue(w)
+	for drained < room {
+		p := v.longest()
+		if p == nil {
 			break
 		}
-		p, spot := v.pools[m.Pool], place{m.Pool, m.Domain}
+		m := p.next[0]
+		p.next = p.next[1:]
+		spot := place{m.Pool, m.Domain}
 		if refused[spot] {
 			continue
 		}
@@ -57,7 +61,26 @@
 	return actions, blocked
 }
 
-// candidates returns the VMs that a wave may take, those of the pools with the longest way to go first.
+// longest returns the pool that has VMs to take and needs most rounds for them, nil where there is none.
+func (v *view) longest() *pool {
+	var best *pool
+	for _, name := range v.names {
+		if p := v.pools[name]; len(p.next) > 0 && (best == nil || v.way(p) > v.way(best)) {
+			best = p
+		}
+	}
+	return best
+}
+
+// queue sorts the VMs that a wave may take by pool.
+func (v *view) queue(w fleet.Wave) {
+	for _, m := range v.candidates(w) {
+		p := v.pools[m.Pool]
+		p.next = append(p.next, m)
+	}
+}
+
+// candidates returns the VMs that a wave may take: those of racks with many of the same pool first, then the oldest.
 func (v *view) candidates(w fleet.Wave) []fleet.VM {
 	var due []fleet.VM
 	for _, m := range v.VMs {
@@ -70,9 +93,7 @@
 		racks[place{m.Pool, m.Domain}]++
 	}
 	slices.SortStableFunc(due, func(a, b fleet.VM) int {
-		p, q := v.pools[a.Pool], v.pools[b.Pool]
 		return cmp.Or(
-			cmp.Compare(v.way(q), v.way(p)),
 			cmp.Compare(racks[place{b.Pool, b.Domain}], racks[place{a.Pool, a.Domain}]),
 			a.Maintained.Compare(b.Maintained),
 			cmp.Compare(a.Name, b.Name),
@@ -84,7 +105,12 @@
 // way is how many rounds a pool still needs, in thousandths.
 func (v *view) way(p *pool) int {
 	const thousand = 1000
-	return thousand * p.due / max(1, p.have+v.spareFor(p)-p.Need)
+	return thousand * p.due / max(1, min(p.half(), p.have+p.out+min(v.spare, v.SpareLimit)-p.Need))
+}
+
+// half is the most VMs of a pool that are out at once: a wave that goes wrong leaves it the other half.
+func (p *pool) half() int {
+	return (p.have + p.out + 1) / 2
 }
 
 // verdict says whether a VM may be taken out now, and by which rule.
@@ -96,6 +122,13 @@
 			Change: "time without a failure there",
 		}, false
 	}
+	if p.out >= p.half() {
+		return record.Reason{
+			Inputs: fmt.Sprintf("pool %s: %d VMs out of %d", p.Name, p.out, p.have+p.out),
+			Rule:   "at most half of a pool is out at once",
+			Change: "VMs that come back",
+		}, false
+	}
 	if v.SparePools[p.Name] {
 		return v.spareVerdict(w, m)
 	}
@@ -179,6 +212,7 @@
 // remove takes a VM out of the pool's working view.
 func (v *view) remove(p *pool, m fleet.VM) {
 	p.have--
+	p.out++
 	if v.SparePools[p.Name] {
 		v.spare--
 	}
--- a/internal/plan/waves/input.go
+++ b/internal/plan/waves/input.go
@@ -47,6 +47,8 @@
 	Budgets []budget.Status
 	// SparePools are the names of the pools whose VMs can carry any pool's load.
 	SparePools map[string]bool
+	// SpareLimit is the most spare VMs that a wave may draw on.
+	SpareLimit int
 	// Policy is how maintenance is to be done.
 	Policy Policy
 }
@@ -55,9 +57,13 @@
 type pool struct {
 	Pool
 
-	vms     []fleet.VM
-	have    int
-	due     int
+	vms  []fleet.VM
+	have int
+	due  int
+	// out counts the pool's VMs that are neither active nor lost.
+	out int
+	// next are the VMs that the wave may take, in order.
+	next    []fleet.VM
 	budgets []budget.Status
 }
 
@@ -71,6 +77,8 @@
 	Input
 
 	pools map[string]*pool
+	// names are the names of all pools, in the order of the input.
+	names []string
 	// order is the pools that have a demand.
 	order []*pool
 	// spare counts the active spare VMs.
@@ -83,6 +91,7 @@
 	v := &view{Input: in, pools: map[string]*pool{}}
 	for _, p := range in.Pools {
 		v.pools[p.Name] = &pool{Pool: p}
+		v.names = append(v.names, p.Name)
 		v.order = append(v.order, v.pools[p.Name])
 	}
 	for _, m := range in.VMs {
@@ -90,8 +99,12 @@
 		if p == nil {
 			p = &pool{Pool: Pool{Name: m.Pool}}
 			v.pools[m.Pool] = p
+			v.names = append(v.names, m.Pool)
 		}
 		p.vms = append(p.vms, m)
+		if m.Phase != fleet.PhaseActive && m.Phase != fleet.PhaseFailed {
+			p.out++
+		}
 		if budget.Counted(m) {
 			p.have++
 			if in.SparePools[m.Pool] {
@@ -119,7 +132,7 @@
 
 // spareFor returns how many spare VMs a pool can draw on in its surge.
 func (v *view) spareFor(p *pool) int {
-	return v.drawn.LeftFor(p.share(), v.spare)
+	return v.drawn.LeftFor(p.share(), min(v.spare, v.SpareLimit))
 }
 
 // outOf says whether a piece of work has a VM out of service.
--- a/internal/plan/waves/waves_test.go
+++ b/internal/plan/waves/waves_test.go
@@ -23,7 +23,7 @@
 func TestWaves(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			in := waves.Input{Now: now, Policy: policy, SparePools: map[string]bool{"spare": true}}
+			in := waves.Input{Now: now, Policy: policy, SpareLimit: 9, SparePools: map[string]bool{"spare": true}}
 			for _, a := range d.CmdArgs {
 				readArgument(t, &in, a)
 			}
