--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -25,6 +25,7 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
 	Fleet       *serve.Fleet       `optional:"true"`
@@ -53,6 +54,9 @@
 	if parts.Fleet != nil {
 		handler.Handle(peer.NewFleetHandler(parts.Fleet, compression))
 	}
+	if parts.Recall != nil {
+		handler.Handle(peer.NewRecallHandler(parts.Recall))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,7 +14,6 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/edge/enrol"
-	"cowslipstack/internal/edge/relay"
 )
 
 const (
@@ -33,8 +30,8 @@
 	Listen string
 	// Entries are the announcement addresses of entries; the first that answers is enough.
 	Entries []string
-	// Works is how long each request takes.
-	Works time.Duration
+	// Mode is how requests without a mode of their own are run.
+	Mode Mode
 	// Hard stops the endpoint as a VM stops: it doesn't leave, and cuts what is in progress.
 	Hard bool
 	// Clock gives the time.
@@ -46,14 +43,14 @@
 // Endpoint answers requests with its own name, and counts what it ran.
 type Endpoint struct {
 	options EndpointOptions
-	ran     atomic.Int64
+	worker  *Worker
 	// inProgress counts the requests that were taken and not answered yet.
 	inProgress atomic.Int64
 }
 
 // NewEndpoint returns an endpoint that does nothing until it is run.
 func NewEndpoint(o EndpointOptions) *Endpoint {
-	return &Endpoint{options: o}
+	return &Endpoint{options: o, worker: NewWorker(o.Announcement.Endpoint, o.Mode, o.Clock)}
 }
 
 // Run serves and announces until the context ends, then leaves.
@@ -71,9 +68,13 @@
 	e.announceUntil(ctx)
 	if e.options.Hard {
 		e.options.Logger.Info("endpoint_stopped", zap.Int64("cut", e.inProgress.Load()))
-		err := server.Close()
-		<-ended
-		return err
+		if err := server.Close(); err != nil {
+			return errors.Wrap(err, "close")
+		}
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
 	}
 	e.options.Announcement.Leaving = true
 	e.announce(context.WithoutCancel(ctx))
@@ -89,32 +90,14 @@
 }
 
 // Ran returns how many requests the endpoint ran.
-func (e *Endpoint) Ran() int64 {
-	return e.ran.Load()
+func (e *Endpoint) Ran() int {
+	return e.worker.Total()
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	e.inProgress.Add(1)
 	defer e.inProgress.Add(-1)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	e.ran.Add(1)
-	if e.options.Works > 0 {
-		timer := e.options.Clock.NewTimer(e.options.Works)
-		defer timer.Stop()
-		select {
-		case <-timer.C():
-		case <-r.Context().Done():
-			return
-		}
-	}
-	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
-	answer := fmt.Sprintf("%s %s %s %d bytes\n", e.options.Announcement.Endpoint, r.Method, r.URL.RequestURI(), len(body))
-	if _, err := io.WriteString(w, answer); err != nil {
-		e.options.Logger.Debug("answer_not_written", zap.Error(err))
-	}
+	e.worker.ServeHTTP(w, r)
 }
 
 func (e *Endpoint) announceUntil(ctx context.Context) {
--- a/internal/app/fakes/platform_command.go
+++ b/internal/app/fakes/platform_command.go
@@ -29,7 +29,7 @@
 	Reboot   time.Duration `arg:"--reboot" default:"5s" help:"how long a reboot takes"`
 	Join     time.Duration `arg:"--join" default:"2s" help:"how long a join takes"`
 	Lag      time.Duration `arg:"--lag" default:"10s" help:"how late use is reported"`
-	Works    time.Duration `arg:"--works" help:"how long each request takes"`
+	Late     bool          `arg:"--late" help:"each request takes 300 ms"`
 }
 
 // The shape of the stand-in's fleet.
@@ -148,12 +148,16 @@
 		return nil
 	}
 	h.count++
+	mode := ModeAnswer
+	if h.command.Late {
+		mode = ModeLate
+	}
 	endpoint := NewEndpoint(EndpointOptions{
 		Announcement: enrol.Announcement{
 			Service: service, Endpoint: fmt.Sprintf("%s-%d", m.Name, h.count), VM: m.Name, Epoch: max(e.epoch, 1),
 			Slots: runnerSlots, DataCentre: m.Domain.DataCentre, Rack: m.Domain.Rack,
 		},
-		Listen: "127.0.0.1:0", Entries: h.command.Entries, Works: h.command.Works, Hard: true, Clock: clock.System{}, Logger: h.logger.With(zap.String("vm", m.Name)),
+		Listen: "127.0.0.1:0", Entries: h.command.Entries, Mode: mode, Hard: true, Clock: clock.System{}, Logger: h.logger.With(zap.String("vm", m.Name)),
 	})
 	running := tasks.NewGroup(ctx)
 	running.Start("endpoint", endpoint.Run)
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -15,7 +15,6 @@
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/lead"
-	"cowslipstack/internal/ctrl/lease"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
@@ -121,12 +120,12 @@
 	s.leader = lead.New(lead.Options{Node: s, Entries: s, Platform: s.platform, Clock: s.clock, Logger: zap.NewNop()})
 }
 
-func (s *scenario) Reports() []lease.EntryReport {
-	reports := map[string]fleet.Report{}
+func (s *scenario) Reports() []fleet.Report {
+	var reports []fleet.Report
 	for _, sv := range s.services {
-		reports[string(sv.Name)] = sv.report
+		reports = append(reports, sv.report)
 	}
-	return []lease.EntryReport{{Entry: "entry", Started: 1, Reports: reports}}
+	return reports
 }
 
 // run lets time pass, with loads and plans, until done says so or the time is over; it returns how long it took.
--- a/internal/app/opcli/fleet.go
+++ b/internal/app/opcli/fleet.go
@@ -21,8 +21,8 @@
 	Request string `arg:"--request" help:"request identity; a resend under the same one gets the first result"`
 }
 
-// change makes an operator's change of the fleet and tells what came of it.
-func (c *call) change(ctx context.Context, f ChangeFlags, command record.Command, done string) error {
+// changeFleet makes an operator's change of the fleet and tells what came of it.
+func (c *call) changeFleet(ctx context.Context, f ChangeFlags, command record.Command, done string) error {
 	command.RequestID = f.Request
 	if command.RequestID == "" {
 		command.RequestID = uuid.NewString()
--- a/internal/app/opcli/job.go
+++ b/internal/app/opcli/job.go
@@ -62,7 +62,7 @@
 		return j.Release.run(ctx, c, record.JobRelease)
 	case j.Cancel != nil:
 		change := &record.JobChange{Step: record.JobCancel, Names: j.Cancel.Names, Cause: "an operator cancelled it"}
-		return c.change(ctx, j.Cancel.ChangeFlags, record.Command{Job: change}, "cancelled")
+		return c.changeFleet(ctx, j.Cancel.ChangeFlags, record.Command{Job: change}, "cancelled")
 	default:
 		return &usageError{err: errors.New("job needs a command; see cowslip job --help")}
 	}
@@ -74,12 +74,12 @@
 		Declared: fleet.Size{Cores: j.Cores, MemoryMB: j.MemoryMB, Accelerators: j.Accelerators},
 	}
 	change := &record.JobChange{Step: record.JobSubmit, Names: []string{j.Name}, Job: job}
-	return c.change(ctx, j.ChangeFlags, record.Command{Job: change}, "submitted "+j.Name)
+	return c.changeFleet(ctx, j.ChangeFlags, record.Command{Job: change}, "submitted "+j.Name)
 }
 
 func (j *JobNameCommand) run(ctx context.Context, c *call, step record.JobStep) error {
 	change := &record.JobChange{Step: step, Names: []string{j.Name}, Cause: "an operator asked for it"}
-	return c.change(ctx, j.ChangeFlags, record.Command{Job: change}, step.String()+" "+j.Name)
+	return c.changeFleet(ctx, j.ChangeFlags, record.Command{Job: change}, step.String()+" "+j.Name)
 }
 
 func (j *JobListCommand) run(ctx context.Context, c *call) error {
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -40,6 +40,8 @@
 	Wave      *WaveCommand      `arg:"subcommand:wave" help:"start, hold, resume and cancel waves of maintenance"`
 	Job       *JobCommand       `arg:"subcommand:job" help:"list, submit, hold, release and cancel jobs"`
 	Explain   *ExplainCommand   `arg:"subcommand:explain" help:"tell the inputs and the rule of a decision"`
+	Replica   *ReplicaCommand   `arg:"subcommand:replica" help:"show, replace and remove replicas of the control role, and hand over the leadership"`
+	State     *StateCommand     `arg:"subcommand:state" help:"show or check a data folder that no process uses"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
 	Reference *ReferenceCommand `arg:"subcommand:reference" help:"write the reference page of the environment document"`
 	Address   string            `arg:"--address,env:COWSLIP_ADDRESS" default:"127.0.0.1:7004" help:"operators' address of any process"`
@@ -70,6 +72,7 @@
 	client      peer.OperatorClient
 	environment peer.EnvironmentClient
 	fleet       peer.FleetClient
+	members     peer.MembersClient
 	out         io.Writer
 }
 
@@ -98,6 +101,7 @@
 		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
 		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
 		fleet:       peer.NewFleetClient(client, "http://"+a.Address, retry),
+		members:     peer.NewMembersClient(client, "http://"+a.Address, retry),
 		out:         t.Out,
 	}
 	if err := c.run(ctx); err != nil {
@@ -137,6 +141,10 @@
 		return c.arguments.Job.run(ctx, c)
 	case c.arguments.Explain != nil:
 		return c.arguments.Explain.run(ctx, c)
+	case c.arguments.Replica != nil:
+		return c.arguments.Replica.run(ctx, c)
+	case c.arguments.State != nil:
+		return c.arguments.State.run(c)
 	case c.arguments.Version != nil:
 		return c.version()
 	case c.arguments.Reference != nil:
--- a/internal/app/opcli/vm.go
+++ b/internal/app/opcli/vm.go
@@ -55,15 +55,15 @@
 		if v.Drain.Reboot {
 			work = fleet.WorkReboot
 		}
-		return c.change(ctx, v.Drain.ChangeFlags, record.Command{VM: &record.VMChange{
+		return c.changeFleet(ctx, v.Drain.ChangeFlags, record.Command{VM: &record.VMChange{
 			Step: record.VMDrain, VM: v.Drain.Name, Version: v.Drain.Version, Work: work, Cause: v.Drain.Cause,
 		}}, "draining "+v.Drain.Name)
 	case v.Return != nil:
-		return c.change(ctx, v.Return.ChangeFlags, record.Command{VM: &record.VMChange{
+		return c.changeFleet(ctx, v.Return.ChangeFlags, record.Command{VM: &record.VMChange{
 			Step: record.VMReturn, VM: v.Return.Name, Cause: "an operator returned it",
 		}}, "returning "+v.Return.Name)
 	case v.Move != nil:
-		return c.change(ctx, v.Move.ChangeFlags, record.Command{VM: &record.VMChange{
+		return c.changeFleet(ctx, v.Move.ChangeFlags, record.Command{VM: &record.VMChange{
 			Step: record.VMDrain, VM: v.Move.Name, Pool: v.Move.Pool, Work: "operator-move", Cause: "an operator moves it",
 		}}, "draining "+v.Move.Name+" for pool "+v.Move.Pool)
 	default:
--- a/internal/app/opcli/wave.go
+++ b/internal/app/opcli/wave.go
@@ -38,7 +38,7 @@
 func (v *WaveCommand) run(ctx context.Context, c *call) error {
 	switch {
 	case v.Start != nil:
-		return c.change(ctx, v.Start.ChangeFlags, record.Command{Wave: &record.WaveChange{
+		return c.changeFleet(ctx, v.Start.ChangeFlags, record.Command{Wave: &record.WaveChange{
 			Step: record.WaveStart, Wave: v.Start.Name, Urgent: v.Start.Urgent, Pool: v.Start.Pool,
 			DataCentre: v.Start.DataCentre, Cause: "an operator started it",
 		}}, "started "+v.Start.Name)
@@ -56,7 +56,7 @@
 }
 
 func (v *WaveStepCommand) run(ctx context.Context, c *call, step record.WaveStep) error {
-	return c.change(ctx, v.ChangeFlags, record.Command{Wave: &record.WaveChange{
+	return c.changeFleet(ctx, v.ChangeFlags, record.Command{Wave: &record.WaveChange{
 		Step: step, Wave: v.Name, Cause: "an operator asked for it",
 	}}, step.String()+" "+v.Name)
 }
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
-	"cowslipstack/internal/ctrl/lease"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
@@ -40,8 +39,8 @@
 type Entries interface {
 	// Drained says whether no entry has, or can still start, a request on a VM.
 	Drained(vm string, epoch uint64) bool
-	// Reports returns what each entry saw of each service.
-	Reports() []lease.EntryReport
+	// Reports returns the services' counts, added up over the entries; they only rise.
+	Reports() []fleet.Report
 }
 
 // Platform runs the VMs.
