Place jobs by their use and quotas, and blame job, worker or wave

Cause: jobs were not started, and nothing told a job that can never run from a worker that fails everything. Sizes come from use as reported, before that from what the team's declarations were worth; teams borrow beyond their quota and give it back by a checkpoint; an urgent job starts in the place of its own team's work or of what others borrowed, throttled where memory allows both. A job that fits nowhere is held at once with the reason, one that fails on three workers where others run is held, a worker on which three different jobs fail is set aside where its pool can spare it, and several such workers of one wave stop the wave. No blame comes from one failure.

--- a/internal/ctrl/lead/decide.go
+++ b/internal/ctrl/lead/decide.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"cowslipstack/internal/model/docs"
+	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/plan/blame"
 	"cowslipstack/internal/plan/budget"
+	"cowslipstack/internal/plan/place"
 	"cowslipstack/internal/plan/spare"
 	"cowslipstack/internal/plan/waves"
 )
@@ -25,7 +28,41 @@
 	in := WavesInput(s)
 	actions = append(actions, waves.Orphans(in)...)
 	actions = append(actions, waves.Plan(in)...)
-	return append(actions, spare.Plan(SpareInput(s, in))...)
+	actions = append(actions, spare.Plan(SpareInput(s, in))...)
+	blamed := blame.Plan(blame.Input{
+		Now: s.Now, VMs: s.VMs, Jobs: s.Jobs, Failures: s.Failures, Waves: s.Waves,
+		Short: func(vm string) string { return waves.Short(in, vm) },
+	})
+	actions = append(actions, blamed...)
+	return append(actions, place.Plan(placeInput(s, blamed))...)
+}
+
+// placeInput returns what the placement decides from, after what is held already.
+func placeInput(s Situation, blamed []record.Action) place.Input {
+	in := place.Input{
+		Now: s.Now, VMs: s.VMs, Jobs: s.Jobs, Failures: s.Failures, Lease: JobLease,
+		Reserved: map[string]bool{}, Held: map[string]bool{},
+	}
+	for _, t := range s.Environment.Teams {
+		in.Teams = append(in.Teams, fleet.Team{
+			Name: string(t.Name), Weight: t.Weight,
+			Quota: fleet.Size{Cores: int64(t.QuotaCores), Accelerators: int64(t.QuotaAccelerators)},
+		})
+	}
+	for _, j := range s.Jobs {
+		if j.Team == fleet.RunnerTeam {
+			in.Reserved[j.VM] = true
+		}
+	}
+	for _, a := range blamed {
+		if c := a.Command.Job; c != nil {
+			in.Held[c.Names[0]] = true
+		}
+		if c := a.Command.VM; c != nil {
+			in.Reserved[c.VM] = true
+		}
+	}
+	return in
 }
 
 // SpareInput returns what the plan of the spare VMs decides from.
--- a/internal/ctrl/lead/jobs.go
+++ b/internal/ctrl/lead/jobs.go
@@ -9,6 +9,7 @@
 
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/plan/place"
 	"cowslipstack/internal/plan/spare"
 )
 
@@ -140,21 +141,13 @@
 }
 
 func leaseOf(j fleet.Job) time.Duration {
-	if j.Team == spare.RunnerTeam {
+	if j.Team == fleet.RunnerTeam {
 		return spare.RunnerLease
 	}
 	return JobLease
 }
 
-// ExplainJob returns why a job is in its phase.
+// ExplainJob returns why a job is in its phase, or where it would go.
 func ExplainJob(s Situation, name string) (record.Reason, bool) {
-	for _, j := range s.Jobs {
-		if j.Name == name {
-			return record.Reason{
-				Inputs: fmt.Sprintf("%s since %s on %q, attempt %d, declared %+v, in use %+v", j.Phase, j.Since.Format("15:04:05"), j.VM, j.Attempt, j.Declared, j.Used),
-				Rule:   j.Cause, Change: "capacity, the team's quota, or cowslip job release",
-			}, true
-		}
-	}
-	return record.Reason{}, false
+	return place.Explain(placeInput(s, nil), name)
 }
--- a/internal/model/fleet/job.go
+++ b/internal/model/fleet/job.go
@@ -59,3 +59,6 @@
 	// Time is when it failed.
 	Time time.Time
 }
+
+// RunnerTeam is the team of the jobs that are spare runners.
+const RunnerTeam = "spare-runners"
--- a/internal/plan/spare/input.go
+++ b/internal/plan/spare/input.go
@@ -81,7 +81,7 @@
 		index[p.Name] = i
 	}
 	for _, j := range in.Jobs {
-		if j.Team == RunnerTeam && j.VM != "" {
+		if j.Team == fleet.RunnerTeam && j.VM != "" {
 			v.runners[j.VM] = append(v.runners[j.VM], j)
 		}
 	}
--- a/internal/plan/spare/plan.go
+++ b/internal/plan/spare/plan.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// RunnerTeam is the team of the spare runners' jobs.
-	RunnerTeam = "spare-runners"
 	// runnerMemoryMB is the memory that a throttled, loaded runner keeps.
 	runnerMemoryMB = 12_000
 	// fullPercent is the load of a pool from which it is given spare runners.
@@ -57,7 +55,7 @@
 	var actions []record.Action
 	known := map[string]fleet.Job{}
 	for _, j := range v.Jobs {
-		if j.Team == RunnerTeam {
+		if j.Team == fleet.RunnerTeam {
 			known[j.Name] = j
 		}
 	}
@@ -71,7 +69,7 @@
 			switch {
 			case !ok && len(v.runners[m.Name]) < room:
 				actions = append(actions, jobAction(record.JobChange{Step: record.JobSubmit, Names: []string{name}, Job: fleet.Job{
-					Name: name, Team: RunnerTeam, Pool: m.Pool, Checkpoint: true, Declared: fleet.Size{MemoryMB: runnerMemoryMB},
+					Name: name, Team: fleet.RunnerTeam, Pool: m.Pool, Checkpoint: true, Declared: fleet.Size{MemoryMB: runnerMemoryMB},
 				}}, reason))
 			case ok && j.Phase == fleet.JobWaiting:
 				actions = append(actions, jobAction(record.JobChange{
