--- a/internal/app/fakes/measure_test.go
+++ b/internal/app/fakes/measure_test.go
@@ -1,6 +1,7 @@
 package fakes_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"cowslipstack/internal/ctrl/lead"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
+	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/waves"
 )
 
@@ -156,3 +158,39 @@
 		})
 	}
 }
+
+// BenchmarkUrgent measures how long urgent jobs wait for their task to run, on a pool that is full of what can wait.
+func BenchmarkUrgent(b *testing.B) {
+	for range b.N {
+		e, text := readExample(b, "swan-coastal")
+		s := newScenario(b, e, text, 3, truth(nil))
+		s.tick = 500 * time.Millisecond
+		s.run(b, time.Minute, nil)
+		s.event(b, "jobs", "wait", 60)
+		s.run(b, time.Minute, nil)
+		var longest time.Duration
+		const urgent = 8
+		for i := range urgent {
+			name := fmt.Sprint("now-", i)
+			s.submit(record.Command{Job: &record.JobChange{Step: record.JobSubmit, Names: []string{name}, Job: fleet.Job{
+				Name: name, Team: "wait", Pool: "spare", Urgent: true, Declared: fleet.Size{Cores: 8, MemoryMB: 1000},
+			}}})
+			longest = max(longest, s.run(b, time.Minute, func() bool { return s.runs(name) }))
+		}
+		b.ReportMetric(longest.Seconds(), "urgent_start_s")
+		b.ReportMetric(float64(s.moves), "moves")
+	}
+}
+
+// runs says whether the platform runs a job.
+func (s *scenario) runs(job string) bool {
+	machines, _ := s.platform.Machines(context.Background())
+	for _, m := range machines {
+		for _, task := range m.Tasks {
+			if task.Job == job && task.State == fleet.TaskRunning {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/ctrl/state/wave.go
+++ b/internal/ctrl/state/wave.go
@@ -49,7 +49,7 @@
 	}
 	if c.Step == record.WaveResume && w.Phase == fleet.WaveStopped {
 		// An operator who resumes a stopped wave has looked at its failures.
-		w.Failed, w.Proven, w.Returned = 0, 0, 0
+		w.Failed, w.Proven, w.Returned, w.Judged = 0, 0, 0, now
 	}
 	w.Phase, w.Cause, w.Changed = step.to, c.Cause, now
 	m.setWave(index, w)
@@ -70,7 +70,7 @@
 	}
 	waves := append(slices.Clone(m.state.Waves), fleet.Wave{
 		Name: c.Wave, Urgent: c.Urgent, Pool: c.Pool, DataCentre: c.DataCentre, Cutoff: c.Cutoff,
-		Phase: fleet.WaveRunning, Cause: c.Cause, Started: now, Changed: now,
+		Phase: fleet.WaveRunning, Cause: c.Cause, Started: now, Judged: now, Changed: now,
 	})
 	if len(waves) > wavesKept {
 		oldest := slices.IndexFunc(waves, func(w fleet.Wave) bool { return !w.Open() })
--- a/internal/model/fleet/wave.go
+++ b/internal/model/fleet/wave.go
@@ -38,6 +38,8 @@
 	Cause string
 	// Started is when the wave began.
 	Started time.Time
+	// Judged is from when on failures count against the wave: its start, or its resume after it stopped itself.
+	Judged time.Time
 	// Changed is when the wave's phase last changed.
 	Changed time.Time
 	// Returned counts VMs that came back from their maintenance.
--- a/internal/plan/waves/plan.go
+++ b/internal/plan/waves/plan.go
@@ -14,6 +14,8 @@
 	// coverShare is the share of the cycle, in quarters, after which a VM is taken along by a wave.
 	coverShare = 2
 	quarters   = 4
+	// togetherTime is how far apart the losses of one rack's VMs are seen.
+	togetherTime = 5 * time.Minute
 )
 
 // Plan returns the next steps of maintenance.
@@ -122,42 +124,57 @@
 
 // blame says whether a wave's VMs fail more than others do; one failure is never enough.
 func (v *view) blame(w fleet.Wave, out int) (record.Reason, bool) {
-	failed, others, othersFailed := w.Failed-v.explained(w), 0, 0
+	failed, taken, others, othersFailed := 0, 0, 0, 0
+	racks := v.racks()
 	for _, m := range v.VMs {
-		if m.Work == w.Name || !m.Maintained.Before(w.Started) {
-			continue
-		}
-		others++
-		if m.Failed.After(w.Started) {
+		lost := m.Failed.After(w.Judged)
+		switch {
+		case !takenBy(w, m) && lost:
 			othersFailed++
+			others++
+		case !takenBy(w, m):
+			others++
+		case lost && !explained(w, m, racks[m.Domain]):
+			failed++
+			taken++
+		default:
+			taken++
 		}
 	}
-	taken := max(1, w.Returned+out)
 	if failed < 2 || failed*others <= 2*othersFailed*taken {
 		return record.Reason{}, false
 	}
 	return record.Reason{
-		Inputs: fmt.Sprintf("%d of the %d VMs taken failed, %d of %d others", failed, taken, othersFailed, others),
+		Inputs: fmt.Sprintf("%d of the %d VMs taken failed, %d of %d others, %d are out", failed, taken, othersFailed, others, out),
 		Rule:   "a wave whose VMs fail more than twice as often as others stops itself",
 		Change: "an operator resumes the wave",
 	}, true
 }
 
-// explained counts the wave's lost VMs whose rack lost others too: there the rack is to blame.
-func (v *view) explained(w fleet.Wave) int {
-	lost := map[fleet.Domain]bool{}
+// takenBy says whether a wave has a VM out or has maintained it.
+func takenBy(w fleet.Wave, m fleet.VM) bool {
+	return m.Work == w.Name || !m.Maintained.Before(w.Started)
+}
+
+// racks sorts the VMs by their rack.
+func (v *view) racks() map[fleet.Domain][]fleet.VM {
+	racks := map[fleet.Domain][]fleet.VM{}
 	for _, m := range v.VMs {
-		if m.Phase == fleet.PhaseFailed && m.Work != w.Name {
-			lost[m.Domain] = true
-		}
+		racks[m.Domain] = append(racks[m.Domain], m)
 	}
-	count := 0
-	for _, m := range v.VMs {
-		if m.Phase == fleet.PhaseFailed && m.Work == w.Name && lost[m.Domain] {
-			count++
+	return racks
+}
+
+// explained says whether a VM was lost with its rack: VMs there that the wave didn't take were lost with it, or all were.
+func explained(w fleet.Wave, lost fleet.VM, rack []fleet.VM) bool {
+	together, others := 0, false
+	for _, m := range rack {
+		if near := m.Failed.Sub(lost.Failed).Abs() <= togetherTime; near && !m.Failed.IsZero() {
+			together++
+			others = others || !takenBy(w, m)
 		}
 	}
-	return count
+	return others || (together == len(rack) && together > 1)
 }
 
 // putBack cancels the drains of a piece of work; what was stopped already returns by itself.
--- a/internal/plan/waves/waves_test.go
+++ b/internal/plan/waves/waves_test.go
@@ -51,7 +51,7 @@
 		p := budget.Policy{Service: a.Vals[0] + "-service", Pool: a.Vals[0], AllowedMS: int64(number(t, a.Vals[1])) * 1000}
 		in.Budgets = append(in.Budgets, budget.Status{Policy: p})
 	case "wave": // wave=(name,phase,returned,failed)
-		w := fleet.Wave{Name: a.Vals[0], Urgent: a.Vals[0] == "urgent", Cutoff: now.Add(-14 * 24 * time.Hour), Started: now.Add(-time.Hour)}
+		w := fleet.Wave{Name: a.Vals[0], Urgent: a.Vals[0] == "urgent", Cutoff: now.Add(-14 * 24 * time.Hour), Started: now.Add(-time.Hour), Judged: now.Add(-time.Hour)}
 		for w.Phase = fleet.WaveRunning; w.Phase.String() != a.Vals[1]; w.Phase++ {
 		}
 		w.Returned, w.Failed = number(t, a.Vals[2]), number(t, a.Vals[3])
