--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -29,6 +29,7 @@
 	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
+	Fleet       *serve.Fleet       `optional:"true"`
 }
 
 // peerHandler names the handler of the system's own processes for the container.
@@ -51,6 +52,9 @@
 	if parts.Environment != nil {
 		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
 	}
+	if parts.Fleet != nil {
+		handler.Handle(peer.NewFleetHandler(parts.Fleet, compression))
+	}
 	if parts.Recall != nil {
 		handler.Handle(peer.NewRecallHandler(parts.Recall))
 	}
@@ -90,6 +94,8 @@
 	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: parts.Control})
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewFleetHandler(&dial.Fleet{Control: parts.Control})
+	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewMembersHandler(parts.Control)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -59,6 +59,9 @@
 			"listening":    listening,
 			"begin":        begin,
 			"end":          end,
+			"until":        until,
+			"load":         load,
+			"unload":       unload,
 		},
 	})
 }
--- a/internal/plan/waves/waves_test.go
+++ b/internal/plan/waves/waves_test.go
@@ -23,8 +23,7 @@
 func TestWaves(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			in := waves.Input{Now: now, Policy: policy}
-			d.MaybeScanArgs(t, "spare", &in.Spare)
+			in := waves.Input{Now: now, Policy: policy, SpareLimit: 9, SparePools: map[string]bool{"spare": true}}
 			for _, a := range d.CmdArgs {
 				readArgument(t, &in, a)
 			}
@@ -52,7 +51,7 @@
 		p := budget.Policy{Service: a.Vals[0] + "-service", Pool: a.Vals[0], AllowedMS: int64(number(t, a.Vals[1])) * 1000}
 		in.Budgets = append(in.Budgets, budget.Status{Policy: p})
 	case "wave": // wave=(name,phase,returned,failed)
-		w := fleet.Wave{Name: a.Vals[0], Urgent: a.Vals[0] == "urgent", Cutoff: now.Add(-14 * 24 * time.Hour), Started: now.Add(-time.Hour)}
+		w := fleet.Wave{Name: a.Vals[0], Urgent: a.Vals[0] == "urgent", Cutoff: now.Add(-14 * 24 * time.Hour), Started: now.Add(-time.Hour), Judged: now.Add(-time.Hour)}
 		for w.Phase = fleet.WaveRunning; w.Phase.String() != a.Vals[1]; w.Phase++ {
 		}
 		w.Returned, w.Failed = number(t, a.Vals[2]), number(t, a.Vals[3])
