End a call on the control loop together with its event

Cause: Loop.Call returned when its context ended while its event could still run, so the caller read what the event was writing. Seen as a data race in TestHandOver (4 of 12 runs of 3 under load) between Node.Deliver and its event; every other use of Call had the same fault. Ruled out: copying results through a channel in each caller (27 places, and a canceled call could still take effect behind its error).

Now a canceled call either takes its event back, which then never runs, or waits for its end.

--- a/internal/base/loop/loop.go
+++ b/internal/base/loop/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -58,11 +59,15 @@
 }
 
 // Call runs an event and waits until it has ended; it must not be called from an event.
+// Where it fails, the event has not run and never will, so that what it would have set may be read.
 func (l *Loop) Call(ctx context.Context, event Event) error {
+	var taken atomic.Bool
 	done := make(chan struct{})
 	run := func() {
-		event()
-		close(done)
+		if taken.CompareAndSwap(false, true) {
+			event()
+			close(done)
+		}
 	}
 	if err := l.Post(ctx, run); err != nil {
 		return err
@@ -71,6 +76,10 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	if taken.CompareAndSwap(false, true) {
 		return errors.Wrap(ctx.Err(), "wait for the control loop")
 	}
+	<-done
+	return nil
 }
