Freeze an entry while a document is replaced, as a process test

The frozen process is counted out once its lease has lapsed, and when it wakes it refuses the service that the new document removed.

--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -56,6 +56,8 @@
 			"expand":       expand,
 			"certificates": certificates,
 			"listening":    listening,
+			"send":         send,
+			"refused":      refused,
 		},
 	})
 }
