--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -25,9 +25,11 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+	Slots   *serve.Slots   `optional:"true"`
 	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
+	Fleet       *serve.Fleet       `optional:"true"`
 }
 
 // peerHandler names the handler of the system's own processes for the container.
@@ -50,9 +52,15 @@
 	if parts.Environment != nil {
 		handler.Handle(peer.NewEnvironmentHandler(parts.Environment))
 	}
+	if parts.Fleet != nil {
+		handler.Handle(peer.NewFleetHandler(parts.Fleet, compression))
+	}
 	if parts.Recall != nil {
 		handler.Handle(peer.NewRecallHandler(parts.Recall))
 	}
+	if parts.Slots != nil {
+		handler.Handle(peer.NewSlotsHandler(parts.Slots, compression))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
@@ -66,6 +74,7 @@
 	Control *dial.Control
 	Clock   clock.Clock
 	Agent   *agent.Agent `optional:"true"`
+	Drainer *drainer
 }
 
 // operatorHandler names the handler of operators' calls for the container.
@@ -85,12 +94,18 @@
 	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: parts.Control})
 	router.PathPrefix(path).Handler(handler)
+	path, handler = peer.NewFleetHandler(&dial.Fleet{Control: parts.Control})
+	router.PathPrefix(path).Handler(handler)
 	path, handler = peer.NewMembersHandler(parts.Control)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if parts.Drainer.draining.Load() {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
 		if parts.Agent != nil && !parts.Agent.View().Lease.Valid(parts.Clock.Now()) {
 			http.Error(w, "no lease", http.StatusServiceUnavailable)
 			return
--- a/internal/app/fakes/command.go
+++ b/internal/app/fakes/command.go
@@ -23,6 +23,7 @@
 // Arguments are the commands of cowslipfake.
 type Arguments struct {
 	Endpoint *EndpointCommand `arg:"subcommand:endpoint" help:"run a fake endpoint"`
+	Platform *PlatformCommand `arg:"subcommand:platform" help:"run a stand-in for the platform, with an endpoint on each of its VMs"`
 }
 
 // EndpointCommand runs one fake endpoint.
@@ -34,7 +35,7 @@
 	Rack       string   `arg:"--rack" default:"rack-1" help:"rack of the VM"`
 	Slots      int      `arg:"--slots" default:"8" help:"requests in progress at one time"`
 	Listen     string   `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
-	Mode       string   `arg:"--mode" default:"answer" help:"answer, die_before, die_after, die_answering, cut, too_long, unbounded, crossed, decline or late"`
+	Mode       string   `arg:"--mode" default:"answer" help:"answer, die_before, die_after, die_answering, cut, too_long, unbounded, crossed, decline, late or hold"`
 	Entries    []string `arg:"--entry,separate,required" help:"announcement address of an entry"`
 }
 
@@ -51,10 +52,16 @@
 	} else if err != nil {
 		return fail(out, err, exitUsage)
 	}
-	if a.Endpoint == nil {
+	var run func(context.Context) error
+	switch {
+	case a.Endpoint != nil:
+		run = a.Endpoint.run
+	case a.Platform != nil:
+		run = a.Platform.run
+	default:
 		return fail(out, errors.New("a command is needed; see cowslipfake --help"), exitUsage)
 	}
-	if err := a.Endpoint.run(ctx); err != nil {
+	if err := run(ctx); err != nil {
 		return fail(out, err, exitFailure)
 	}
 	return exitOK
--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,8 @@
 	Entries []string
 	// Mode is how requests without a mode of their own are run.
 	Mode Mode
+	// Hard stops the endpoint as a VM stops: it doesn't leave, and cuts what is in progress.
+	Hard bool
 	// Clock gives the time.
 	Clock clock.Clock
 	// Logger takes the endpoint's events.
@@ -41,6 +44,8 @@
 type Endpoint struct {
 	options EndpointOptions
 	worker  *Worker
+	// inProgress counts the requests that were taken and not answered yet.
+	inProgress atomic.Int64
 }
 
 // NewEndpoint returns an endpoint that does nothing until it is run.
@@ -56,11 +61,21 @@
 		return errors.Wrap(err, "listen")
 	}
 	e.options.Announcement.Address = listener.Addr().String()
-	server := &http.Server{Handler: e.worker, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	e.options.Logger.Info("endpoint_started", zap.String("address", e.options.Announcement.Address))
 	e.announceUntil(ctx)
+	if e.options.Hard {
+		e.options.Logger.Info("endpoint_stopped", zap.Int64("cut", e.inProgress.Load()))
+		if err := server.Close(); err != nil {
+			return errors.Wrap(err, "close")
+		}
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
 	e.options.Announcement.Leaving = true
 	e.announce(context.WithoutCancel(ctx))
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), headerTimeout)
@@ -79,6 +94,12 @@
 	return e.worker.Total()
 }
 
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.inProgress.Add(1)
+	defer e.inProgress.Add(-1)
+	e.worker.ServeHTTP(w, r)
+}
+
 func (e *Endpoint) announceUntil(ctx context.Context) {
 	ticker := e.options.Clock.NewTicker(announceEvery)
 	defer ticker.Stop()
