--- /dev/null
+++ b/internal/edge/slots/script_test.go
@@ -0,0 +1,70 @@
+package slots
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts sends reports and answers between entries a and b and their home h in the order that testdata gives.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		key := KeyOf("runner")
+		members := Members{Version: 1, Names: []string{"h"}}
+		var ledger *Ledger
+		now := zero
+		holders, sent := map[string]*Holder{}, map[string]letter{}
+		incarnations := uint64(0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				var name, entry string
+				var count int
+				switch d.Cmd {
+				case "home":
+					incarnations++
+					ledger = NewLedger(Options{Self: "h", Incarnation: incarnations, Peers: []string{"a", "b"}, Valid: modelValid, PerHolder: 8}, members, now)
+					ledger.SetRunners([]Runner{{Key: key, Service: "s", Slots: 4, Hold: modelHold}})
+				case "entry":
+					incarnations++
+					holders[line] = NewHolder(line, incarnations, members)
+					holders[line].Share(key)
+				case "advance":
+					if _, err := fmt.Sscan(line, &count); err != nil {
+						d.Fatalf(t, "%v", err)
+					}
+					now = now.Add(time.Duration(count) * time.Millisecond)
+				case "report":
+					if _, err := fmt.Sscan(line, &name, &entry, &count); err != nil {
+						d.Fatalf(t, "%q: %v", line, err)
+					}
+					sent[name] = letter{from: entry, report: holders[entry].Report("h", []Demand{{Service: "s", Count: count}})}
+				case "take":
+					l := sent[line]
+					answer, wake := ledger.Take(l.report, now)
+					l.answer = &answer
+					sent[line] = l
+					fmt.Fprintf(&out, "%s resend %t grants %d wake %v\n", line, answer.Resend, answer.Grants, wake)
+				case "accept":
+					l := sent[line]
+					holders[l.from].Accept("h", l.report.Number, now, *l.answer)
+				case "acquire":
+					for holders[line].Share(key).TryAcquire(now) {
+						count++
+					}
+					fmt.Fprintf(&out, "%s took %d\n", line, count)
+				}
+			}
+			for _, name := range []string{"a", "b"} {
+				if h, ok := holders[name]; ok {
+					granted, inUse := h.Share(key).Counts()
+					fmt.Fprintf(&out, "%s granted %d in use %d\n", name, granted, inUse)
+				}
+			}
+			return strings.ReplaceAll(out.String(), fmt.Sprint(uint64(key))+" ", "runner ")
+		})
+	})
+}
