--- a/internal/edge/admit/admit.go
+++ b/internal/edge/admit/admit.go
@@ -61,6 +61,7 @@
 	draining atomic.Bool
 	hungry   atomic.Bool
 	peers    map[string]*link
+	pending  chan struct{}
 
 	// The fields below belong to the loop.
 	holder *slots.Holder
@@ -72,7 +73,7 @@
 func New(o Options) *Admit {
 	members := slots.Members{Version: 1, Names: o.Entries}
 	a := &Admit{
-		options: o, peers: map[string]*link{}, known: map[slots.Key]bool{},
+		options: o, peers: map[string]*link{}, pending: make(chan struct{}, 1), known: map[slots.Key]bool{},
 		holder: slots.NewHolder(o.Name, o.Incarnation, members),
 		ledger: slots.NewLedger(slots.Options{
 			Self: o.Name, Incarnation: o.Incarnation, Peers: o.Entries, Valid: o.Valid, PerHolder: o.PerRunner,
--- a/internal/edge/admit/exchange.go
+++ b/internal/edge/admit/exchange.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// tickEvery is the time between looks at what is due.
-	tickEvery = 25 * time.Millisecond
+	// busyTick is the time between looks at what is due while a report waits for its time.
+	busyTick = 25 * time.Millisecond
+	// idleTick is the time between looks else; it bounds the age of the table.
+	idleTick = 200 * time.Millisecond
 	// wakesWaiting is the most wakes that wait for one entry; beyond it they are dropped.
 	wakesWaiting = 4
 )
@@ -30,16 +32,19 @@
 
 // Run keeps the table and the shares up to date until the context ends.
 func (a *Admit) Run(ctx context.Context) error {
-	ticker := a.options.Clock.NewTicker(tickEvery)
-	defer ticker.Stop()
 	for {
-		if err := a.options.Loop.Call(ctx, a.tick); err != nil {
+		pause := idleTick
+		if err := a.options.Loop.Call(ctx, func() { pause = a.tick() }); err != nil {
 			return nil
 		}
+		timer := a.options.Clock.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C():
+		case <-a.pending:
+			timer.Stop()
+		case <-timer.C():
 		}
 	}
 }
@@ -89,24 +94,47 @@
 
 // The functions below run on the control loop.
 
-func (a *Admit) tick() {
+// tick does what is due and returns the time to the next look.
+func (a *Admit) tick() time.Duration {
 	a.refresh()
 	a.reportAll(0)
+	for _, l := range a.peers {
+		if l.pacer.Again != 0 {
+			return busyTick
+		}
+	}
+	return idleTick
+}
+
+// look has Run look again soon, since a report waits for its time.
+func (a *Admit) look() {
+	select {
+	case a.pending <- struct{}{}:
+	default:
+	}
 }
 
 func (a *Admit) reportAll(cause slots.Cause) {
+	demands, sum := a.demands(a.options.Clock.Now())
 	for _, home := range a.holder.Homes() {
 		if l, ok := a.peers[home]; ok {
-			a.report(l, cause)
+			a.reportDemands(l, cause, demands, sum)
 		}
 	}
 }
 
 // report makes a report where one is due, and sends it on its way.
 func (a *Admit) report(l *link, cause slots.Cause) {
+	demands, sum := a.demands(a.options.Clock.Now())
+	a.reportDemands(l, cause, demands, sum)
+}
+
+func (a *Admit) reportDemands(l *link, cause slots.Cause, demands []slots.Demand, sum int) {
 	now := a.options.Clock.Now()
-	demands, sum := a.demands(now)
 	if !l.pacer.Due(now, cause, sum) {
+		if cause != 0 && !l.pacer.Open {
+			a.look()
+		}
 		return
 	}
 	r := a.holder.Report(l.name, demands)
@@ -147,6 +175,7 @@
 	}
 	if again != 0 {
 		l.pacer.Again = again
+		a.look()
 	}
 }
 
--- a/internal/edge/slots/holder.go
+++ b/internal/edge/slots/holder.go
@@ -16,6 +16,8 @@
 	members     Members
 	shares      map[Key]*held
 	pairs       map[string]*pair
+	// homes are the homes of the shares; nil after a change.
+	homes []string
 }
 
 // held is a share with the home that it is renewed by.
@@ -34,7 +36,7 @@
 
 // NewHolder returns a holder without shares.
 func NewHolder(name string, incarnation uint64, m Members) *Holder {
-	return &Holder{name: name, incarnation: incarnation, members: m, shares: map[Key]*held{}, pairs: map[string]*pair{}}
+	return &Holder{name: name, incarnation: incarnation, members: m.hashed(), shares: map[Key]*held{}, pairs: map[string]*pair{}}
 }
 
 // Share returns the share of a runner, made with no slots where it is new.
@@ -43,6 +45,7 @@
 	if !ok {
 		s = &held{share: &Share{}, home: h.members.Home(k)}
 		h.shares[k] = s
+		h.homes = nil
 	}
 	return s.share
 }
@@ -60,6 +63,7 @@
 	// The home learns from a full report that nothing is held, should the runner come back.
 	h.void(s.home)
 	delete(h.shares, k)
+	h.homes = nil
 	return true
 }
 
@@ -69,10 +73,12 @@
 	if m.Version <= h.members.Version {
 		return
 	}
+	m = m.hashed()
 	h.members = m
 	for k, s := range h.shares {
 		if home := m.Home(k); home != s.home {
 			s.home = home
+			h.homes = nil
 			h.void(home)
 		}
 	}
@@ -80,14 +86,15 @@
 
 // Homes returns the entries that are home to any of the shares, by name.
 func (h *Holder) Homes() []string {
-	var homes []string
-	for _, s := range h.shares {
-		if !slices.Contains(homes, s.home) {
-			homes = append(homes, s.home)
+	if h.homes == nil {
+		for _, s := range h.shares {
+			if !slices.Contains(h.homes, s.home) {
+				h.homes = append(h.homes, s.home)
+			}
 		}
+		slices.Sort(h.homes)
 	}
-	slices.Sort(homes)
-	return homes
+	return h.homes
 }
 
 // Report returns the next report to a home; an answer to an earlier one is void from here on.
--- a/internal/edge/slots/ledger.go
+++ b/internal/edge/slots/ledger.go
@@ -91,7 +91,7 @@
 func NewLedger(o Options, m Members, now time.Time) *Ledger {
 	return &Ledger{
 		options: o,
-		members: []tenure{{since: now}, {members: m, since: now}},
+		members: []tenure{{since: now}, {members: m.hashed(), since: now}},
 		runners: map[Key]*account{},
 		heard:   map[string]uint64{},
 	}
@@ -100,7 +100,7 @@
 // SetMembers takes a newer list of members.
 func (l *Ledger) SetMembers(m Members, now time.Time) {
 	if m.Version > l.current().Version {
-		l.members = append(l.members, tenure{members: m, since: now})
+		l.members = append(l.members, tenure{members: m.hashed(), since: now})
 	}
 }
 
--- a/internal/edge/slots/members.go
+++ b/internal/edge/slots/members.go
@@ -8,6 +8,17 @@
 	Version uint64
 	// Names are the entries' names.
 	Names []string
+
+	hashes []uint64
+}
+
+// hashed returns the members with the hashes of their names, so that they are made once.
+func (m Members) hashed() Members {
+	m.hashes = make([]uint64, 0, len(m.Names))
+	for _, name := range m.Names {
+		m.hashes = append(m.hashes, uint64(KeyOf(name)))
+	}
+	return m
 }
 
 // KeyOf returns the key of an endpoint's name among all services.
@@ -21,20 +32,19 @@
 // Home returns the entry that grants a runner's slots, by highest random
 // weight (Thaler and Ravishankar, 1998); it is empty where there are no members.
 func (m Members) Home(k Key) string {
+	if len(m.hashes) != len(m.Names) {
+		m = m.hashed()
+	}
 	var home string
 	var most uint64
-	for _, name := range m.Names {
-		if w := weight(k, name); home == "" || w > most {
+	for i, name := range m.Names {
+		if w := mix(uint64(k) ^ m.hashes[i]); home == "" || w > most {
 			home, most = name, w
 		}
 	}
 	return home
 }
 
-func weight(k Key, name string) uint64 {
-	return mix(uint64(k) ^ uint64(KeyOf(name)))
-}
-
 // mix spreads each bit of a number over all of them.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
