--- a/internal/app/fakes/worker.go
+++ b/internal/app/fakes/worker.go
@@ -16,7 +16,7 @@
 const (
 	// HeaderMode names how the fake endpoint behaves for one request.
 	HeaderMode = "Fake-Mode"
-	// PathRan is where the counts are read.
+	// PathRan is where the counts are read, also through an entry.
 	PathRan = "/ran"
 	// PathHeld tells whether as many requests as its query says were held.
 	PathHeld = "/fake/held"
@@ -99,22 +99,14 @@
 
 // ServeHTTP runs a request in its mode, or tells what ran.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case PathRan:
-		k.tell(w)
-		return
-	case PathHeld:
-		k.tellHeld(w, r)
-		return
-	case PathFree:
-		close(k.freed)
-		return
-	}
 	mode, ok := ParseMode(r.Header.Get(HeaderMode))
 	if !ok || r.Header.Get(HeaderMode) == "" {
 		mode = k.mode
 	}
 	w.Header().Set(relay.HeaderAttempt, r.Header.Get(relay.HeaderAttempt))
+	if k.tool(w, r) {
+		return
+	}
 	if mode == ModeDecline {
 		w.Header().Set(relay.HeaderDeclined, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -131,6 +123,21 @@
 	k.answer(w, r, mode, length)
 }
 
+// tool serves what tests ask the endpoint itself, and says whether it did.
+func (k *Worker) tool(w http.ResponseWriter, r *http.Request) bool {
+	switch r.URL.Path {
+	case PathRan:
+		k.tell(w)
+	case PathHeld:
+		k.tellHeld(w, r)
+	case PathFree:
+		close(k.freed)
+	default:
+		return false
+	}
+	return true
+}
+
 // hold waits until the held requests are freed.
 func (k *Worker) hold(r *http.Request) {
 	k.mu.Lock()
--- a/internal/plan/waves/choose.go
+++ b/internal/plan/waves/choose.go
@@ -35,11 +35,15 @@
 	// A refusal holds for all VMs of a pool in one rack, and only gets stricter within a step.
 	refused := map[place]bool{}
 	drained := 0
-	for _, m := range v.candidates(w) {
-		if drained >= room {
+	v.queue(w)
+	for drained < room {
+		p := v.longest()
+		if p == nil {
 			break
 		}
-		p, spot := v.pools[m.Pool], place{m.Pool, m.Domain}
+		m := p.next[0]
+		p.next = p.next[1:]
+		spot := place{m.Pool, m.Domain}
 		if refused[spot] {
 			continue
 		}
@@ -57,7 +61,26 @@
 	return actions, blocked
 }
 
-// candidates returns the VMs that a wave may take, those of the pools with the longest way to go first.
+// longest returns the pool that has VMs to take and needs most rounds for them, nil where there is none.
+func (v *view) longest() *pool {
+	var best *pool
+	for _, name := range v.names {
+		if p := v.pools[name]; len(p.next) > 0 && (best == nil || v.way(p) > v.way(best)) {
+			best = p
+		}
+	}
+	return best
+}
+
+// queue sorts the VMs that a wave may take by pool.
+func (v *view) queue(w fleet.Wave) {
+	for _, m := range v.candidates(w) {
+		p := v.pools[m.Pool]
+		p.next = append(p.next, m)
+	}
+}
+
+// candidates returns the VMs that a wave may take: those of racks with many of the same pool first, then the oldest.
 func (v *view) candidates(w fleet.Wave) []fleet.VM {
 	var due []fleet.VM
 	for _, m := range v.VMs {
@@ -70,9 +93,7 @@
 		racks[place{m.Pool, m.Domain}]++
 	}
 	slices.SortStableFunc(due, func(a, b fleet.VM) int {
-		p, q := v.pools[a.Pool], v.pools[b.Pool]
 		return cmp.Or(
-			cmp.Compare(v.way(q), v.way(p)),
 			cmp.Compare(racks[place{b.Pool, b.Domain}], racks[place{a.Pool, a.Domain}]),
 			a.Maintained.Compare(b.Maintained),
 			cmp.Compare(a.Name, b.Name),
@@ -84,7 +105,12 @@
 // way is how many rounds a pool still needs, in thousandths.
 func (v *view) way(p *pool) int {
 	const thousand = 1000
-	return thousand * p.due / max(1, p.have+v.Spare-p.Need)
+	return thousand * p.due / max(1, min(p.half(), p.have+p.out+min(v.spare, v.SpareLimit)-p.Need))
+}
+
+// half is the most VMs of a pool that are out at once: a wave that goes wrong leaves it the other half.
+func (p *pool) half() int {
+	return (p.have + p.out + 1) / 2
 }
 
 // verdict says whether a VM may be taken out now, and by which rule.
@@ -96,7 +122,17 @@
 			Change: "time without a failure there",
 		}, false
 	}
-	spare := v.Spare - v.drawn + p.short(0)
+	if p.out >= p.half() {
+		return record.Reason{
+			Inputs: fmt.Sprintf("pool %s: %d VMs out of %d", p.Name, p.out, p.have+p.out),
+			Rule:   "at most half of a pool is out at once",
+			Change: "VMs that come back",
+		}, false
+	}
+	if v.SparePools[p.Name] {
+		return v.spareVerdict(w, m)
+	}
+	spare := v.spareFor(p)
 	if p.have-1+spare < p.Need && (!w.Urgent || !v.affordable(p, spare)) {
 		return record.Reason{
 			Inputs: fmt.Sprintf("pool %s: %d active, needs %d, %d spare", p.Name, p.have, p.Need, spare),
@@ -121,6 +157,24 @@
 	}, true
 }
 
+// spareVerdict says whether a spare VM may be taken out: the others must carry what the pools draw.
+func (v *view) spareVerdict(w fleet.Wave, m fleet.VM) (record.Reason, bool) {
+	for _, p := range v.order {
+		if short := p.share().Short(); short > 0 && short > v.drawn.LeftFor(p.share(), v.spare-1) {
+			return record.Reason{
+				Inputs: fmt.Sprintf("pool %s draws on %d spare VMs of %d", p.Name, short, v.spare),
+				Rule:   "the pools keep the spare VMs that they draw on",
+				Change: "less demand or VMs that come back",
+			}, false
+		}
+	}
+	return record.Reason{
+		Inputs: fmt.Sprintf("maintained %s ago; %d spare VMs", v.Now.Sub(m.Maintained).Round(time.Second), v.spare),
+		Rule:   "the spare VM is due in wave " + w.Name,
+		Change: "cowslip wave hold",
+	}, true
+}
+
 // affordable says whether an urgent wave may leave a pool short: half of its need stays, and each budget pays for twice the cost.
 func (v *view) affordable(p *pool, spare int) bool {
 	if 2*(p.have-1+spare) < p.Need {
@@ -137,7 +191,7 @@
 
 // reserve promises the bad time of a pool that an urgent wave leaves short.
 func (v *view) reserve(w fleet.Wave, p *pool) []record.Action {
-	spare := v.Spare - v.drawn + p.short(0)
+	spare := v.spareFor(p)
 	cost := budget.ShortMS(p.Need, p.have-1+spare, v.Policy.Outage)
 	if cost == 0 {
 		return nil
@@ -157,8 +211,12 @@
 
 // remove takes a VM out of the pool's working view.
 func (v *view) remove(p *pool, m fleet.VM) {
-	v.drawn += p.short(1) - p.short(0)
 	p.have--
+	p.out++
+	if v.SparePools[p.Name] {
+		v.spare--
+	}
+	v.draw()
 	p.due--
 	p.vms = without(p.vms, m.Name)
 }
@@ -229,3 +287,33 @@
 	reason, _ := v.verdict(w, v.pools[m.Pool], m, v.recentDomains(), v.takenDomains(w))
 	return reason, true
 }
+
+// Short returns why a pool would be left short without a VM; it is empty where the VM can be spared.
+func Short(in Input, name string) string {
+	v := newView(in)
+	for _, m := range in.VMs {
+		if m.Name != name || m.Phase != fleet.PhaseActive {
+			continue
+		}
+		if reason, ok := v.verdict(fleet.Wave{}, v.pools[m.Pool], m, domains{}, domains{}); !ok {
+			return reason.String()
+		}
+	}
+	return ""
+}
+
+// Forecast says before a wave starts how long it takes at the least, and which pools it can't touch now.
+func Forecast(in Input, w fleet.Wave) string {
+	v := newView(in)
+	_, due := v.progress(w)
+	text := fmt.Sprintf("%d VMs due, %s at the least", due, Bound(in, w))
+	told := map[string]bool{}
+	recent, taken := v.recentDomains(), v.takenDomains(w)
+	for _, m := range v.candidates(w) {
+		if reason, ok := v.verdict(w, v.pools[m.Pool], m, recent, taken); !ok && !told[reason.Inputs] {
+			told[reason.Inputs] = true
+			text += "; waits: " + reason.String()
+		}
+	}
+	return text
+}
