Serve waiting requests when a slot comes free without a release

Cause: a queue was looked at only when a slot was given back or a grant changed. Where a grant lapsed and was renewed unchanged, or an ejection ended, with nothing in progress, requests waited until their deadlines. TestForgotten fails without the look (20 s), passes with it. A retry that waited goes to a runner that was not tried, where one is free.

--- a/internal/edge/admit/admit.go
+++ b/internal/edge/admit/admit.go
@@ -122,6 +122,7 @@
 	}
 	if verdict == 0 {
 		s.waiters[&w.item] = w
+		s.dispatch()
 	}
 	s.mu.Unlock()
 	if verdict != 0 {
--- a/internal/edge/admit/admit_test.go
+++ b/internal/edge/admit/admit_test.go
@@ -206,3 +206,32 @@
 		})
 	}
 }
+
+// TestForgotten lets a slot come free without a release, as where an unchanged grant is renewed after it had
+// lapsed: the request that waits is admitted.
+func TestForgotten(t *testing.T) {
+	is := is.New(t)
+	all, stop := start(t, []string{"a"}, viewOf(1, 1, 8))
+	defer stop()
+	a := all["a"]
+	service := a.table.Load().services["s"].service
+	service.mu.Lock()
+	share := service.runners[0].share
+	service.mu.Unlock()
+	// The slot is taken behind the service's back, so that its return wakes nobody.
+	is.True(share.TryAcquire(time.Now()))
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		_, err := a.Acquire(ctx, route.Request{Service: "s", Deadline: time.Now().Add(time.Minute)})
+		ended <- err
+	}()
+	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+		service.mu.Lock()
+		waiting = service.queue.Len()
+		service.mu.Unlock()
+	}
+	share.Release()
+	is.NoErr(<-ended) // the request that waited was forgotten
+}
--- a/internal/edge/admit/exchange.go
+++ b/internal/edge/admit/exchange.go
@@ -98,6 +98,7 @@
 func (a *Admit) tick() time.Duration {
 	a.refresh()
 	a.reportAll(0)
+	a.serveWaiting()
 	for _, l := range a.peers {
 		if l.pacer.Again != 0 {
 			return busyTick
@@ -106,6 +107,14 @@
 	return idleTick
 }
 
+// serveWaiting serves those that wait for slots that came free without a release: grants that were renewed,
+// and runners whose ejection has ended.
+func (a *Admit) serveWaiting() {
+	for _, entry := range a.table.Load().services {
+		entry.service.serveWaiting()
+	}
+}
+
 // look has Run look again soon, since a report waits for its time.
 func (a *Admit) look() {
 	select {
@@ -168,11 +177,7 @@
 	if a.holder.Accept(l.name, r.Number, sent, answer) {
 		again = slots.CauseFollow
 	}
-	if len(answer.Grants) > 0 {
-		for _, entry := range a.table.Load().services {
-			entry.service.granted()
-		}
-	}
+	a.serveWaiting()
 	if again != 0 {
 		l.pacer.Again = again
 		a.look()
@@ -220,8 +225,8 @@
 	return s.offered.Demand(now, s.mean, len(s.flights), s.queue.Len())
 }
 
-// granted serves those that wait after slots were granted.
-func (s *service) granted() {
+// serveWaiting gives free slots to those that wait.
+func (s *service) serveWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatch()
--- a/internal/edge/admit/service.go
+++ b/internal/edge/admit/service.go
@@ -157,7 +157,8 @@
 			return
 		}
 		check.That(now.Before(next.Deadline), "admitted_before_deadline")
-		s.waiters[next].ticket = ticket
+		w := s.waiters[next]
+		w.ticket = s.elsewhere(ticket, w.tried, now)
 		s.wake(next, queue.VerdictAdmitted)
 	}
 }
@@ -172,6 +173,19 @@
 	h.Update(waited.Seconds())
 }
 
+// elsewhere exchanges a ticket to a runner that was tried before for one to another, where one is free; mu is held.
+func (s *service) elsewhere(t route.Ticket, tried []fleet.Endpoint, now time.Time) route.Ticket {
+	if len(tried) == 0 || apart(t.Endpoint, tried) > sameRunner {
+		return t
+	}
+	other, ok := s.take(tried, now)
+	if !ok {
+		return t
+	}
+	s.undo(t)
+	return other
+}
+
 // undo gives a ticket back that nothing was sent under; mu is held.
 func (s *service) undo(t route.Ticket) {
 	f := s.flights[t.Number]
