--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -23,7 +23,8 @@
 func Run(ctx context.Context, settings conf.Daemon) error {
 	var g *tasks.Group
 	var logger *zap.Logger
-	app := fx.New(Module(settings), fx.NopLogger, fx.Populate(&g, &logger))
+	var d *drainer
+	app := fx.New(Module(settings), fx.NopLogger, fx.Populate(&g, &logger, &d))
 	if err := app.Err(); err != nil {
 		return rootCause(err)
 	}
@@ -31,6 +32,9 @@
 		return rootCause(err)
 	}
 	failure := wait(ctx, g, logger)
+	if failure == nil {
+		failure = d.run(context.WithoutCancel(ctx))
+	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout(settings))
 	defer cancel()
 	return errors.CombineErrors(failure, rootCause(app.Stop(stop)))
@@ -40,7 +44,7 @@
 func Module(settings conf.Daemon) fx.Option {
 	options := []fx.Option{
 		fx.Supply(settings),
-		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler),
+		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler, newDrainer),
 	}
 	if settings.HasRole(conf.RoleControl) {
 		options = append(options, controlModule)
@@ -48,7 +52,12 @@
 	if settings.HasRole(conf.RoleEntry) {
 		options = append(options, entryModule)
 	}
-	return fx.Options(append(options, fx.Invoke(startLoop, startServers))...)
+	options = append(options, fx.Invoke(startLoop, startServers))
+	if settings.HasRole(conf.RoleControl) {
+		// What is registered last is stopped first: the others elect while this process still answers them.
+		options = append(options, fx.Invoke(handOverOnStop))
+	}
+	return fx.Options(options...)
 }
 
 // wait returns nil when the context ends, or the failure of the part that ended first.
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -25,6 +25,7 @@
 	Replica *serve.Replica `optional:"true"`
 	Control *serve.Control `optional:"true"`
 	Entry   *serve.Entry   `optional:"true"`
+	Slots   *serve.Slots   `optional:"true"`
 	Recall  *serve.Recall  `optional:"true"`
 
 	Environment *serve.Environment `optional:"true"`
@@ -57,6 +58,9 @@
 	if parts.Recall != nil {
 		handler.Handle(peer.NewRecallHandler(parts.Recall))
 	}
+	if parts.Slots != nil {
+		handler.Handle(peer.NewSlotsHandler(parts.Slots, compression))
+	}
 	if parts.Entry != nil {
 		handler.Handle(peer.NewEntryHandler(parts.Entry, compression))
 	}
@@ -70,6 +74,7 @@
 	Control *dial.Control
 	Clock   clock.Clock
 	Agent   *agent.Agent `optional:"true"`
+	Drainer *drainer
 }
 
 // operatorHandler names the handler of operators' calls for the container.
@@ -97,6 +102,10 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if parts.Drainer.draining.Load() {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
 		if parts.Agent != nil && !parts.Agent.View().Lease.Valid(parts.Clock.Now()) {
 			http.Error(w, "no lease", http.StatusServiceUnavailable)
 			return
--- a/internal/ctrl/lease/keeper.go
+++ b/internal/ctrl/lease/keeper.go
@@ -61,6 +61,7 @@
 	holders map[string]*Holder
 	force   force
 	marks   marks
+	members members
 }
 
 // NewKeeper returns a keeper that has heard of no entry yet.
@@ -110,6 +111,10 @@
 	if r.Lease > k.options.Lease {
 		return grant.Grant{}, errors.Wrapf(ErrLeaseTooLong, "entry %q", r.Entry)
 	}
+	// What the entry tells holds whoever leads, and need not wait for a quorum.
+	if err := k.options.Node.View(ctx, func(*state.State) { k.told(r) }); err != nil {
+		return grant.Grant{}, err
+	}
 	if err := k.confirmer.confirm(ctx); err != nil {
 		return grant.Grant{}, err
 	}
@@ -134,6 +139,15 @@
 	return g, refused
 }
 
+// told notes at once that a revision is in force on an entry.
+func (k *Keeper) told(r grant.Renewal) {
+	if h, ok := k.holders[r.Entry]; ok && r.Revision > h.Revision {
+		h.Revision = r.Revision
+		k.force.acknowledged(r.Entry, r.Revision, k.options.Clock.Now(), k.options.Logger)
+		k.publish()
+	}
+}
+
 // behind fails where the entry knows a later state than this replica; a committed change was lost then.
 func behind(s *state.State, r grant.Renewal) error {
 	fields := []zap.Field{
@@ -150,11 +164,19 @@
 func (k *Keeper) grant(s *state.State, h *Holder, r grant.Renewal) grant.Grant {
 	now := k.options.Clock.Now()
 	h.take(r, now)
+	k.members.granting(now, k.options.Lease)
+	k.members.version = max(k.members.version, r.Version)
+	k.updateMembers(s.Applied)
 	k.force.acknowledged(r.Entry, r.Revision, now, k.options.Logger)
-	return grant.Grant{
+	g := grant.Grant{
 		Revision: s.Document.Revision, Digest: s.Document.Digest, Document: documentFor(s, r),
 		Index: s.Applied, Marks: k.marks.since(r.Index), WantReports: !h.reports.whole,
+		Version: k.members.version,
+	}
+	if r.Version != g.Version {
+		g.Entries = k.members.names
 	}
+	return g
 }
 
 // documentFor returns what turns the entry's text into the one in force, nil where it has that.
