--- a/internal/app/fakes/measure_test.go
+++ b/internal/app/fakes/measure_test.go
@@ -12,6 +12,7 @@
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/waves"
+	"cowslipstack/internal/wire/codec"
 )
 
 // outage is how long the stand-in has one VM out: its drain, its reboot and ten minutes of probation.
@@ -64,10 +65,18 @@
 func measure(b *testing.B, s *scenario, limit time.Duration) {
 	s.run(b, 30*time.Minute, nil)
 	warm := s.held()
+	s.commands, s.bytes = 0, 0
+	s.run(b, 10*time.Minute, nil)
+	b.ReportMetric(float64(s.bytes)/600, "idle_log_B/s")
+	s.commands, s.bytes = 0, 0
 	s.heldSum, s.heldMost, s.ticks = 0, 0, 0
 	s.startWave(b)
 	least := bound(s, lead.WavesInput(s.situation()), s.wave())
 	took := s.run(b, limit, func() bool { return s.wave().Phase == fleet.WaveDone })
+	b.ReportMetric(float64(s.bytes)/took.Seconds(), "wave_log_B/s")
+	if data, err := (codec.Codec{}).EncodeState(s.machine.State()); err == nil {
+		b.ReportMetric(float64(len(data)), "snapshot_B")
+	}
 	plain := baseline(s, 0)
 	b.ReportMetric(float64(warm), "spare_warm")
 	b.ReportMetric(float64(s.heldSum)/float64(s.ticks), "spare_mean")
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -20,6 +20,7 @@
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/budget"
+	"cowslipstack/internal/wire/codec"
 )
 
 // start is when each scenario begins.
@@ -47,6 +48,7 @@
 	services    []*service
 	index       uint64
 	commands    int
+	bytes       int
 	refused     int
 	moves       int
 	heldSum     int
@@ -97,6 +99,9 @@
 func (s *scenario) Submit(_ context.Context, c record.Command) (record.Result, error) {
 	s.index++
 	s.commands++
+	if data, err := (codec.Codec{}).EncodeCommand(c); err == nil {
+		s.bytes += len(data)
+	}
 	result := s.machine.Apply(s.index, c)
 	if result.Code != record.CodeOK {
 		s.refused++
