Keep answers whose caller is lost, and end deadlines with their streams

Cause, found on reading: copyRest told a lost caller as a cut answer, so that a long answer was not kept for the resend; the read deadline of a streamed body stayed set while the endpoint worked and would have ended the request after 10 s; the write deadline of a long answer stayed set for the next one on the connection. Bodies up to 128 MiB are taken by default, as the streams need.

--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -195,7 +195,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "announce_ttl_ms", 500)
 	}
 	if v, ok := raw["body_limit_bytes"]; !ok || v == nil {
-		plain.BodyLimitBytes = 16777216
+		plain.BodyLimitBytes = 134217728
 	}
 	if 1073741824 < plain.BodyLimitBytes {
 		return fmt.Errorf("field %s: must be <= %v", "body_limit_bytes", 1073741824)
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -42,9 +43,12 @@
 	keeper.add(buffer[:n])
 	_, lost := c.w.Write(buffer[:n])
 	if !whole {
-		err = f.copyRest(c, response.Body, buffer[:], keeper, lost)
+		err, lost = f.copyRest(c, response.Body, buffer[:], keeper, lost)
+	}
+	// A connection whose answer was read whole may fail to close; the answer is whole all the same.
+	if closed := response.Body.Close(); err == nil && !keeper.held {
+		err = closed
 	}
-	err = errors.CombineErrors(err, response.Body.Close())
 	if err == nil {
 		c.kept, c.isKept = keeper.answer, keeper.held
 	}
@@ -89,10 +93,12 @@
 	c.w.WriteHeader(response.StatusCode)
 }
 
-// copyRest passes the rest of a long answer on in bounded memory. Where the caller is lost, an
-// answer that is kept for resends is still read to its end.
-func (f *Front) copyRest(c *call, body io.Reader, buffer []byte, k *keeper, lost error) error {
-	for {
+// copyRest passes the rest of a long answer on in bounded memory, and returns how the answer and its
+// caller failed. Where the caller is lost, an answer that is kept for resends is still read to its end.
+func (f *Front) copyRest(c *call, body io.Reader, buffer []byte, k *keeper, lost error) (cut, gone error) {
+	// The connection may serve another request, whose answer must not meet this one's deadline.
+	defer func() { _ = c.control.SetWriteDeadline(time.Time{}) }()
+	for lost == nil || k.held {
 		n, err := body.Read(buffer)
 		k.add(buffer[:n])
 		if lost == nil && n > 0 {
@@ -101,15 +107,13 @@
 			_, lost = c.w.Write(buffer[:n])
 		}
 		if errors.Is(err, io.EOF) {
-			return lost
+			return nil, lost
 		}
 		if err != nil {
-			return err
-		}
-		if lost != nil && !k.held {
-			return lost
+			return err, lost
 		}
 	}
+	return nil, lost
 }
 
 // keeper copies an answer that is short enough to be kept for resends.
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -72,5 +72,10 @@
 // Read reads what comes within the limit.
 func (s *slowReader) Read(p []byte) (int, error) {
 	_ = s.call.control.SetReadDeadline(s.front.options.Clock.Now().Add(slowTimeout))
-	return s.next.Read(p)
+	n, err := s.next.Read(p)
+	if err != nil {
+		// Nothing more is waited for; the deadline would end the request while it is at its endpoint.
+		_ = s.call.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
 }
--- /dev/null
+++ b/internal/wire/codec/claim_bench_test.go
@@ -0,0 +1,57 @@
+package codec_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cowslipstack/internal/ctrl/state"
+	"cowslipstack/internal/edge/claim"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/codec"
+)
+
+// BenchmarkFullClaims measures a state that keeps as many claims as it may: its memory, and its snapshot.
+func BenchmarkFullClaims(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := state.NewMachine()
+	now := time.Unix(1e9, 0).UTC()
+	for i := range state.ClaimLimit {
+		r := claim.Request{Service: "credits", Key: fmt.Sprint(i)}
+		m.Apply(uint64(i+1), record.Command{Time: now, Claim: &record.ClaimChange{
+			Step: record.ClaimOpen, Key: r.Name(), Digest: r.Digest(), Entry: "entry-1", Issued: now,
+			Attempt: fmt.Sprintf("5a42b632-75ff-4085-a380-498ecae43beb-%x", i),
+		}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ResetTimer()
+	var size int
+	for range b.N {
+		data, err := codec.Codec{}.EncodeState(m.State())
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/state.ClaimLimit, "bytes/claim")
+	b.ReportMetric(float64(size)/state.ClaimLimit, "snapshot-bytes/claim")
+}
+
+// BenchmarkClaim measures the applying of one claim.
+func BenchmarkClaim(b *testing.B) {
+	m := state.NewMachine()
+	now := time.Unix(1e9, 0).UTC()
+	c := record.ClaimChange{Step: record.ClaimOpen, Digest: "d", Entry: "entry-1", Attempt: "a"}
+	for i := range b.N {
+		// A rate at which the limit is not met.
+		now = now.Add(5 * time.Millisecond)
+		c.Key, c.Issued = fmt.Sprint(i), now
+		if r := m.Apply(uint64(i+1), record.Command{Time: now, Claim: &c}); r.Code != record.CodeOK {
+			b.Fatal(r)
+		}
+	}
+}
