Assert that a request is sent once and that not_run did not run

A first form, not_run was not sent, was wrong: an idempotent request that was declined and then met no second endpoint is rightly not_run.

--- a/internal/app/proof/site_test.go
+++ b/internal/app/proof/site_test.go
@@ -184,7 +184,7 @@
 func (e *entry) start() {
 	p := &process{memory: claim.NewMemory(1 << 20), ended: make(chan error, 1)}
 	p.fault.Store(new(string))
-	c := clock.System{}
+	c := e.site.clock
 	f := front.New(front.Options{
 		Name: e.name, Views: e, Dispatcher: route.NewDirect(e, c), Relay: &faultyRelay{Relay: e.site.relay, entry: e, process: p},
 		Claims: e.site.claims, Others: e, Memory: p.memory, Clock: c, Logger: zap.NewNop(), BodyLimit: 1 << 30,
@@ -205,6 +205,7 @@
 
 // site is a few entries and fake endpoints in one process.
 type site struct {
+	clock   clock.Clock
 	claims  *claims
 	relay   *relay.Relay
 	view    atomic.Pointer[route.View]
@@ -219,7 +220,13 @@
 const serviceName = "credits"
 
 func newSite(entries, workers int) *site {
+	return newSiteAt(clock.System{}, entries, workers)
+}
+
+// newSiteAt returns a site whose entries have a clock of their own.
+func newSiteAt(c clock.Clock, entries, workers int) *site {
 	s := &site{
+		clock:  c,
 		claims: &claims{machine: state.NewMachine()}, relay: relay.New(relay.Options{Connections: 64}),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
 	}
--- a/internal/edge/claim/memory.go
+++ b/internal/edge/claim/memory.go
@@ -1,6 +1,12 @@
 package claim
 
-import "sync"
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/check"
+)
 
 // State is what an entry knows of a request that it took on; the zero value means that it knows nothing.
 type State int
@@ -109,6 +115,7 @@
 		delete(m.byName, m.ended[0].name)
 		m.ended = m.ended[1:]
 	}
+	check.That(m.bytes >= 0 && m.bytes <= m.limit, "kept_answers_are_bounded", zap.Int("bytes", m.bytes), zap.Int("limit", m.limit))
 }
 
 // Recall tells what is known of a request, and the channel that closes once a running one has its outcome.
--- a/internal/edge/front/attempt.go
+++ b/internal/edge/front/attempt.go
@@ -7,7 +7,9 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/edge/relay"
 	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/model/fleet"
@@ -72,8 +74,16 @@
 	}
 	answer := f.options.Relay.Send(ctx, ticket.Endpoint, f.attemptOf(c, ticket.Endpoint))
 	result.Outcome = answer.Outcome
+	result.Declined = errors.Is(answer.Err, relay.ErrDeclined)
+	if answer.Outcome != fleet.OutcomeNotRun {
+		c.mayHaveRun = true
+	}
+	if c.mayHaveRun || result.Declined {
+		c.sendings++
+	}
+	check.That(c.sendings <= 1 || c.idempotent(), "non_idempotent_request_is_sent_once",
+		zap.String("request", c.request), zap.Int("sendings", c.sendings))
 	if answer.Outcome != fleet.OutcomeAnswered {
-		result.Declined = errors.Is(answer.Err, relay.ErrDeclined)
 		return notAnswered(answer)
 	}
 	result.Status = answer.Response.StatusCode
--- a/internal/edge/front/call.go
+++ b/internal/edge/front/call.go
@@ -56,7 +56,11 @@
 	code     string
 	endpoint time.Duration
 	retries  int
-	aborted  bool
+	// sendings counts the attempts of which a byte may have reached an endpoint.
+	sendings int
+	// mayHaveRun says that an attempt ended otherwise than as not run.
+	mayHaveRun bool
+	aborted    bool
 }
 
 // takeLabels sets the labels of metrics; names that callers make up don't become series.
--- a/internal/edge/front/refuse.go
+++ b/internal/edge/front/refuse.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/model/fleet"
 )
@@ -79,6 +80,8 @@
 		r.retry = r.retry || r.outcome == fleet.OutcomeUnknown
 	}
 	r.retry = r.retry || r.outcome == fleet.OutcomeUnknown && c.idempotent()
+	check.That(r.outcome != fleet.OutcomeNotRun || !c.mayHaveRun, "not_run_did_not_run",
+		zap.String("request", c.request), zap.String("code", r.code), zap.Int("sendings", c.sendings))
 	c.outcome, c.code = r.outcome, r.code
 	header := c.w.Header()
 	header.Set(HeaderOutcome, r.outcome.String())
