--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -35,6 +35,11 @@
 	Env       *EnvCommand       `arg:"subcommand:env" help:"try, promote and compare environment documents"`
 	Status    *StatusCommand    `arg:"subcommand:status" help:"show the state of the fleet"`
 	Watch     *WatchCommand     `arg:"subcommand:watch" help:"show the state of the fleet each time that it changes"`
+	VM        *VMCommand        `arg:"subcommand:vm" help:"list, drain, move and return VMs"`
+	Pool      *PoolCommand      `arg:"subcommand:pool" help:"list pools with their demand and budgets"`
+	Wave      *WaveCommand      `arg:"subcommand:wave" help:"start, hold, resume and cancel waves of maintenance"`
+	Job       *JobCommand       `arg:"subcommand:job" help:"list, submit, hold, release and cancel jobs"`
+	Explain   *ExplainCommand   `arg:"subcommand:explain" help:"tell the inputs and the rule of a decision"`
 	Replica   *ReplicaCommand   `arg:"subcommand:replica" help:"show, replace and remove replicas of the control role, and hand over the leadership"`
 	State     *StateCommand     `arg:"subcommand:state" help:"show or check a data folder that no process uses"`
 	Version   *VersionCommand   `arg:"subcommand:version" help:"show which build this is"`
@@ -66,6 +71,7 @@
 	arguments   Arguments
 	client      peer.OperatorClient
 	environment peer.EnvironmentClient
+	fleet       peer.FleetClient
 	members     peer.MembersClient
 	out         io.Writer
 }
@@ -94,6 +100,7 @@
 		arguments:   a,
 		client:      peer.NewOperatorClient(client, "http://"+a.Address, retry),
 		environment: peer.NewEnvironmentClient(client, "http://"+a.Address, retry),
+		fleet:       peer.NewFleetClient(client, "http://"+a.Address, retry),
 		members:     peer.NewMembersClient(client, "http://"+a.Address, retry),
 		out:         t.Out,
 	}
@@ -124,6 +131,16 @@
 		return c.status(ctx)
 	case c.arguments.Watch != nil:
 		return c.arguments.Watch.run(ctx, c)
+	case c.arguments.VM != nil:
+		return c.arguments.VM.run(ctx, c)
+	case c.arguments.Pool != nil:
+		return c.arguments.Pool.run(ctx, c)
+	case c.arguments.Wave != nil:
+		return c.arguments.Wave.run(ctx, c)
+	case c.arguments.Job != nil:
+		return c.arguments.Job.run(ctx, c)
+	case c.arguments.Explain != nil:
+		return c.arguments.Explain.run(ctx, c)
 	case c.arguments.Replica != nil:
 		return c.arguments.Replica.run(ctx, c)
 	case c.arguments.State != nil:
--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -57,6 +57,11 @@
 			"expand":       expand,
 			"certificates": certificates,
 			"listening":    listening,
+			"begin":        begin,
+			"end":          end,
+			"until":        until,
+			"load":         load,
+			"unload":       unload,
 		},
 	})
 }
--- a/internal/ctrl/lead/lead.go
+++ b/internal/ctrl/lead/lead.go
@@ -39,7 +39,7 @@
 type Entries interface {
 	// Drained says whether no entry has, or can still start, a request on a VM.
 	Drained(vm string, epoch uint64) bool
-	// Reports returns what each entry saw of each service.
+	// Reports returns the services' counts, added up over the entries; they only rise.
 	Reports() []fleet.Report
 }
 
@@ -72,6 +72,8 @@
 	environment docs.Environment
 	// seen counts the steps in a row that saw a VM lost or back.
 	seen map[string]int
+	// leases are the leases that the platform was told of in this term.
+	leases map[string]time.Time
 	// samples are the reports that the next ones are compared with.
 	samples samples
 	steps   *metrics.Summary
@@ -94,7 +96,7 @@
 			return nil
 		case <-ticker.C():
 			if err := l.Step(ctx); err != nil && ctx.Err() == nil {
-				l.options.Logger.Warn("plan_step_failed", zap.Error(err))
+				l.options.Logger.Warn("plan_step_failed", zap.String("error", err.Error()))
 			}
 		}
 	}
@@ -115,13 +117,20 @@
 		return err
 	}
 	began := l.options.Clock.Now()
-	actions := append(Decide(s), l.observe(s)...)
+	observed := l.observe(s)
+	for name, d := range l.samples.demands {
+		s.Demands[name] = d
+	}
+	actions := append(Decide(s), observed...)
 	l.steps.Update(l.options.Clock.Now().Sub(began).Seconds())
 	for _, a := range actions {
 		if err := l.submit(ctx, a); err != nil {
 			return err
 		}
 	}
+	if err := l.driveJobs(ctx, s); err != nil {
+		return err
+	}
 	return l.drive(ctx, s)
 }
 
@@ -131,8 +140,6 @@
 	if err := l.options.Node.View(ctx, func(st *state.State) { take(st, &c) }); err != nil {
 		return Situation{}, errors.Wrap(err, "read the state")
 	}
-	c.s.Now = l.options.Clock.Now()
-	c.s.sorted()
 	if c.revision != l.revision {
 		environment, err := docs.Parse("document in force", c.text)
 		if err != nil {
@@ -140,19 +147,19 @@
 		}
 		l.environment, l.revision = environment, c.revision
 	}
-	c.s.Environment = l.environment
+	s := c.situation(l.options.Clock.Now(), l.environment)
 	machines, err := l.options.Platform.Machines(ctx)
 	if err != nil {
 		return Situation{}, errors.Wrap(err, "read the platform's VMs")
 	}
-	c.s.Machines = make(map[string]fleet.Machine, len(machines))
+	s.Machines = make(map[string]fleet.Machine, len(machines))
 	for _, m := range machines {
-		c.s.Machines[m.Name] = m
+		s.Machines[m.Name] = m
 	}
-	return c.s, nil
+	return s, nil
 }
 
 // forget drops what was seen as the leader; a new term starts anew.
 func (l *Leader) forget() {
-	l.seen, l.samples = map[string]int{}, samples{}
+	l.seen, l.samples, l.leases = map[string]int{}, samples{}, map[string]time.Time{}
 }
--- a/internal/ctrl/lead/observe.go
+++ b/internal/ctrl/lead/observe.go
@@ -35,15 +35,16 @@
 
 // observe learns the pools' demands and counts the services' bad time.
 func (l *Leader) observe(s Situation) []record.Action {
-	now, sum := s.Now, add(l.options.Entries.Reports())
-	p := &l.samples
+	now, p := s.Now, &l.samples
 	if p.at.IsZero() {
-		*p = samples{at: now, last: sum, counted: now, base: sum, demands: map[string]fleet.Demand{}}
+		sum := byService(l.options.Entries.Reports())
+		*p = samples{at: now, counted: now, last: sum, base: sum, demands: map[string]fleet.Demand{}}
 		for pool, d := range s.Demands {
 			p.demands[pool] = d
 		}
 		return nil
 	}
+	sum := byService(l.options.Entries.Reports())
 	actions := p.learn(s, sum)
 	p.at, p.last = now, sum
 	if now.Sub(p.counted) < countEvery {
@@ -98,18 +99,11 @@
 	return actions
 }
 
-// add adds the reports of all entries up by service.
-func add(reports []fleet.Report) totals {
-	sum := totals{}
+// byService sorts reports by their service.
+func byService(reports []fleet.Report) totals {
+	sum := make(totals, len(reports))
 	for _, r := range reports {
-		t := sum[r.Service]
-		t.Service = r.Service
-		t.Answered += r.Answered
-		t.NotRun += r.NotRun
-		t.Unknown += r.Unknown
-		t.InProgress += r.InProgress
-		t.Queued += r.Queued
-		sum[r.Service] = t
+		sum[r.Service] = r
 	}
 	return sum
 }
