--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -57,6 +57,8 @@
 			"expand":       expand,
 			"certificates": certificates,
 			"listening":    listening,
+			"send":         send,
+			"refused":      refused,
 			"begin":        begin,
 			"end":          end,
 			"until":        until,
