--- a/internal/wire/serve/environment.go
+++ b/internal/wire/serve/environment.go
@@ -185,6 +185,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.Keeper.Watch(ctx); err != nil {
+		return nil, controlError(err)
+	}
 	d := view.document
 	response := &peer.ForceResponse{Environment: d.Environment, Revision: d.Revision, Digest: d.Digest}
 	known := s.Keeper.Snapshot()
