--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -20,6 +21,7 @@
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/budget"
+	"cowslipstack/internal/wire/codec"
 )
 
 // start is when each scenario begins.
@@ -47,6 +49,7 @@
 	services    []*service
 	index       uint64
 	commands    int
+	bytes       int
 	refused     int
 	moves       int
 	heldSum     int
@@ -97,6 +100,9 @@
 func (s *scenario) Submit(_ context.Context, c record.Command) (record.Result, error) {
 	s.index++
 	s.commands++
+	if data, err := (codec.Codec{}).EncodeCommand(c); err == nil {
+		s.bytes += len(data)
+	}
 	result := s.machine.Apply(s.index, c)
 	if result.Code != record.CodeOK {
 		s.refused++
@@ -248,6 +254,14 @@
 	for _, v := range st.VMs {
 		situation.VMs = append(situation.VMs, v)
 	}
+	for _, name := range slices.Sorted(maps.Keys(st.Jobs)) {
+		situation.Jobs = append(situation.Jobs, st.Jobs[name])
+	}
+	machines, _ := s.platform.Machines(context.Background())
+	situation.Machines = map[string]fleet.Machine{}
+	for _, m := range machines {
+		situation.Machines[m.Name] = m
+	}
 	slices.SortFunc(situation.VMs, func(a, b fleet.VM) int { return strings.Compare(a.Name, b.Name) })
 	return situation
 }
