--- a/internal/edge/admit/admit.go
+++ b/internal/edge/admit/admit.go
@@ -96,7 +96,7 @@
 	if a.draining.Load() {
 		return a.refuse(r, route.ReasonDraining, "this entry is about to stop")
 	}
-	table := a.fresh(ctx)
+	table := a.table.Load()
 	entry, ok := table.services[r.Service]
 	if !ok || len(entry.runners) == 0 {
 		return a.refuse(r, route.ReasonNoEndpoint, "the service has no endpoint")
--- a/internal/edge/admit/table.go
+++ b/internal/edge/admit/table.go
@@ -1,11 +1,8 @@
 package admit
 
 import (
-	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/edge/queue"
 	"cowslipstack/internal/edge/route"
@@ -77,23 +74,6 @@
 	a.table.Store(next)
 }
 
-// freshLimit bounds the wait for a new table; an old one is good enough where the control loop is busy.
-const freshLimit = 50 * time.Millisecond
-
-// fresh returns a table with the runners of the latest view, so that a runner that just left gets nothing.
-func (a *Admit) fresh(ctx context.Context) *table {
-	t, view := a.table.Load(), a.options.Views.View()
-	if t.view == view || t.view != nil && t.view.Generation == view.Generation {
-		return t
-	}
-	ctx, cancel := context.WithTimeout(ctx, freshLimit)
-	defer cancel()
-	if err := a.options.Loop.Call(ctx, a.refresh); err != nil {
-		a.options.Logger.Debug("table_is_old", zap.Error(err))
-	}
-	return a.table.Load()
-}
-
 // labels returns whose request it is; names that callers make up don't become teams, classes or series.
 func (t *table) labels(r route.Request) (hist.Labels, queue.Class) {
 	l := hist.Labels{Service: r.Service, Team: r.Team}
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -132,7 +132,7 @@
 // publish makes the view that traffic reads; services without a change are taken from the last one.
 func (a *Agent) publish() {
 	last := a.view.Load()
-	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Generation: last.Generation, Teams: last.Teams, Version: a.version, Entries: a.entries}
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams, Version: a.version, Entries: a.entries}
 	if v.Revision != last.Revision {
 		v.Teams = map[string]int{}
 		for _, t := range a.document.environment.Teams {
@@ -140,7 +140,6 @@
 		}
 	}
 	if v.Revision != last.Revision || len(a.dirty) > 0 {
-		v.Generation++
 		v.Services = a.services(last, v.Revision != last.Revision)
 		clear(a.dirty)
 	}
--- a/internal/edge/route/view.go
+++ b/internal/edge/route/view.go
@@ -37,8 +37,6 @@
 	Lease Lease
 	// Revision is the document's revision, 0 before the first.
 	Revision uint64
-	// Generation rises with each change of the services.
-	Generation uint64
 	// Services are the services by name.
 	Services map[string]Service
 	// Version is that of Entries; it rises with each change.
