Give a closed endpoint's ticket back for another endpoint

maintenance.txtar got 2 or 3 not_run of about 125 requests while a VM drained: the counting dispatcher gave a ticket for a closed VM back and was handed the same endpoint again, three times, and refused. Endpoints given back now count as tried.

--- a/internal/edge/tally/counted.go
+++ b/internal/edge/tally/counted.go
@@ -44,6 +44,7 @@
 			return t, nil
 		}
 		c.Release(t, route.Result{Outcome: fleet.OutcomeNotRun, Load: route.NoLoad})
+		r.Tried = append(slices.Clone(r.Tried), t.Endpoint)
 	}
 	return route.Ticket{}, &route.Refusal{Reason: route.ReasonNoEndpoint, Message: "the chosen endpoints take no new requests"}
 }
