--- a/internal/app/fakes/events_test.go
+++ b/internal/app/fakes/events_test.go
@@ -62,7 +62,7 @@
 			d.MaybeScanArgs(t, "count", &count)
 			if d.Cmd == "fleet" {
 				e, text := readExample(t, name)
-				s = newScenario(t, e, text, 3, truth(sick))
+				s = newScenario(t, e, text, sites[name], truth(sick))
 				s.tick = 2 * time.Second
 				return ""
 			}
@@ -196,7 +196,7 @@
 	kinds := []string{"wave", "hold", "resume", "cancel", "leader", "fail", "repair", "jobs", "cancel_jobs", "run"}
 	rapid.Check(t, func(r *rapid.T) {
 		e, text := readExample(t, "swan-coastal")
-		s := newScenario(t, e, text, 3, truth(nil))
+		s := newScenario(t, e, text, sites["swan-coastal"], truth(nil))
 		s.tick = 5 * time.Second
 		s.run(t, time.Minute, nil)
 		for i := range rapid.IntRange(1, 12).Draw(r, "events") {
--- a/internal/app/fakes/measure_test.go
+++ b/internal/app/fakes/measure_test.go
@@ -109,7 +109,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					measure(b, newScenario(b, e, text, 3, nil), 4*time.Hour)
+					measure(b, newScenario(b, e, text, sites[name], nil), 4*time.Hour)
 				}
 			})
 		}
@@ -138,7 +138,7 @@
 func BenchmarkLetter(b *testing.B) {
 	for range b.N {
 		e, text := large(b, 265)
-		s := newScenario(b, e, text, 4, nil)
+		s := newScenario(b, e, text, sites["large"], nil)
 		for _, sv := range s.services {
 			sv.meanMilli = 1200
 		}
@@ -152,7 +152,7 @@
 func BenchmarkStep(b *testing.B) {
 	for _, pools := range []int{17, 34, 66, 133, 265} {
 		e, text := large(b, pools)
-		s := newScenario(b, e, text, 4, nil)
+		s := newScenario(b, e, text, sites["large"], nil)
 		for _, sv := range s.services {
 			sv.meanMilli = 1200
 		}
@@ -175,7 +175,7 @@
 func BenchmarkUrgent(b *testing.B) {
 	for range b.N {
 		e, text := readExample(b, "swan-coastal")
-		s := newScenario(b, e, text, 3, truth(nil))
+		s := newScenario(b, e, text, sites["swan-coastal"], truth(nil))
 		s.tick = 500 * time.Millisecond
 		s.run(b, time.Minute, nil)
 		s.event(b, "jobs", "wait", 60)
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -61,7 +61,20 @@
 	tick time.Duration
 }
 
-func newScenario(t testing.TB, e docs.Environment, text []byte, racks int, truth func(job, vm string) fakes.Truth) *scenario {
+// site is the shape of a fleet.
+type site struct {
+	dataCentres int
+	vm          fleet.Size
+}
+
+// sites are the shapes of the two deployments and of the size designed for.
+var sites = map[string]site{
+	"swan-coastal":  {dataCentres: 3, vm: fleet.Size{Cores: 16, MemoryMB: 64_000}},
+	"tucuman-frost": {dataCentres: 3, vm: fleet.Size{Cores: 64, MemoryMB: 256_000}},
+	"large":         {dataCentres: 4, vm: fleet.Size{Cores: 16, MemoryMB: 64_000}},
+}
+
+func newScenario(t testing.TB, e docs.Environment, text []byte, at site, truth func(job, vm string) fakes.Truth) *scenario {
 	check.SetHandler(func(name string, fields []zap.Field) { t.Fatalf("invariant %s breached: %v", name, fields) })
 	s := &scenario{clock: clock.NewManual(start), machine: state.NewMachine(), environment: e, surge: 10 * time.Second, tick: 500 * time.Millisecond}
 	s.platform = fakes.NewPlatform(fakes.PlatformOptions{
@@ -77,8 +90,8 @@
 			}
 			rack := position / 4
 			s.platform.Add(fleet.Machine{
-				Name: fmt.Sprintf("%s-%d", p.Name, i), Pool: string(p.Name), Size: fleet.Size{Cores: 16, MemoryMB: 64000},
-				Domain: fleet.Domain{DataCentre: fmt.Sprint("dc", rack%racks), Switch: fmt.Sprint("s", rack/racks/4), Rack: fmt.Sprint("r", rack)},
+				Name: fmt.Sprintf("%s-%d", p.Name, i), Pool: string(p.Name), Size: at.vm,
+				Domain: fleet.Domain{DataCentre: fmt.Sprint("dc", rack%at.dataCentres), Switch: fmt.Sprint("s", rack/at.dataCentres/4), Rack: fmt.Sprint("r", rack)},
 			})
 			position++
 			added = true
