--- a/internal/app/fakes/events_test.go
+++ b/internal/app/fakes/events_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"cowslipstack/internal/app/fakes"
@@ -233,3 +234,29 @@
 		}
 	}
 }
+
+// TestFollowerDoesNothing checks that a replica which doesn't lead makes no change and no operation, and that the
+// platform refuses what a deposed leader sends late.
+func TestFollowerDoesNothing(t *testing.T) {
+	is := is.New(t)
+	e, text := readExample(t, "swan-coastal")
+	s := newScenario(t, e, text, sites["swan-coastal"], truth(nil))
+	s.run(t, time.Minute, nil)
+	s.startWave(t)
+	s.run(t, 5*time.Minute, nil)
+	s.follows = true
+	commands, operations := s.commands, s.platform.Operations()
+	s.run(t, 5*time.Minute, nil)
+	is.Equal(s.commands, commands)
+	is.Equal(s.platform.Operations(), operations)
+	for _, v := range s.machine.State().VMs {
+		if v.Epoch == 1 {
+			continue
+		}
+		late := fleet.Operation{ID: v.Name + "/1/1/reboot", Verb: fleet.VerbReboot, VM: v.Name, Epoch: 1, Version: 1}
+		state, err := s.platform.Do(context.Background(), late)
+		is.NoErr(err)
+		is.Equal(state, fleet.OperationStale)
+	}
+	is.Equal(s.platform.Operations(), operations)
+}
--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -16,6 +16,7 @@
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/lead"
+	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
@@ -52,9 +53,11 @@
 	bytes       int
 	refused     int
 	moves       int
-	heldSum     int
-	heldMost    int
-	ticks       int
+	// follows says that another replica leads.
+	follows  bool
+	heldSum  int
+	heldMost int
+	ticks    int
 	// surge is how long one service surges before the next.
 	surge time.Duration
 	// tick is the time between planning steps.
@@ -125,7 +128,12 @@
 	return result, nil
 }
 
-func (s *scenario) Confirm(context.Context) error { return nil }
+func (s *scenario) Confirm(context.Context) error {
+	if s.follows {
+		return quorum.ErrNotLeader
+	}
+	return nil
+}
 
 func (s *scenario) View(_ context.Context, view func(*state.State)) error {
 	view(s.machine.State())
