--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -83,6 +83,9 @@
 	started uint64
 	view    atomic.Pointer[route.View]
 
+	// followers are called after each published view.
+	followers []func()
+
 	// The fields below belong to the loop.
 	lease    route.Lease
 	document document
@@ -129,7 +132,7 @@
 // publish makes the view that traffic reads; services without a change are taken from the last one.
 func (a *Agent) publish() {
 	last := a.view.Load()
-	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Teams: last.Teams, Version: a.version, Entries: a.entries}
+	v := &route.View{Lease: a.lease, Revision: a.document.revision, Services: last.Services, Generation: last.Generation, Teams: last.Teams, Version: a.version, Entries: a.entries}
 	if v.Revision != last.Revision {
 		v.Teams = map[string]int{}
 		for _, t := range a.document.environment.Teams {
@@ -137,10 +140,19 @@
 		}
 	}
 	if v.Revision != last.Revision || len(a.dirty) > 0 {
+		v.Generation++
 		v.Services = a.services(last, v.Revision != last.Revision)
 		clear(a.dirty)
 	}
 	a.view.Store(v)
+	for _, f := range a.followers {
+		f()
+	}
+}
+
+// Follow has a function called on the control loop each time that a view was published; it must be called before Run.
+func (a *Agent) Follow(f func()) {
+	a.followers = append(a.followers, f)
 }
 
 func (a *Agent) services(last *route.View, all bool) map[string]route.Service {
