--- a/internal/app/fakes/scenario_test.go
+++ b/internal/app/fakes/scenario_test.go
@@ -16,6 +16,7 @@
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/lead"
+	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/fleet"
@@ -52,16 +53,31 @@
 	bytes       int
 	refused     int
 	moves       int
-	heldSum     int
-	heldMost    int
-	ticks       int
+	// follows says that another replica leads.
+	follows  bool
+	heldSum  int
+	heldMost int
+	ticks    int
 	// surge is how long one service surges before the next.
 	surge time.Duration
 	// tick is the time between planning steps.
 	tick time.Duration
 }
 
-func newScenario(t testing.TB, e docs.Environment, text []byte, racks int, truth func(job, vm string) fakes.Truth) *scenario {
+// site is the shape of a fleet.
+type site struct {
+	dataCentres int
+	vm          fleet.Size
+}
+
+// sites are the shapes of the two deployments and of the size designed for.
+var sites = map[string]site{
+	"swan-coastal":  {dataCentres: 3, vm: fleet.Size{Cores: 16, MemoryMB: 64_000}},
+	"tucuman-frost": {dataCentres: 3, vm: fleet.Size{Cores: 64, MemoryMB: 256_000}},
+	"large":         {dataCentres: 4, vm: fleet.Size{Cores: 16, MemoryMB: 64_000}},
+}
+
+func newScenario(t testing.TB, e docs.Environment, text []byte, at site, truth func(job, vm string) fakes.Truth) *scenario {
 	check.SetHandler(func(name string, fields []zap.Field) { t.Fatalf("invariant %s breached: %v", name, fields) })
 	s := &scenario{clock: clock.NewManual(start), machine: state.NewMachine(), environment: e, surge: 10 * time.Second, tick: 500 * time.Millisecond}
 	s.platform = fakes.NewPlatform(fakes.PlatformOptions{
@@ -77,8 +93,8 @@
 			}
 			rack := position / 4
 			s.platform.Add(fleet.Machine{
-				Name: fmt.Sprintf("%s-%d", p.Name, i), Pool: string(p.Name), Size: fleet.Size{Cores: 16, MemoryMB: 64000},
-				Domain: fleet.Domain{DataCentre: fmt.Sprint("dc", rack%racks), Switch: fmt.Sprint("s", rack/racks/4), Rack: fmt.Sprint("r", rack)},
+				Name: fmt.Sprintf("%s-%d", p.Name, i), Pool: string(p.Name), Size: at.vm,
+				Domain: fleet.Domain{DataCentre: fmt.Sprint("dc", rack%at.dataCentres), Switch: fmt.Sprint("s", rack/at.dataCentres/4), Rack: fmt.Sprint("r", rack)},
 			})
 			position++
 			added = true
@@ -112,7 +128,12 @@
 	return result, nil
 }
 
-func (s *scenario) Confirm(context.Context) error { return nil }
+func (s *scenario) Confirm(context.Context) error {
+	if s.follows {
+		return quorum.ErrNotLeader
+	}
+	return nil
+}
 
 func (s *scenario) View(_ context.Context, view func(*state.State)) error {
 	view(s.machine.State())
