Write down each event and metric, and tell of a lapsed lease

Cause: events and metrics had no page, and the lapse of a lease, which alerts should be on, had neither a line nor a count.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -87,7 +87,9 @@
 	followers []func()
 
 	// The fields below belong to the loop.
-	lease    route.Lease
+	lease route.Lease
+	// leased says whether the log told last that the lease was gained.
+	leased   bool
 	document document
 	version  uint64
 	entries  []string
--- a/internal/edge/agent/endpoints.go
+++ b/internal/edge/agent/endpoints.go
@@ -118,6 +118,7 @@
 }
 
 func (a *Agent) lapse() {
+	a.noteLapse(a.options.Clock.Now())
 	for _, e := range a.table.Lapse(a.options.Clock.Now()) {
 		delete(a.shared, e.Key())
 		a.dirty[e.Service] = true
--- a/internal/edge/agent/renew.go
+++ b/internal/edge/agent/renew.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
@@ -23,6 +24,8 @@
 	reportEvery = 2 * time.Second
 )
 
+var leaseLapses = metrics.NewCounter("cowslip_lease_lapses_total")
+
 // Run renews the lease until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.Learn(ctx)
@@ -137,13 +140,24 @@
 	}
 	a.touch(g.Marks)
 	a.told(r, g)
-	if !a.lease.Valid(sent) {
+	a.noteLapse(sent)
+	if !a.leased {
+		a.leased = true
 		a.options.Logger.Info("lease_gained", zap.Uint64("revision", next.revision))
 	}
 	a.lease = route.Lease{Start: sent, Length: a.options.Lease}
 	a.publish()
 }
 
+// noteLapse writes the lapse of the lease to the log, once for each lapse.
+func (a *Agent) noteLapse(now time.Time) {
+	if a.leased && !a.lease.Valid(now) {
+		a.leased = false
+		leaseLapses.Inc()
+		a.options.Logger.Warn("lease_lapsed", zap.Uint64("revision", a.document.revision))
+	}
+}
+
 // touch marks the services that have an endpoint on one of the VMs for publication.
 func (a *Agent) touch(changed []fleet.Mark) {
 	if len(changed) == 0 {
--- a/pages_test.go
+++ b/pages_test.go
@@ -1,8 +1,11 @@
 package cowslipstack_test
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,3 +44,52 @@
 		is.NoErr(err)
 	}
 }
+
+// fields are names on docs/METRICS.md that are neither events nor metrics.
+var fields = map[string]bool{"torn_bytes": true}
+
+// TestMetricsPage checks that docs/METRICS.md names each event of the log and each metric, and no other.
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("docs/METRICS.md")
+	is.NoErr(err)
+	named := map[string]bool{}
+	for _, m := range regexp.MustCompile("`([a-z]+_[a-z_]+|started|stopping|decided)`").FindAllSubmatch(page, -1) {
+		named[string(m[1])] = true
+	}
+	used := usedNames(t)
+	for name := range used {
+		if !named[name] {
+			t.Errorf("docs/METRICS.md does not name %s", name)
+		}
+	}
+	for name := range named {
+		if !used[name] && !fields[name] {
+			t.Errorf("docs/METRICS.md names %s, which no code writes", name)
+		}
+	}
+}
+
+// usedNames returns the events and metrics that the product's code writes.
+func usedNames(t *testing.T) map[string]bool {
+	t.Helper()
+	is := is.New(t)
+	event := regexp.MustCompile(`(?:ogger|log)\.(?:Debug|Info|Warn|Error)\(\s*"([a-z_]+)"`)
+	metric := regexp.MustCompile(`\b(cowslip_[a-z]+_[a-z_]+)`)
+	used := map[string]bool{}
+	err := filepath.WalkDir("internal", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		is.NoErr(err)
+		for _, pattern := range []*regexp.Regexp{event, metric} {
+			for _, m := range pattern.FindAllSubmatch(text, -1) {
+				used[string(m[1])] = true
+			}
+		}
+		return nil
+	})
+	is.NoErr(err)
+	return used
+}
