--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	announceEvery   = time.Second
+	announceRetry   = time.Second
 	announceTimeout = 2 * time.Second
 	headerTimeout   = 10 * time.Second
 )
@@ -100,51 +100,58 @@
 	e.worker.ServeHTTP(w, r)
 }
 
+// announceUntil announces as often as the entries ask for, until the context ends.
 func (e *Endpoint) announceUntil(ctx context.Context) {
-	ticker := e.options.Clock.NewTicker(announceEvery)
-	defer ticker.Stop()
 	for {
-		e.announce(ctx)
+		timer := e.options.Clock.NewTimer(e.announce(ctx))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C():
+		case <-timer.C():
 		}
 	}
 }
 
-func (e *Endpoint) announce(ctx context.Context) {
+// announce tells the first entry that answers, and returns the time to the next announcement.
+func (e *Endpoint) announce(ctx context.Context) time.Duration {
 	// Unix time keeps the sequence rising over a restart under the same name.
 	e.options.Announcement.Sequence = uint64(e.options.Clock.Now().UnixNano())
 	body, err := json.Marshal(e.options.Announcement)
 	if err != nil {
 		e.options.Logger.Error("announcement_not_encoded", zap.Error(err))
-		return
+		return announceRetry
 	}
 	for _, address := range e.options.Entries {
-		if err = post(ctx, "http://"+address+enrol.Path, body); err == nil {
-			return
+		var next time.Duration
+		if next, err = post(ctx, "http://"+address+enrol.Path, body); err == nil {
+			return next
 		}
 	}
 	e.options.Logger.Info("announcement_failed", zap.Error(err))
+	return announceRetry
 }
 
-func post(ctx context.Context, url string, body []byte) error {
+// post sends an announcement and returns the time to the next one.
+func post(ctx context.Context, url string, body []byte) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "make announcement")
+		return 0, errors.Wrap(err, "make announcement")
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return errors.Wrap(err, "announce")
+		return 0, errors.Wrap(err, "announce")
 	}
-	if err := response.Body.Close(); err != nil {
-		return errors.Wrap(err, "close answer")
+	var answer enrol.Answer
+	if response.StatusCode == http.StatusOK {
+		err = json.NewDecoder(response.Body).Decode(&answer)
+	} else {
+		err = errors.Newf("the entry answered %s", response.Status)
 	}
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("the entry answered %s", response.Status)
+	if err = errors.CombineErrors(err, response.Body.Close()); err != nil {
+		return 0, errors.Wrap(err, "announce")
 	}
-	return nil
+	return max(time.Duration(answer.NextMs)*time.Millisecond, announceRetry), nil
 }
