--- a/internal/edge/front/attempt.go
+++ b/internal/edge/front/attempt.go
@@ -60,7 +60,7 @@
 // attempt sends the request to one endpoint and passes its answer on.
 func (f *Front) attempt(ctx context.Context, c *call, ticket route.Ticket) *refusal {
 	sent := f.options.Clock.Now()
-	result := route.Result{Outcome: fleet.OutcomeUnknown, Load: route.NoLoad}
+	result := route.Result{Outcome: fleet.OutcomeUnknown}
 	defer func() {
 		result.Elapsed = f.options.Clock.Now().Sub(sent)
 		result.Aborted = c.aborted || errors.Is(ctx.Err(), context.Canceled)
@@ -87,9 +87,6 @@
 		return notAnswered(answer)
 	}
 	result.Status = answer.Response.StatusCode
-	if load, ok := relay.Load(answer.Response); ok {
-		result.Load = load
-	}
 	refused := f.deliver(c, answer.Response)
 	if refused != nil || c.aborted {
 		result.Outcome = fleet.OutcomeUnknown
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -14,8 +14,6 @@
 	HeaderAttempt = "Cowslip-Attempt"
 	// HeaderDeclined marks a 503 of an endpoint that declined before it began.
 	HeaderDeclined = "Cowslip-Declined"
-	// HeaderLoad tells the requests in progress on the endpoint.
-	HeaderLoad = "Cowslip-Load"
 	// HeaderKey carries the caller's idempotency key to the endpoint; the usual name would
 	// make HTTP libraries on the way send again on their own.
 	HeaderKey = "Cowslip-Key"
--- a/internal/edge/relay/body.go
+++ b/internal/edge/relay/body.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 )
 
 // unknownLength says that an answer comes in chunks.
@@ -40,9 +39,3 @@
 func isUnbounded(declared int64, r *http.Response) bool {
 	return declared == unknownLength && len(r.TransferEncoding) == 0
 }
-
-// Load returns the load that an answer carries, and false where it carries none.
-func Load(r *http.Response) (int, bool) {
-	n, err := strconv.Atoi(r.Header.Get(HeaderLoad))
-	return n, err == nil && n >= 0
-}
--- a/internal/edge/route/dispatch.go
+++ b/internal/edge/route/dispatch.go
@@ -31,9 +31,6 @@
 	Most time.Duration
 }
 
-// NoLoad says that an answer carried no load.
-const NoLoad = -1
-
 // Result is what came of an attempt, for the choice of later ones.
 type Result struct {
 	// Outcome is what came of the attempt.
@@ -46,8 +43,6 @@
 	Status int
 	// Elapsed is the time from the sending to the end of the answer.
 	Elapsed time.Duration
-	// Load is the requests in progress that the endpoint told with its answer, or NoLoad.
-	Load int
 }
 
 // Reason is why a request is not admitted; the zero value is not valid.
--- a/internal/edge/tally/counted.go
+++ b/internal/edge/tally/counted.go
@@ -43,7 +43,7 @@
 		if c.routable(t.Endpoint) {
 			return t, nil
 		}
-		c.Release(t, route.Result{Outcome: fleet.OutcomeNotRun, Aborted: true, Load: route.NoLoad})
+		c.Release(t, route.Result{Outcome: fleet.OutcomeNotRun, Aborted: true})
 		r.Tried = append(slices.Clone(r.Tried), t.Endpoint)
 	}
 	return route.Ticket{}, &route.Refusal{Reason: route.ReasonNoEndpoint, Message: "the chosen endpoints take no new requests"}
