Let slot reports rest longer where there is no demand

Cause: with no callers, half of an entry's calls are slot reports, one a second between each two entries; a profile of an idle leader is calls throughout. Tried first: 1.4 s for all reports. Now 1.4 s holds only while demand is and was zero; two such times are within a grant's 3 s.

--- a/internal/edge/slots/pacer.go
+++ b/internal/edge/slots/pacer.go
@@ -5,6 +5,9 @@
 const (
 	// reportEvery is the time between reports to a home that nothing else causes.
 	reportEvery = time.Second
+	// restEvery is that time where there is no demand; two such times are within a grant's 3 s, so
+	// that one report may be lost.
+	restEvery = 1400 * time.Millisecond
 	// hungryGap is the least time between reports because requests wait.
 	hungryGap = 50 * time.Millisecond
 	// wakeGap is the least time between reports because a home asked for one.
@@ -45,7 +48,7 @@
 		return false
 	}
 	cause = max(cause, p.Again)
-	due := gap >= reportEvery
+	due := gap >= reportEvery && (demand > 0 || p.Told > 0) || gap >= restEvery
 	switch cause {
 	case CauseFollow:
 		due = true
