--- a/internal/app/opcli/status.go
+++ b/internal/app/opcli/status.go
@@ -27,7 +27,27 @@
 	if c.arguments.JSON {
 		return c.writeJSON(response.Msg)
 	}
-	return c.writeStatus(response.Msg)
+	if err := c.writeStatus(response.Msg); err != nil {
+		return err
+	}
+	return c.statusOfPlans(ctx)
+}
+
+// statusOfPlans writes what the plans work on: pools and spare, budgets left, and waves.
+func (c *call) statusOfPlans(ctx context.Context) error {
+	shown, err := c.fleetState(ctx)
+	if err != nil {
+		return err
+	}
+	for _, write := range []func(*peer.ShowResponse) error{c.writePools, c.writeWaves} {
+		if _, err := fmt.Fprintln(c.out); err != nil {
+			return errors.Wrap(err, "write status")
+		}
+		if err := write(shown); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (c *call) writeStatus(s *peer.StatusResponse) error {
--- a/internal/app/opcli/vm.go
+++ b/internal/app/opcli/vm.go
@@ -9,6 +9,7 @@
 
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/peer"
 )
 
 // VMCommand works on VMs.
@@ -104,6 +105,11 @@
 	if c.arguments.JSON {
 		return c.writeJSON(shown)
 	}
+	return c.writePools(shown)
+}
+
+// writePools writes the pools with their demand, and the budgets of the services on them.
+func (c *call) writePools(shown *peer.ShowResponse) error {
 	return c.table(func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "POOL\tSPARE\tSIZE\tACTIVE\tNEED\tMEAN\tPEAK")
 		for _, s := range shown.GetPools() {
--- a/internal/app/opcli/wave.go
+++ b/internal/app/opcli/wave.go
@@ -9,6 +9,7 @@
 
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/peer"
 )
 
 // WaveCommand works on waves of maintenance.
@@ -69,6 +70,11 @@
 	if c.arguments.JSON {
 		return c.writeJSON(shown)
 	}
+	return c.writeWaves(shown)
+}
+
+// writeWaves writes the waves and how far each is.
+func (c *call) writeWaves(shown *peer.ShowResponse) error {
 	return c.table(func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "WAVE\tURGENT\tPHASE\tRETURNED\tPROVEN\tFAILED\tCAUSE")
 		for _, v := range shown.GetWaves() {
