--- a/internal/app/opcli/retry.go
+++ b/internal/app/opcli/retry.go
@@ -34,12 +34,5 @@
 	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(c.Now()) <= d {
 		return false
 	}
-	timer := c.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C():
-		return true
-	}
+	return clock.Sleep(ctx, c, d)
 }
--- a/internal/ctrl/node/join.go
+++ b/internal/ctrl/node/join.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/quorum"
 )
 
@@ -95,12 +96,8 @@
 		if err != nil && ctx.Err() == nil {
 			n.options.Logger.Info("group_not_found", zap.String("cause", err.Error()))
 		}
-		timer := n.options.Clock.NewTimer(joinRetry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Sleep(ctx, n.options.Clock, joinRetry) {
 			return nil
-		case <-timer.C():
 		}
 	}
 }
--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -183,14 +183,7 @@
 
 // sleep waits and returns false where the context ends first.
 func (a *Agent) sleep(ctx context.Context, d time.Duration) bool {
-	timer := a.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C():
-		return true
-	}
+	return clock.Sleep(ctx, a.options.Clock, d)
 }
 
 // jitter returns a time around d, up to a tenth off, so that entries don't act in step.
--- a/internal/edge/front/releases.go
+++ b/internal/edge/front/releases.go
@@ -76,12 +76,5 @@
 }
 
 func (r *releases) pause(ctx context.Context) bool {
-	timer := r.clock.NewTimer(releaseRetry)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C():
-		return true
-	}
+	return clock.Sleep(ctx, r.clock, releaseRetry)
 }
