Lay down batch work: jobs, attempts, workers and their replicated state

Schema, generated messages, plain types and the state machine of jobs of steps and tasks with attempts, of the configuration whose highest version wins, and of waves.

--- a/internal/ctrl/state/machine.go
+++ b/internal/ctrl/state/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 )
@@ -33,6 +34,8 @@
 	Demands map[string]fleet.Demand
 	// Claims are the claims of non-idempotent requests.
 	Claims Claims
+	// Batch is the batch work; its jobs belong to the machine's book.
+	Batch jobs.State
 	// Requests are the results kept for resends, oldest first.
 	Requests []Request
 }
@@ -53,20 +56,27 @@
 	state   State
 	results map[string]record.Result
 	claims  claimIndex
+	batch   *jobs.Book
 }
 
 // NewMachine returns a machine on an empty state.
 func NewMachine() *Machine {
-	m := &Machine{}
+	m := &Machine{batch: jobs.New()}
 	m.Restore(State{})
 	return m
 }
 
 // State returns the state for reading; it must not be kept or changed.
 func (m *Machine) State() *State {
+	m.state.Batch = *m.batch.State()
 	return &m.state
 }
 
+// Book returns the batch work for reading; it must not be kept beyond a Restore, or changed.
+func (m *Machine) Book() *jobs.Book {
+	return m.batch
+}
+
 // Restore replaces the state by that of a snapshot.
 func (m *Machine) Restore(s State) {
 	if s.VMs == nil {
@@ -82,6 +92,7 @@
 		s.Jobs = map[string]fleet.Job{}
 	}
 	m.state = s
+	m.batch.Restore(s.Batch)
 	m.claims = newClaimIndex(s.Claims.Kept)
 	m.results = make(map[string]record.Result, len(s.Requests))
 	for _, r := range s.Requests {
@@ -119,6 +130,9 @@
 		return m.applyWave(*c.Wave, m.state.Time)
 	case c.Claim != nil:
 		return m.applyClaim(*c.Claim)
+	case c.Batch != nil:
+		m.batch.Apply(c.Batch, m.state.Time.UnixMilli())
+		return record.Result{Code: record.CodeOK}
 	case c.Demand != nil:
 		return m.applyDemand(c.Demand.Demand)
 	case c.Job != nil:
--- a/internal/model/record/command.go
+++ b/internal/model/record/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/model/fleet"
 )
 
@@ -30,6 +31,8 @@
 	Job *JobChange
 	// Demand records what a pool's services ask of it.
 	Demand *DemandChange
+	// Batch changes the batch work.
+	Batch *batch.Change
 }
 
 // DocumentChange puts an environment document into force.
--- /dev/null
+++ b/internal/wire/codec/batch.go
@@ -0,0 +1,225 @@
+package codec
+
+import (
+	"maps"
+	"slices"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/wire/peer"
+)
+
+func batchToWire(c *batch.Change) *peer.BatchChange {
+	w := &peer.BatchChange{Cancels: c.Cancels}
+	if c.Configuration != nil {
+		w.Configuration = ConfigurationToWire(c.Configuration)
+	}
+	for i := range c.Submits {
+		w.Submits = append(w.Submits, jobToWire(&c.Submits[i]))
+	}
+	for _, e := range c.Ends {
+		w.Ends = append(w.Ends, &peer.BatchEnd{
+			Task: taskToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
+		})
+	}
+	for _, s := range c.Starts {
+		w.Starts = append(w.Starts, &peer.BatchStart{
+			Task: taskToWire(s.Task), Attempt: int32(s.Attempt), Worker: s.Worker, Incarnation: s.Incarnation, Sequence: s.Sequence,
+		})
+	}
+	if c.Wave != nil {
+		w.Wave = waveStateToWire(c.Wave)
+	}
+	for _, u := range c.Upkeeps {
+		w.Upkeeps = append(w.Upkeeps, &peer.BatchUpkeep{Wave: u.Wave, Vm: u.VM})
+	}
+	return w
+}
+
+func batchFromWire(w *peer.BatchChange) *batch.Change {
+	c := &batch.Change{Cancels: w.GetCancels()}
+	if w.GetConfiguration() != nil {
+		c.Configuration = ConfigurationFromWire(w.GetConfiguration())
+	}
+	for _, j := range w.GetSubmits() {
+		c.Submits = append(c.Submits, jobFromWire(j))
+	}
+	for _, e := range w.GetEnds() {
+		c.Ends = append(c.Ends, batch.End{
+			Task: taskFromWire(e.GetTask()), Attempt: int(e.GetAttempt()), Kind: batch.EndKind(e.GetKind()),
+			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(),
+		})
+	}
+	for _, s := range w.GetStarts() {
+		c.Starts = append(c.Starts, batch.Start{
+			Task: taskFromWire(s.GetTask()), Attempt: int(s.GetAttempt()), Worker: s.GetWorker(),
+			Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
+		})
+	}
+	if w.GetWave() != nil {
+		wave := waveStateFromWire(w.GetWave())
+		c.Wave = &wave
+	}
+	for _, u := range w.GetUpkeeps() {
+		c.Upkeeps = append(c.Upkeeps, batch.Upkeep{Wave: u.GetWave(), VM: u.GetVm()})
+	}
+	return c
+}
+
+// ConfigurationToWire returns the message of a configuration.
+func ConfigurationToWire(c *batch.Configuration) *peer.BatchConfiguration {
+	w := &peer.BatchConfiguration{Version: c.Version, Text: c.Text}
+	for _, q := range c.Queues {
+		w.Queues = append(w.Queues, &peer.BatchQueue{
+			Host: q.Host, Prefix: q.Prefix, Pool: q.Pool, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+			SlackFactor: q.SlackFactor, TargetLatencyMs: q.TargetLatencyMs, TimeoutMs: q.TimeoutMs, Advised: q.Advised,
+		})
+	}
+	for _, p := range c.Pools {
+		w.Pools = append(w.Pools, &peer.BatchPool{Name: p.Name, Guarded: p.Guarded, Standby: p.Standby})
+	}
+	return w
+}
+
+// ConfigurationFromWire returns the configuration of a message.
+func ConfigurationFromWire(w *peer.BatchConfiguration) *batch.Configuration {
+	c := &batch.Configuration{Version: w.GetVersion(), Text: w.GetText()}
+	for _, q := range w.GetQueues() {
+		c.Queues = append(c.Queues, batch.Queue{
+			Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: q.GetPool(), Priority: int(q.GetPriority()),
+			MaxAttempts: int(q.GetMaxAttempts()), SlackFactor: q.GetSlackFactor(), TargetLatencyMs: q.GetTargetLatencyMs(),
+			TimeoutMs: q.GetTimeoutMs(), Advised: q.GetAdvised(),
+		})
+	}
+	for _, p := range w.GetPools() {
+		c.Pools = append(c.Pools, batch.Pool{Name: p.GetName(), Guarded: p.GetGuarded(), Standby: p.GetStandby()})
+	}
+	return c
+}
+
+func jobToWire(j *batch.Job) *peer.BatchJob {
+	w := &peer.BatchJob{
+		Id: j.ID, Host: j.Queue.Host, Prefix: j.Queue.Prefix, Pool: j.Pool, Text: j.Text, Times: int32(j.Times),
+		FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, MaxAttempts: int32(j.MaxAttempts),
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		one := &peer.BatchStep{
+			Count: int32(s.Count), CpuMilli: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
+			EstimateMs: s.EstimateMs, Checkpointing: s.Checkpointing, Gang: s.Gang, SameRack: s.SameRack,
+			RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, PerWorker: int32(s.PerWorker), Speculative: s.Speculative,
+			LongRunning: s.LongRunning, Image: s.Image, TailTargetMs: s.TailTargetMs, Fills: s.Fills,
+			AllowedMisses: int32(s.AllowedMisses),
+		}
+		for _, a := range s.After {
+			one.After = append(one.After, int32(a))
+		}
+		w.Steps = append(w.Steps, one)
+	}
+	return w
+}
+
+func jobFromWire(w *peer.BatchJob) batch.Job {
+	j := batch.Job{
+		ID: w.GetId(), Queue: batch.QueueKey{Host: w.GetHost(), Prefix: w.GetPrefix()}, Pool: w.GetPool(), Text: w.GetText(),
+		Times: int(w.GetTimes()), FirstDueMs: w.GetFirstDueMs(), IntervalMs: w.GetIntervalMs(),
+		AcceptedMs: w.GetAcceptedMs(), MaxAttempts: int(w.GetMaxAttempts()),
+	}
+	for _, s := range w.GetSteps() {
+		one := batch.Step{
+			Count: int(s.GetCount()), EstimateMs: s.GetEstimateMs(),
+			Need:          batch.Capacity{CPUMilli: s.GetCpuMilli(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
+			Checkpointing: s.GetCheckpointing(), Gang: s.GetGang(), SameRack: s.GetSameRack(),
+			RequiredLabel: s.GetRequiredLabel(), DataRack: s.GetDataRack(), PerWorker: int(s.GetPerWorker()),
+			Speculative: s.GetSpeculative(), LongRunning: s.GetLongRunning(), Image: s.GetImage(),
+			TailTargetMs: s.GetTailTargetMs(), Fills: s.GetFills(), AllowedMisses: int(s.GetAllowedMisses()),
+		}
+		for _, a := range s.GetAfter() {
+			one.After = append(one.After, int(a))
+		}
+		j.Steps = append(j.Steps, one)
+	}
+	return j
+}
+
+func taskToWire(t batch.TaskID) *peer.BatchTask {
+	return &peer.BatchTask{Job: t.Job, Occurrence: int32(t.Occurrence), Step: int32(t.Step), Index: int32(t.Index)}
+}
+
+func taskFromWire(w *peer.BatchTask) batch.TaskID {
+	return batch.TaskID{
+		Job: w.GetJob(), Occurrence: int(w.GetOccurrence()), Step: int(w.GetStep()), Index: int(w.GetIndex()),
+	}
+}
+
+func waveStateToWire(w *batch.Wave) *peer.BatchWave {
+	return &peer.BatchWave{
+		Id: w.ID, Vms: w.VMs, DurationMs: w.DurationMs, MostAtOnce: int32(w.MostAtOnce),
+		AcceptedMs: w.AcceptedMs, Begun: w.Begun,
+	}
+}
+
+func waveStateFromWire(w *peer.BatchWave) batch.Wave {
+	return batch.Wave{
+		ID: w.GetId(), VMs: w.GetVms(), DurationMs: w.GetDurationMs(), MostAtOnce: int(w.GetMostAtOnce()),
+		AcceptedMs: w.GetAcceptedMs(), Begun: w.GetBegun(),
+	}
+}
+
+func bookToWire(s *jobs.State) *peer.BatchState {
+	w := &peer.BatchState{Configuration: ConfigurationToWire(&s.Configuration)}
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		j := s.Jobs[id]
+		one := &peer.BatchJobState{Job: jobToWire(&j.Job), Phase: uint32(j.Phase), EndedMs: j.EndedMs}
+		for _, f := range j.GangFailures {
+			one.GangFailures = append(one.GangFailures, int32(f))
+		}
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			task := &peer.BatchTaskState{
+				Attempt: int32(t.Attempt), Failures: int32(t.Failures), Done: t.Done, Begun: t.Begun, Checkpoint: t.Checkpoint,
+			}
+			for _, r := range t.Runs {
+				task.Runs = append(task.Runs, &peer.BatchRun{
+					Attempt: int32(r.Attempt), Worker: r.Worker, Incarnation: r.Incarnation, Sequence: r.Sequence,
+				})
+			}
+			one.Tasks = append(one.Tasks, task)
+		}
+		w.Jobs = append(w.Jobs, one)
+	}
+	for i := range s.Waves {
+		w.Waves = append(w.Waves, waveStateToWire(&s.Waves[i]))
+	}
+	return w
+}
+
+func bookFromWire(w *peer.BatchState) jobs.State {
+	s := jobs.State{Jobs: make(map[string]*jobs.Record, len(w.GetJobs()))}
+	if w.GetConfiguration() != nil {
+		s.Configuration = *ConfigurationFromWire(w.GetConfiguration())
+	}
+	for _, one := range w.GetJobs() {
+		j := &jobs.Record{Job: jobFromWire(one.GetJob()), Phase: batch.Phase(one.GetPhase()), EndedMs: one.GetEndedMs()}
+		for _, f := range one.GetGangFailures() {
+			j.GangFailures = append(j.GangFailures, int(f))
+		}
+		for _, t := range one.GetTasks() {
+			task := jobs.Task{
+				Attempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Begun: t.GetBegun(),
+				Checkpoint: t.GetCheckpoint(),
+			}
+			for _, r := range t.GetRuns() {
+				task.Runs = append(task.Runs, jobs.Run{
+					Attempt: int(r.GetAttempt()), Worker: r.GetWorker(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(),
+				})
+			}
+			j.Tasks = append(j.Tasks, task)
+		}
+		s.Jobs[j.Job.ID] = j
+	}
+	for _, one := range w.GetWaves() {
+		s.Waves = append(s.Waves, waveStateFromWire(one))
+	}
+	return s
+}
--- /dev/null
+++ b/internal/wire/codec/call.go
@@ -0,0 +1,155 @@
+package codec
+
+import (
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/wire/peer"
+)
+
+// CallToWire returns the message of a call on the leader.
+func CallToWire(c *batch.Call) *peer.LinkCall {
+	w := &peer.LinkCall{Leave: c.Leave, ReadConfiguration: c.ReadConfiguration, WaveState: c.WaveState}
+	if c.Submit != nil {
+		w.Submit = jobToWire(&c.Submit.Job)
+		w.SubmitTo = &peer.LinkLookup{Host: c.Submit.Host, Path: c.Submit.Path}
+	}
+	w.Cancel, w.State, w.Pending = lookupToWire(c.Cancel), lookupToWire(c.State), lookupToWire(c.Pending)
+	if c.Heartbeat != nil {
+		w.Heartbeat = heartbeatToWire(c.Heartbeat)
+	}
+	if c.Configure != nil {
+		w.Configure = ConfigurationToWire(c.Configure)
+	}
+	if c.StartWave != nil {
+		w.StartWave = waveStateToWire(c.StartWave)
+	}
+	return w
+}
+
+// CallFromWire returns the call of a message.
+func CallFromWire(w *peer.LinkCall) *batch.Call {
+	c := &batch.Call{Leave: w.GetLeave(), ReadConfiguration: w.GetReadConfiguration(), WaveState: w.GetWaveState()}
+	if w.GetSubmit() != nil {
+		c.Submit = &batch.Submission{Host: w.GetSubmitTo().GetHost(), Path: w.GetSubmitTo().GetPath(), Job: jobFromWire(w.GetSubmit())}
+	}
+	c.Cancel, c.State, c.Pending = lookupFromWire(w.GetCancel()), lookupFromWire(w.GetState()), lookupFromWire(w.GetPending())
+	if w.GetHeartbeat() != nil {
+		c.Heartbeat = heartbeatFromWire(w.GetHeartbeat())
+	}
+	if w.GetConfigure() != nil {
+		c.Configure = ConfigurationFromWire(w.GetConfigure())
+	}
+	if w.GetStartWave() != nil {
+		wave := waveStateFromWire(w.GetStartWave())
+		c.StartWave = &wave
+	}
+	return c
+}
+
+func lookupToWire(l *batch.Lookup) *peer.LinkLookup {
+	if l == nil {
+		return nil
+	}
+	return &peer.LinkLookup{Host: l.Host, Path: l.Path}
+}
+
+func lookupFromWire(w *peer.LinkLookup) *batch.Lookup {
+	if w == nil {
+		return nil
+	}
+	return &batch.Lookup{Host: w.GetHost(), Path: w.GetPath()}
+}
+
+func heartbeatToWire(h *batch.Heartbeat) *peer.LinkHeartbeat {
+	w := &peer.LinkHeartbeat{
+		Worker: h.Worker, Incarnation: h.Incarnation, Sequence: h.Sequence, Pool: h.Pool, Address: h.Address,
+		DataCentre: h.DataCentre, Draining: h.Draining, RemainingMs: h.RemainingMs, Labels: h.Labels,
+		CpuMilli: h.Capacity.CPUMilli, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
+	}
+	for _, r := range h.Running {
+		w.Running = append(w.Running, &peer.LinkRunning{
+			Task: taskToWire(r.Task), Attempt: int32(r.Attempt), Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Load: r.Load,
+		})
+	}
+	for _, e := range h.Ended {
+		w.Ended = append(w.Ended, &peer.LinkEnded{
+			Number: e.Number, Task: taskToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint,
+		})
+	}
+	return w
+}
+
+func heartbeatFromWire(w *peer.LinkHeartbeat) *batch.Heartbeat {
+	h := &batch.Heartbeat{
+		Worker: w.GetWorker(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(), Pool: w.GetPool(),
+		Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Draining: w.GetDraining(), RemainingMs: w.GetRemainingMs(),
+		Labels:   w.GetLabels(),
+		Capacity: batch.Capacity{CPUMilli: w.GetCpuMilli(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
+	}
+	for _, r := range w.GetRunning() {
+		h.Running = append(h.Running, batch.Running{
+			Task: taskFromWire(r.GetTask()), Attempt: int(r.GetAttempt()), Checkpoint: r.GetCheckpoint(),
+			Percent: int(r.GetPercent()), Load: r.GetLoad(),
+		})
+	}
+	for _, e := range w.GetEnded() {
+		h.Ended = append(h.Ended, batch.Ended{
+			Number: e.GetNumber(), Task: taskFromWire(e.GetTask()), Attempt: int(e.GetAttempt()),
+			Kind: batch.EndKind(e.GetKind()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return h
+}
+
+// ReplyToWire returns the message of a reply.
+func ReplyToWire(r *batch.Reply) *peer.LinkReply {
+	w := &peer.LinkReply{
+		Code: uint32(r.Code), Detail: r.Detail, Phase: uint32(r.Phase), Pending: int64(r.Pending), Text: r.Text,
+		Complete: r.Complete,
+	}
+	o := &r.Orders
+	w.Orders = &peer.LinkOrders{
+		LeaseMs: o.LeaseMs, Acknowledged: o.Acknowledged, FencingToken: o.Token, NextMs: o.NextMs, Leader: o.Leader,
+	}
+	for _, s := range o.Start {
+		w.Orders.Start = append(w.Orders.Start, &peer.LinkStart{
+			Task: taskToWire(s.Task), Attempt: int32(s.Attempt), Text: s.Text, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+		})
+	}
+	for _, s := range o.Stop {
+		w.Orders.Stop = append(w.Orders.Stop, &peer.LinkStop{Task: taskToWire(s.Task), Attempt: int32(s.Attempt)})
+	}
+	for _, p := range o.Pace {
+		w.Orders.Pace = append(w.Orders.Pace, &peer.LinkPace{
+			Task: taskToWire(p.Task), Attempt: int32(p.Attempt), Percent: int32(p.Percent),
+		})
+	}
+	return w
+}
+
+// ReplyFromWire returns the reply of a message.
+func ReplyFromWire(w *peer.LinkReply) batch.Reply {
+	o := w.GetOrders()
+	r := batch.Reply{
+		Code: batch.Code(w.GetCode()), Detail: w.GetDetail(), Phase: batch.Phase(w.GetPhase()), Pending: int(w.GetPending()),
+		Text: w.GetText(), Complete: w.GetComplete(),
+		Orders: batch.Orders{
+			LeaseMs: o.GetLeaseMs(), Acknowledged: o.GetAcknowledged(), Token: o.GetFencingToken(), NextMs: o.GetNextMs(),
+			Leader: o.GetLeader(),
+		},
+	}
+	for _, s := range o.GetStart() {
+		r.Orders.Start = append(r.Orders.Start, batch.StartOrder{
+			Task: taskFromWire(s.GetTask()), Attempt: int(s.GetAttempt()), Text: s.GetText(), Checkpoint: s.GetCheckpoint(),
+			Ticket: s.GetTicket(),
+		})
+	}
+	for _, s := range o.GetStop() {
+		r.Orders.Stop = append(r.Orders.Stop, batch.StopOrder{Task: taskFromWire(s.GetTask()), Attempt: int(s.GetAttempt())})
+	}
+	for _, p := range o.GetPace() {
+		r.Orders.Pace = append(r.Orders.Pace, batch.PaceOrder{
+			Task: taskFromWire(p.GetTask()), Attempt: int(p.GetAttempt()), Percent: int(p.GetPercent()),
+		})
+	}
+	return r
+}
--- a/internal/wire/codec/fields_test.go
+++ b/internal/wire/codec/fields_test.go
@@ -99,9 +99,23 @@
 	fill(element, next)
 	key := reflect.New(v.Type().Key()).Elem()
 	fill(key, next)
-	if element.Kind() == reflect.Struct && key.Kind() == reflect.String {
-		key.SetString(element.Field(0).String())
+	if name := nameOf(element); name.Kind() == reflect.String && key.Kind() == reflect.String {
+		key.SetString(name.String())
 	}
 	v.Set(reflect.MakeMap(v.Type()))
 	v.SetMapIndex(key, element)
 }
+
+// nameOf returns the first field of an element, through pointers and first fields that are structs themselves.
+func nameOf(v reflect.Value) reflect.Value {
+	for {
+		switch v.Kind() {
+		case reflect.Pointer:
+			v = v.Elem()
+		case reflect.Struct:
+			v = v.Field(0)
+		default:
+			return v
+		}
+	}
+}
--- a/internal/wire/codec/record.go
+++ b/internal/wire/codec/record.go
@@ -59,6 +59,8 @@
 		w.Change = &peer.Command_Wave{Wave: waveToWire(*c.Wave)}
 	case c.Job != nil:
 		w.Change = &peer.Command_Job{Job: jobChangeToWire(*c.Job)}
+	case c.Batch != nil:
+		w.Change = &peer.Command_Batch{Batch: batchToWire(c.Batch)}
 	case c.Demand != nil:
 		w.Change = &peer.Command_Demand{Demand: &peer.DemandChange{Demand: demandToWire(c.Demand.Demand)}}
 	}
@@ -96,6 +98,8 @@
 		c.Wave = waveFromWire(change.Wave)
 	case *peer.Command_Job:
 		c.Job = jobChangeFromWire(change.Job)
+	case *peer.Command_Batch:
+		c.Batch = batchFromWire(change.Batch)
 	case *peer.Command_Demand:
 		c.Demand = &record.DemandChange{Demand: demandFromWire(change.Demand.GetDemand())}
 	}
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -21,6 +21,7 @@
 		Requests:     requestsToWire(s.Requests),
 		Plan:         planToWire(s),
 		Claims:       claimsToWire(s.Claims),
+		Batch:        bookToWire(&s.Batch),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w)
 	return data, errors.Wrap(err, "encode state")
@@ -40,6 +41,7 @@
 	environmentsFromWire(w.GetEnvironments(), &s)
 	planFromWire(w.GetPlan(), &s)
 	s.Claims = claimsFromWire(w.GetClaims())
+	s.Batch = bookFromWire(w.GetBatch())
 	return s, nil
 }
 
--- a/schema/doc.go
+++ b/schema/doc.go
@@ -10,6 +10,11 @@
 //go:embed conf/daemon.json
 var Daemon string
 
+// Site is the JSON Schema of the settings file of a cowslipd that finds the others through seeds.
+//
+//go:embed conf/site.json
+var Site string
+
 // Environment is the JSON Schema of the environment document.
 //
 //go:embed conf/environment.json
