Let parts on the control loop propose and confirm without waiting

Calls that wait for a record end after the step that applied it, so that they may take further steps.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -47,3 +47,9 @@
 func (t systemTicker) C() <-chan time.Time { return t.ticker.C }
 
 func (t systemTicker) Stop() { t.ticker.Stop() }
+
+// Uptime tells the time that leases count by: it never jumps, and goes on while the machine is suspended.
+type Uptime interface {
+	// Milliseconds returns the time since some fixed moment.
+	Milliseconds() int64
+}
--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -43,6 +43,31 @@
 	return d, checkDaemon(path, d)
 }
 
+// LoadSite reads and checks the settings file of a process that finds the others through seeds.
+func LoadSite(path string) (Site, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Site{}, errors.Wrap(err, "read settings")
+	}
+	shape := Shape{Schema: schema.Site, Tables: []string{"listen", "control", "provider", "bounds", "limits", "log"}}
+	var s Site
+	if err := Decode(Source{File: path, Text: text}, shape, &s); err != nil {
+		return Site{}, err
+	}
+	return s, checkSite(path, s)
+}
+
+// checkSite checks what the schema can't: how keys go together.
+func checkSite(file string, s Site) error {
+	if len(s.Seeds) == 0 {
+		return &InputError{File: file, Key: "seeds", Problem: "no seed is given; at least one is needed to find the others"}
+	}
+	if s.Control.ElectionMs < 2*s.Control.HeartbeatMs {
+		return &InputError{File: file, Key: "control.election_ms", Problem: "less than two heartbeats"}
+	}
+	return nil
+}
+
 // Decode checks the source against the shape and fills out, a pointer to the generated type.
 func Decode(source Source, shape Shape, out any) error {
 	tree := map[string]any{}
--- a/internal/ctrl/node/disk.go
+++ b/internal/ctrl/node/disk.go
@@ -20,18 +20,18 @@
 	done  chan error
 }
 
-// jobs is the queue before the disk; what it holds is bounded by the log's back-pressure, so that adding never blocks.
-type jobs struct {
+// diskJobs is the queue before the disk; what it holds is bounded by the log's back-pressure, so that adding never blocks.
+type diskJobs struct {
 	mu    sync.Mutex
 	queue []job
 	ready chan struct{}
 }
 
-func newJobs() *jobs {
-	return &jobs{ready: make(chan struct{}, 1)}
+func newJobs() *diskJobs {
+	return &diskJobs{ready: make(chan struct{}, 1)}
 }
 
-func (j *jobs) add(next job) {
+func (j *diskJobs) add(next job) {
 	j.mu.Lock()
 	j.queue = append(j.queue, next)
 	j.mu.Unlock()
@@ -41,7 +41,7 @@
 	}
 }
 
-func (j *jobs) take() []job {
+func (j *diskJobs) take() []job {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	queue := j.queue
--- a/internal/ctrl/node/join.go
+++ b/internal/ctrl/node/join.go
@@ -148,11 +148,19 @@
 		members = append(members, quorum.Member{ID: g.Self.ID, Name: g.Self.Name, Voter: true})
 	}
 	slices.SortFunc(members, func(a, b quorum.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return n.Form(ctx, members, peers.Agree)
+}
+
+// Form makes the first members of a group, once each of their replicas has synced that it agrees to them.
+func (n *Node) Form(ctx context.Context, members []quorum.Member, agree func(context.Context, string, []quorum.Member) error) error {
 	if err := n.Agree(ctx, members); err != nil {
 		return errors.Wrap(err, "agree to the first members; if a replica was lost before it began, empty all data folders")
 	}
-	for _, name := range peers.Names() {
-		if err := n.seekAgreement(ctx, name, peers, members); err != nil {
+	for _, m := range members {
+		if m.ID == n.options.Self.ID {
+			continue
+		}
+		if err := n.seekAgreement(ctx, m.Name, agree, members); err != nil {
 			return err
 		}
 	}
@@ -165,8 +173,8 @@
 	})
 }
 
-func (n *Node) seekAgreement(ctx context.Context, name string, peers Peers, members []quorum.Member) error {
+func (n *Node) seekAgreement(ctx context.Context, name string, agree func(context.Context, string, []quorum.Member) error, members []quorum.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return errors.Wrapf(peers.Agree(ctx, name, members), "agreement of %s", name)
+	return errors.Wrapf(agree(ctx, name, members), "agreement of %s", name)
 }
--- a/internal/ctrl/node/node.go
+++ b/internal/ctrl/node/node.go
@@ -63,17 +63,19 @@
 	Tick time.Duration
 	// SnapshotRecords is the count of records between snapshots.
 	SnapshotRecords uint64
+	// Failed is called on the loop when this replica's part has ended for good; nil where nobody asks.
+	Failed func(error)
 }
 
 // Node is one control process's part in the replicated state; its exported methods are safe for concurrent use.
 type Node struct {
 	options Options
 	machine *state.Machine
-	jobs    *jobs
+	jobs    *diskJobs
 
 	// The fields below belong to the loop.
 	waiting map[uint64]waiter
-	reads   map[uint64]chan error
+	reads   map[uint64]func(error)
 	agreed  []quorum.Member
 	// applied and snapshotted are the last indexes that are in the machine and in a snapshot.
 	applied     uint64
@@ -83,6 +85,10 @@
 	leaderTerm  uint64
 	deposed     chan struct{}
 	failure     error
+	// after are calls that wait for the end of the step; running is true while they are made.
+	after   []func()
+	running bool
+	watch   func()
 	// answering is the replica whose messages are being delivered, 0 for none, and answers what it is told at once.
 	answering quorum.ReplicaID
 	answers   []quorum.Message
@@ -91,7 +97,7 @@
 // waiter waits for one entry to be applied.
 type waiter struct {
 	term uint64
-	done chan outcome
+	done func(outcome)
 }
 
 // outcome is what a waiter hears.
@@ -107,7 +113,8 @@
 		machine: state.NewMachine(),
 		jobs:    newJobs(),
 		waiting: map[uint64]waiter{},
-		reads:   map[uint64]chan error{},
+		reads:   map[uint64]func(error){},
+		watch:   func() {},
 		agreed:  o.Agreed,
 		deposed: make(chan struct{}),
 	}
@@ -178,6 +185,27 @@
 		n.handle(n.options.Replica.Take())
 	}
 	n.observe()
+	n.later(n.watch)
+	n.finish()
+}
+
+// later makes a call at the end of the step, when the log takes steps again.
+func (n *Node) later(call func()) {
+	n.after = append(n.after, call)
+}
+
+// finish makes the calls that waited for the end of the step; steps that they take leave theirs to this loop.
+func (n *Node) finish() {
+	if n.running {
+		return
+	}
+	n.running = true
+	for len(n.after) > 0 {
+		call := n.after[0]
+		n.after = n.after[1:]
+		call()
+	}
+	n.running = false
 }
 
 func (n *Node) handle(out quorum.Output) {
@@ -201,7 +229,7 @@
 	}
 	for _, id := range out.Reads {
 		if done, ok := n.reads[id]; ok {
-			done <- nil
+			n.later(func() { done(nil) })
 			delete(n.reads, id)
 		}
 	}
@@ -238,7 +266,7 @@
 		if w.term != e.Term {
 			o = outcome{err: ErrUnknown}
 		}
-		w.done <- o
+		n.later(func() { w.done(o) })
 		delete(n.waiting, e.Index)
 	}
 }
@@ -271,10 +299,10 @@
 // release tells all that wait that they wait in vain.
 func (n *Node) release(err error) {
 	for _, w := range n.waiting {
-		w.done <- outcome{err: err}
+		n.later(func() { w.done(outcome{err: err}) })
 	}
 	for _, done := range n.reads {
-		done <- err
+		n.later(func() { done(err) })
 	}
 	clear(n.waiting)
 	clear(n.reads)
@@ -285,4 +313,8 @@
 	n.failure = err
 	n.options.Logger.Error("replica_stopped", zap.Error(err))
 	n.release(err)
+	n.finish()
+	if n.options.Failed != nil {
+		n.options.Failed(err)
+	}
 }
--- a/internal/ctrl/node/submit.go
+++ b/internal/ctrl/node/submit.go
@@ -47,7 +47,7 @@
 	run := func(r *quorum.Replica) error {
 		position, err := propose(r)
 		if err == nil {
-			n.waiting[position.Index] = waiter{term: position.Term, done: done}
+			n.waiting[position.Index] = waiter{term: position.Term, done: func(o outcome) { done <- o }}
 		}
 		return err
 	}
@@ -68,7 +68,7 @@
 	run := func(r *quorum.Replica) error {
 		id, err := r.Read()
 		if err == nil {
-			n.reads[id] = done
+			n.reads[id] = func(err error) { done <- err }
 		}
 		return err
 	}
