--- /dev/null
+++ b/internal/ctrl/roster/tend.go
@@ -0,0 +1,93 @@
+package roster
+
+import (
+	"slices"
+
+	"cowslipstack/internal/ctrl/quorum"
+)
+
+const (
+	// votersAtMost bounds the replicas that vote; others follow.
+	votersAtMost = 9
+	// goneMs is how long a voter must be silent before a newcomer takes its place, in milliseconds.
+	goneMs = 1500
+	// staleMs is how long a voter must be silent before it is taken out where more vote than are needed, in milliseconds.
+	staleMs = 8000
+)
+
+// Tend returns the next change that brings the members in step with the processes that are there; ok is false for none.
+// losses is how many voters may be lost at once.
+func (r *Roster) Tend(standings []quorum.Standing, losses int, now int64) (quorum.Change, bool) {
+	for _, p := range r.Core() {
+		if p.Name == r.self.Name || !r.entries[p.Name].alive(now) {
+			continue
+		}
+		if !slices.ContainsFunc(standings, func(s quorum.Standing) bool { return s.Member.ID == p.Replica }) {
+			return quorum.Change{Kind: quorum.ChangeAdd, Member: quorum.Member{ID: p.Replica, Name: p.Name}}, true
+		}
+	}
+	for _, s := range standings {
+		if !s.Member.Voter && s.CaughtUp && r.present(s.Member, now) {
+			return r.admit(s, standings, now)
+		}
+	}
+	return r.retire(standings, losses, now)
+}
+
+// present says whether a member's process is alive under the same identity.
+func (r *Roster) present(m quorum.Member, now int64) bool {
+	e := r.entries[m.Name]
+	return m.Name == r.self.Name || e != nil && e.alive(now) && e.process.Replica == m.ID
+}
+
+// admit makes a learner a voter, after the old identity of its process, or a voter that is gone, is out.
+func (r *Roster) admit(s quorum.Standing, standings []quorum.Standing, now int64) (quorum.Change, bool) {
+	voters, gone := 0, quorum.Member{}
+	for _, o := range standings {
+		if !o.Member.Voter {
+			continue
+		}
+		voters++
+		if o.Member.Name == s.Member.Name {
+			return quorum.Change{Kind: quorum.ChangeRemove, Member: o.Member}, true
+		}
+		if !o.Leader && !o.Heard && r.silentMs(o.Member, now) > goneMs {
+			gone = o.Member
+		}
+	}
+	if gone.ID != 0 {
+		return quorum.Change{Kind: quorum.ChangeRemove, Member: gone}, true
+	}
+	return quorum.Change{Kind: quorum.ChangePromote, Member: s.Member}, voters < votersAtMost
+}
+
+// retire takes out members that are gone and that nobody needs.
+func (r *Roster) retire(standings []quorum.Standing, losses int, now int64) (quorum.Change, bool) {
+	voters := 0
+	for _, s := range standings {
+		if s.Member.Voter {
+			voters++
+		}
+	}
+	for _, s := range standings {
+		silent := r.silentMs(s.Member, now)
+		switch {
+		case s.Leader || s.Heard || silent < staleMs:
+		case !s.Member.Voter, voters > 2*losses+1:
+			return quorum.Change{Kind: quorum.ChangeRemove, Member: s.Member}, true
+		}
+	}
+	return quorum.Change{}, false
+}
+
+// silentMs returns how long a member's process, under the member's identity, has not spoken.
+func (r *Roster) silentMs(m quorum.Member, now int64) int64 {
+	if m.Name == r.self.Name {
+		return 0
+	}
+	e := r.entries[m.Name]
+	if e == nil || e.process.Replica != m.ID {
+		return forgetMs
+	}
+	return now - e.heardMs
+}
