--- /dev/null
+++ b/internal/ctrl/steer/give.go
@@ -0,0 +1,119 @@
+package steer
+
+import (
+	"slices"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+)
+
+// startsAtOnce bounds the starts of one answer.
+const startsAtOnce = 64
+
+// give chooses tasks for a worker's free room and adds their starts to the next record.
+func (e *Engine) give(w *worker, sequence uint64, now int64) []batch.StartOrder {
+	pool := e.current().Pool(w.pool)
+	if pool == nil || pool.Standby || e.fleet.held(w) {
+		return nil
+	}
+	orders := e.giveGangs(w, sequence)
+	q := e.queue(w.pool)
+	for _, one := range e.ordered(q, now) {
+		if len(orders) >= startsAtOnce || w.free.MemoryMB <= 0 {
+			break
+		}
+		orders = append(orders, e.giveWork(w, q, one, sequence, now)...)
+	}
+	return orders
+}
+
+// giveWork gives a worker those ready tasks of one job that fit.
+func (e *Engine) giveWork(w *worker, q *poolQueue, one *work, sequence uint64, now int64) []batch.StartOrder {
+	var orders []batch.StartOrder
+	left := one.ready[:0:0]
+	for i, id := range one.ready {
+		step := &one.job.Job.Steps[id.Step]
+		ticket, ok := e.mayRun(w, one, id, step, now)
+		if len(orders) >= startsAtOnce {
+			left = append(left, one.ready[i:]...)
+			break
+		}
+		if !ok {
+			left = append(left, id)
+			continue
+		}
+		orders = append(orders, e.start(w, one.job, id, ticket, sequence))
+	}
+	q.demand -= len(one.ready) - len(left)
+	one.ready = left
+	return orders
+}
+
+// mayRun says whether a worker may run a task now, and with which ticket.
+func (e *Engine) mayRun(w *worker, one *work, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
+	switch {
+	case !w.free.Holds(step.Room()):
+		return "", false
+	case step.RequiredLabel != "" && !slices.Contains(w.labels, step.RequiredLabel):
+		return "", false
+	case step.PerWorker > 0 && e.countOn(w, one.job, id) >= step.PerWorker:
+		return "", false
+	case step.DataRack != "" && step.DataRack != w.rack && !e.awayAllowed(one, id, step):
+		return "", false
+	}
+	if !e.advised(one.job) {
+		return "", true
+	}
+	return e.ticket(w, one.job, id, now)
+}
+
+// countOn returns how many tasks of a step and occurrence run on a worker, or are about to.
+func (e *Engine) countOn(w *worker, j *jobs.Job, id batch.TaskID) int {
+	count := 0
+	at := j.Place(id.Occurrence, id.Step)
+	for i := range j.Job.Steps[id.Step].Count {
+		count += runsOf(&j.Tasks[at+i], w.id)
+		other := batch.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}
+		if e.starting[other] && e.startingOn[other] == w.id {
+			count++
+		}
+	}
+	return count
+}
+
+// awayMs is how long a task waits for a worker near its data before another will do, in milliseconds.
+const awayMs = 1200
+
+// awayAllowed says whether a task may run away from its data.
+func (e *Engine) awayAllowed(one *work, _ batch.TaskID, step *batch.Step) bool {
+	waited := e.wall() - one.job.Job.AcceptedMs
+	return waited > awayMs || !e.rackKnown(one, step)
+}
+
+// rackKnown says whether a worker of the job's pool stands in the step's rack.
+func (e *Engine) rackKnown(one *work, step *batch.Step) bool {
+	pool := e.poolOf(one.job)
+	for _, w := range e.workers {
+		if w.pool == pool && w.rack == step.DataRack && !w.draining && !w.left {
+			return true
+		}
+	}
+	return false
+}
+
+// start adds an attempt's start to the next record and takes its room.
+func (e *Engine) start(w *worker, j *jobs.Job, id batch.TaskID, ticket string, sequence uint64) batch.StartOrder {
+	t := j.Task(id)
+	number := t.Attempt + 1
+	step := &j.Job.Steps[id.Step]
+	if step.Gang {
+		number = e.gangs[gangOf(id)].attempt
+	}
+	w.free = w.free.Less(step.Room())
+	e.starting[id] = true
+	e.startingOn[id] = w.id
+	e.commits.next.Starts = append(e.commits.next.Starts, batch.Start{
+		Task: id, Attempt: number, Worker: w.id, Incarnation: w.incarnation, Sequence: sequence,
+	})
+	return batch.StartOrder{Task: id, Attempt: number, Text: j.Job.Text, Checkpoint: t.Checkpoint, Ticket: ticket}
+}
--- /dev/null
+++ b/internal/ctrl/steer/wave.go
@@ -0,0 +1,190 @@
+package steer
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/model/batch"
+)
+
+// candidate is a VM that a wave may take next.
+type candidate struct {
+	vm      *vm
+	empty   bool
+	lasting bool
+	load    int64
+}
+
+// steerWaves takes down VMs of waves that are due.
+func (e *Engine) steerWaves(now int64) {
+	for _, v := range e.fleet.vms {
+		v.maintain = false
+	}
+	book := e.options.Log.Book()
+	for i := range book.State().Waves {
+		if w := &book.State().Waves[i]; len(w.Begun) < len(w.VMs) {
+			e.steerWave(w, now)
+		}
+	}
+}
+
+func (e *Engine) steerWave(w *batch.Wave, now int64) {
+	down := e.downOf(w, now)
+	left := e.leftOf(w, now)
+	remaining := w.AcceptedMs + w.DurationMs - e.wall()
+	for _, c := range left {
+		if down >= w.MostAtOnce {
+			break
+		}
+		if c.empty && c.vm.orderable(now) {
+			if e.maintain(w, c.vm, now) {
+				down++
+			}
+			continue
+		}
+		press := remaining < waveMarginMs+int64(len(left)/w.MostAtOnce)*(e.options.Bounds.UpkeepMs+milli)
+		if c.vm.orderable(now) && c.onlyLasting(e) && e.missesAllowed(c.vm) || press && c.vm.orderable(now) && e.missesAllowed(c.vm) {
+			if e.maintain(w, c.vm, now) {
+				down++
+			}
+		}
+	}
+	e.prepare(w, left, now)
+}
+
+// downOf returns how many VMs of a wave are down for it.
+func (e *Engine) downOf(w *batch.Wave, now int64) int {
+	down := map[string]bool{}
+	for name, until := range e.fleet.downFor[w.ID] {
+		if until > now {
+			down[name] = true
+		} else {
+			delete(e.fleet.downFor[w.ID], name)
+		}
+	}
+	for _, name := range w.VMs {
+		if v := e.fleet.vms[name]; v != nil && (v.State == VMMaintained || v.ordered) {
+			down[name] = true
+		}
+	}
+	return len(down)
+}
+
+// leftOf returns the VMs that a wave has still to take, those first that cost least; VMs that are gone are recorded.
+func (e *Engine) leftOf(w *batch.Wave, now int64) []candidate {
+	var left []candidate
+	for _, name := range w.VMs {
+		if slices.Contains(w.Begun, name) {
+			continue
+		}
+		v := e.fleet.vms[name]
+		if v == nil {
+			if !e.fleet.reading && e.fleet.listedMs > e.activeMs {
+				e.begun(w, name, "vm_not_listed")
+			}
+			continue
+		}
+		load, empty, lasting := e.load(v)
+		left = append(left, candidate{vm: v, empty: empty, lasting: lasting, load: load})
+	}
+	slices.SortStableFunc(left, func(a, b candidate) int {
+		switch {
+		case a.empty != b.empty:
+			return boolInt(b.empty) - boolInt(a.empty)
+		case a.lasting != b.lasting:
+			return boolInt(a.lasting) - boolInt(b.lasting)
+		case a.load < b.load:
+			return -1
+		default:
+			return boolInt(a.load > b.load)
+		}
+	})
+	_ = now
+	return left
+}
+
+// begun records that a VM has begun its maintenance, or is gone.
+func (e *Engine) begun(w *batch.Wave, name, cause string) {
+	u := batch.Upkeep{Wave: w.ID, VM: name}
+	if !slices.Contains(e.commits.next.Upkeeps, u) {
+		e.options.Logger.Info("wave_vm_done", zap.Uint64("wave", w.ID), zap.String("vm", name), zap.String("cause", cause),
+			zap.Int("begun", len(w.Begun)+1), zap.Int("of", len(w.VMs)))
+		e.commits.next.Upkeeps = append(e.commits.next.Upkeeps, u)
+	}
+}
+
+// prepare keeps tasks from the VMs that come next, so that they run empty.
+func (e *Engine) prepare(w *batch.Wave, left []candidate, now int64) {
+	ahead := w.MostAtOnce
+	for _, c := range left {
+		if ahead == 0 {
+			return
+		}
+		if c.vm.orderable(now) {
+			c.vm.maintain = true
+			ahead--
+		}
+	}
+}
+
+// onlyLasting says whether all that runs on the VM is lasting.
+func (c *candidate) onlyLasting(e *Engine) bool {
+	for id := range e.options.Log.Book().RunsOn(c.vm.Worker) {
+		if j, t := e.find(id); t == nil || !j.Job.Steps[id.Step].LongRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// missesAllowed says whether the lasting tasks on a VM may be away at once.
+func (e *Engine) missesAllowed(v *vm) bool {
+	ending := map[gangKey]int{}
+	for id := range e.options.Log.Book().RunsOn(v.Worker) {
+		if j, t := e.find(id); t != nil && j.Job.Steps[id.Step].LongRunning {
+			ending[gangOf(id)]++
+		}
+	}
+	for key, count := range ending {
+		j := e.options.Log.Book().Job(key.job)
+		step, at := &j.Job.Steps[key.step], j.Place(key.occurrence, key.step)
+		for i := range step.Count {
+			if !e.atWork(&j.Tasks[at+i], batch.TaskID{Job: key.job, Occurrence: key.occurrence, Step: key.step, Index: i}) {
+				count++
+			}
+		}
+		if count > step.AllowedMisses {
+			return false
+		}
+	}
+	return true
+}
+
+// maintain orders a VM down for a wave.
+func (e *Engine) maintain(w *batch.Wave, v *vm, now int64) bool {
+	if !e.spend(now) {
+		return false
+	}
+	wave, name := w.ID, v.Name
+	e.options.Logger.Info("vm_maintaining", zap.String("vm", name), zap.String("pool", v.Pool), zap.Uint64("wave", wave),
+		zap.Int("running", len(e.options.Log.Book().RunsOn(v.Worker))), zap.Uint64("term", e.term))
+	if e.fleet.downFor[wave] == nil {
+		e.fleet.downFor[wave] = map[string]int64{}
+	}
+	// Until an answer comes, the VM counts as down.
+	e.fleet.downFor[wave][name] = now + e.options.Bounds.UpkeepMs + milli
+	e.order(v, Order{Kind: OrderMaintain, VM: name, Wave: wave}, now, func() {
+		v.State, v.awayMs = VMMaintained, e.now()+e.options.Bounds.UpkeepMs
+		e.fleet.downFor[wave][name] = e.now() + e.options.Bounds.UpkeepMs + downMarginMs
+		e.gone(v)
+		if held := e.options.Log.Book().Wave(wave); held != nil {
+			e.begun(held, name, "maintenance_begun")
+			e.flush()
+		}
+	})
+	return true
+}
+
+// downMarginMs is how long after its maintenance a VM still counts as down, in milliseconds.
+const downMarginMs = 300
--- /dev/null
+++ b/internal/ctrl/steer/work.go
@@ -0,0 +1,210 @@
+package steer
+
+import (
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/sched"
+)
+
+// work is a job that isn't over, as the leader sees it.
+type work struct {
+	job  *jobs.Job
+	item sched.Item
+	// ready are the tasks that could start now, gangs excepted.
+	ready []batch.TaskID
+	// readyMilli and runMilli are the processor time that ready and begun tasks hold, in thousandths of a core.
+	readyMilli int64
+	runMilli   int64
+	// soonMilli is what tasks of the steps hold that open after those at work, in thousandths of a core.
+	soonMilli int64
+	// chainMs is the longest remaining chain of work, and objectiveMs the time from its acceptance until its SLO.
+	chainMs     int64
+	objectiveMs int64
+	// dueMs is when the next occurrence that isn't due becomes so, in Unix milliseconds; 0 for none.
+	dueMs int64
+}
+
+// poolQueue is what waits for one pool.
+type poolQueue struct {
+	works map[string]*work
+	// order is the order in which jobs get room; nil where it is to be worked out anew.
+	order    []*work
+	sortedMs int64
+	// demand is the count of ready tasks.
+	demand int
+}
+
+// sortMs is how long an order of jobs holds while nothing changes, in milliseconds.
+const sortMs = 100
+
+func (e *Engine) queue(pool string) *poolQueue {
+	q := e.queues[pool]
+	if q == nil {
+		q = &poolQueue{works: map[string]*work{}}
+		e.queues[pool] = q
+	}
+	return q
+}
+
+// poolOf returns the pool that runs a job's tasks by the configuration in force.
+func (e *Engine) poolOf(j *jobs.Job) string {
+	c := e.current()
+	for i := range c.Queues {
+		if c.Queues[i].Key() == j.Job.Queue {
+			return c.Queues[i].Pool
+		}
+	}
+	return j.Job.Pool
+}
+
+// touch works out anew what is known of a job that has changed.
+func (e *Engine) touch(id string) {
+	j := e.options.Log.Book().Job(id)
+	old := e.jobs[id]
+	if old != nil {
+		for _, q := range e.queues {
+			if q.works[id] != nil {
+				delete(q.works, id)
+				q.demand -= len(old.ready)
+				q.order = nil
+			}
+		}
+		delete(e.jobs, id)
+	}
+	if j == nil || j.Phase.Over() {
+		if old != nil {
+			e.learnWork(old)
+		}
+		return
+	}
+	w := e.describe(j)
+	q := e.queue(e.poolOf(j))
+	e.jobs[id], q.works[id] = w, w
+	q.demand += len(w.ready)
+	q.order = nil
+}
+
+// describe works out what a job could start, and how it stands.
+func (e *Engine) describe(j *jobs.Job) *work {
+	w := &work{job: j, item: sched.Item{ID: j.Job.ID}}
+	scale := e.learned.scaleOf(j.Job.Queue)
+	var chains []float64
+	for k := range j.Job.Occurrences() {
+		if due := j.Job.Due(k); due > 0 && e.wall() < due-dueEarlyMs {
+			w.dueMs = due
+			break
+		}
+		chains = chains[:0]
+		for s := range j.Job.Steps {
+			chains = append(chains, e.describeStep(w, k, s, scale, chains))
+			w.chainMs = max(w.chainMs, int64(chains[s]))
+		}
+	}
+	e.rate(w)
+	return w
+}
+
+// describeStep adds a step to what a job could start, and returns its longest remaining chain, with those before it.
+func (e *Engine) describeStep(w *work, k, s int, scale float64, chains []float64) float64 {
+	j := w.job
+	step := &j.Job.Steps[s]
+	taskMs := float64(step.EstimateMs) * scale
+	w.item.TotalMs += int64(float64(step.Count) * taskMs * float64(step.Need.CPUMilli) / milli)
+	before := 0.0
+	for _, a := range step.After {
+		before = max(before, chains[a])
+	}
+	left := j.StepLeft(k, s)
+	if left == 0 {
+		return before
+	}
+	if step.LongRunning {
+		w.item.Lasting = true
+	}
+	w.item.WorkMs += int64(float64(left) * taskMs * float64(step.Need.CPUMilli) / milli)
+	open := j.Open(k, s)
+	if !open {
+		if e.opensSoon(j, k, step) {
+			w.soonMilli += int64(left) * step.Room().CPUMilli
+		}
+		return before + taskMs
+	}
+	at := j.Place(k, s)
+	for i := range step.Count {
+		t := &j.Tasks[at+i]
+		if t.Done {
+			continue
+		}
+		id := batch.TaskID{Job: j.Job.ID, Occurrence: k, Step: s, Index: i}
+		if len(t.Runs) > 0 || e.starting[id] {
+			w.runMilli += step.Room().CPUMilli
+			continue
+		}
+		w.readyMilli += step.Room().CPUMilli
+		if !step.Gang {
+			w.ready = append(w.ready, id)
+		}
+	}
+	return before + taskMs
+}
+
+// opensSoon says whether all steps before a step are at work.
+func (e *Engine) opensSoon(j *jobs.Job, k int, step *batch.Step) bool {
+	for _, a := range step.After {
+		if j.StepLeft(k, a) > 0 && !j.Open(k, a) {
+			return false
+		}
+	}
+	return true
+}
+
+// milli is the count of thousandths in one.
+const milli = 1000
+
+// rate works out a job's SLO and its place among others.
+func (e *Engine) rate(w *work) {
+	c := e.current()
+	slack, target := 1.0, int64(0)
+	for i := range c.Queues {
+		if q := &c.Queues[i]; q.Key() == w.job.Job.Queue {
+			slack, target = q.SlackFactor, q.TargetLatencyMs
+			w.item.Priority = q.Priority
+			break
+		}
+	}
+	var longest int64
+	for i := range w.job.Job.Steps {
+		longest += w.job.Job.Steps[i].EstimateMs
+	}
+	scale := e.learned.scaleOf(w.job.Job.Queue)
+	w.objectiveMs = int64(slack*float64(longest)*scale) + target
+	w.item.MeanMs = e.learned.meanWork(w.job.Job.Queue, w.item.TotalMs)
+	w.item.SlackMs = w.job.Job.AcceptedMs + w.objectiveMs - w.chainMs - e.wall()
+}
+
+// ordered returns the works of a pool in the order in which they get room.
+func (e *Engine) ordered(q *poolQueue, now int64) []*work {
+	if q.order != nil && now-q.sortedMs < sortMs {
+		return q.order
+	}
+	q.order, q.sortedMs = make([]*work, 0, len(q.works)), now
+	for _, w := range q.works {
+		if len(w.ready) == 0 {
+			continue
+		}
+		w.item.SlackMs = w.job.Job.AcceptedMs + w.objectiveMs - w.chainMs - e.wall()
+		q.order = append(q.order, w)
+	}
+	sched.Sort(q.order, func(w *work) *sched.Item { return &w.item })
+	return q.order
+}
+
+// openDue opens occurrences whose time has come.
+func (e *Engine) openDue() {
+	now := e.wall()
+	for id, w := range e.jobs {
+		if w.dueMs > 0 && now >= w.dueMs-dueEarlyMs {
+			e.touch(id)
+		}
+	}
+}
