--- a/internal/app/daemon/command.go
+++ b/internal/app/daemon/command.go
@@ -8,6 +8,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/app/site"
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/schema"
 )
@@ -25,6 +26,7 @@
 // Arguments are the flags of cowslipd.
 type Arguments struct {
 	Settings  string `arg:"--settings" help:"path of the settings file (TOML)"`
+	Site      string `arg:"--site" help:"path of the settings file of a process that finds the others through seeds (TOML)"`
 	Check     bool   `arg:"--check" help:"check the settings and exit"`
 	Reference bool   `arg:"--reference" help:"write the reference page of the settings to stdout and exit"`
 }
@@ -40,6 +42,8 @@
 	Out io.Writer
 	// Err takes errors, one line each.
 	Err io.Writer
+	// Reload delivers requests to read the settings again.
+	Reload <-chan struct{}
 }
 
 // Command parses the arguments, without the program's name, runs the daemon and returns the exit code.
@@ -58,6 +62,9 @@
 	if a.Reference {
 		return reference(t)
 	}
+	if a.Site != "" {
+		return runSite(ctx, a, t)
+	}
 	if a.Settings == "" {
 		return fail(t.Err, errors.New("--settings is required"), ExitSettings)
 	}
@@ -92,3 +99,17 @@
 	}
 	return code
 }
+
+// runSite runs a process that finds the others through seeds.
+func runSite(ctx context.Context, a Arguments, t Terminal) int {
+	if a.Check {
+		if _, err := conf.LoadSite(a.Site); err != nil {
+			return fail(t.Err, err, ExitSettings)
+		}
+		return ExitOK
+	}
+	if err := site.Run(ctx, site.Options{Path: a.Site, Out: t.Out, Reload: t.Reload}); err != nil {
+		return fail(t.Err, err, ExitFailure)
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/internal/app/site/links.go
@@ -0,0 +1,180 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/ctrl/node"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/roster"
+	"cowslipstack/internal/edge/desk"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/link"
+	"cowslipstack/internal/wire/peer"
+)
+
+// transport sends messages of the replicated log; it is used on the control loop.
+type transport struct {
+	lines   *link.Lines
+	roster  *roster.Roster
+	holders map[quorum.ReplicaID]string
+}
+
+// Know tells which process holds a replica.
+func (t *transport) Know(id quorum.ReplicaID, name string) {
+	if name != "" {
+		t.holders[id] = name
+	}
+}
+
+// Send sends messages; those for a process that isn't known are lost.
+func (t *transport) Send(messages []quorum.Message) {
+	byAddress := map[string][]quorum.Message{}
+	for _, m := range messages {
+		address := t.roster.Holder(m.To)
+		if address == "" {
+			address = t.roster.Address(t.holders[m.To])
+		}
+		if address != "" {
+			byAddress[address] = append(byAddress[address], m)
+		}
+	}
+	for address, batch := range byAddress {
+		t.lines.Send(address, quorumFrame(batch))
+	}
+}
+
+func quorumFrame(messages []quorum.Message) *peer.Link {
+	return &peer.Link{Body: &peer.Link_Quorum{Quorum: &peer.LinkQuorum{Messages: codec.MessagesToWire(messages)}}}
+}
+
+// links takes what other processes send.
+type links struct {
+	loop   *loop.Loop
+	node   *node.Node
+	roster *roster.Roster
+	local  desk.Local
+	uptime clock.Uptime
+	logger *zap.Logger
+	// transport sends messages of the replicated log; nil where there is no disk.
+	transport *transport
+}
+
+// Deliver takes messages of the replicated log, and returns the answers that are ready at once.
+func (l *links) Deliver(ctx context.Context, f *peer.Link) *peer.Link {
+	messages := codec.MessagesFromWire(f.GetQuorum().GetMessages())
+	if l.node == nil || len(messages) == 0 {
+		return nil
+	}
+	answers, err := l.node.Deliver(ctx, "", messages)
+	if err != nil {
+		l.logger.Debug("messages_lost", zap.Error(err))
+		return nil
+	}
+	if len(answers) == 0 {
+		return nil
+	}
+	return quorumFrame(answers)
+}
+
+// send sends messages on the control loop; where it is full they are lost, as any message may be.
+func (l *links) send(messages []quorum.Message) {
+	if err := l.loop.TryPost(func() { l.transport.Send(messages) }); err != nil {
+		l.logger.Debug("messages_lost", zap.Error(err))
+	}
+}
+
+// callTime bounds a call of another process.
+const callTime = 2 * time.Second
+
+// Answer answers a call of another process.
+func (l *links) Answer(ctx context.Context, f *peer.Link) *peer.Link {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	switch body := f.GetBody().(type) {
+	case *peer.Link_Hello:
+		return l.hello(ctx, body.Hello)
+	case *peer.Link_Request:
+		reply, err := l.local.Do(ctx, codec.CallFromWire(body.Request))
+		if err != nil {
+			// The caller doesn't wait that long; without an answer it takes the outcome as unknown.
+			return nil
+		}
+		return &peer.Link{Body: &peer.Link_Reply{Reply: codec.ReplyToWire(&reply)}}
+	case *peer.Link_Agree:
+		return l.agree(ctx, body.Agree)
+	default:
+		l.logger.Warn("call_not_known")
+		return nil
+	}
+}
+
+func (l *links) agree(ctx context.Context, a *peer.LinkAgree) *peer.Link {
+	status := &peer.LinkStatus{}
+	err := errors.New("this process has no disk")
+	if l.node != nil {
+		err = l.node.Agree(ctx, codec.MembersFromWire(a.GetMembers()))
+	}
+	if err != nil {
+		status.Error = err.Error()
+	}
+	return &peer.Link{Body: &peer.Link_Status{Status: status}}
+}
+
+func (l *links) hello(ctx context.Context, h *peer.LinkHello) *peer.Link {
+	var own roster.Hello
+	heard := helloFromWire(h)
+	err := l.loop.Call(ctx, func() {
+		l.roster.Hear(&heard, l.uptime.Milliseconds())
+		own = l.tell()
+	})
+	if err != nil {
+		return nil
+	}
+	return &peer.Link{Body: &peer.Link_Hello{Hello: helloToWire(&own)}}
+}
+
+// tell returns what this process tells of itself; it runs on the control loop.
+func (l *links) tell() roster.Hello {
+	own := l.roster.Tell(l.uptime.Milliseconds())
+	if l.node != nil {
+		_, own.Members, own.HasState = l.node.Self()
+	}
+	return own
+}
+
+func helloToWire(h *roster.Hello) *peer.LinkHello {
+	w := &peer.LinkHello{
+		Self: processToWire(h.Self), Leader: h.Leader, Term: h.Term, HasState: h.HasState, Members: codec.MembersToWire(h.Members),
+	}
+	for _, p := range h.Known {
+		w.Known = append(w.Known, processToWire(p))
+	}
+	return w
+}
+
+func helloFromWire(w *peer.LinkHello) roster.Hello {
+	h := roster.Hello{
+		Self: processFromWire(w.GetSelf()), Leader: w.GetLeader(), Term: w.GetTerm(), HasState: w.GetHasState(),
+		Members: codec.MembersFromWire(w.GetMembers()),
+	}
+	for _, p := range w.GetKnown() {
+		h.Known = append(h.Known, processFromWire(p))
+	}
+	return h
+}
+
+func processToWire(p roster.Process) *peer.LinkProcess {
+	return &peer.LinkProcess{Name: p.Name, Address: p.Address, Control: p.Control, Replica: uint64(p.Replica)}
+}
+
+func processFromWire(w *peer.LinkProcess) roster.Process {
+	return roster.Process{
+		Name: w.GetName(), Address: w.GetAddress(), Control: w.GetControl(), Replica: quorum.ReplicaID(w.GetReplica()),
+	}
+}
--- /dev/null
+++ b/internal/app/site/local.go
@@ -0,0 +1,78 @@
+package site
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/ctrl/roster"
+	"cowslipstack/internal/ctrl/steer"
+	"cowslipstack/internal/edge/desk"
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/link"
+	"cowslipstack/internal/wire/peer"
+)
+
+// local is the control of this process; its engine is nil where there is no disk.
+type local struct {
+	loop   *loop.Loop
+	engine *steer.Engine
+}
+
+// Do takes a call on the control loop and waits for its reply.
+func (l *local) Do(ctx context.Context, c *batch.Call) (batch.Reply, error) {
+	if l.engine == nil {
+		return batch.Reply{Code: batch.CodeNotRun, Detail: "this process has no disk"}, nil
+	}
+	replies := make(chan batch.Reply, 1)
+	take := func() { l.engine.Call(c, func(r batch.Reply) { replies <- r }) }
+	if err := l.loop.Post(ctx, take); err != nil {
+		return batch.Reply{Code: batch.CodeNotRun, Detail: err.Error()}, nil
+	}
+	select {
+	case r := <-replies:
+		return r, nil
+	case <-ctx.Done():
+		return batch.Reply{}, errors.Wrap(ctx.Err(), "wait for the reply")
+	}
+}
+
+// remote reaches other processes over kept connections.
+type remote struct {
+	lines *link.Lines
+}
+
+// Do sends a call to the process at an address.
+func (r *remote) Do(ctx context.Context, address string, c *batch.Call) (batch.Reply, error) {
+	answer, err := r.lines.Call(ctx, address, &peer.Link{Body: &peer.Link_Request{Request: codec.CallToWire(c)}})
+	if errors.Is(err, link.ErrNotSent) {
+		return batch.Reply{}, errors.Mark(err, desk.ErrNotSent)
+	}
+	if err != nil {
+		return batch.Reply{}, err
+	}
+	return codec.ReplyFromWire(answer.GetReply()), nil
+}
+
+// guide tells who leads.
+type guide struct {
+	roster *roster.Roster
+	loop   *loop.Loop
+	uptime clock.Uptime
+}
+
+// Leader returns what is known now.
+func (g *guide) Leader() desk.Leader {
+	route := g.roster.Route()
+	return desk.Leader{Here: route.Leader != "" && route.Leader == g.roster.Self().Name, Address: route.Address, Term: route.Term}
+}
+
+// Lose tells that the leader of a term wasn't reached; where the loop is full, the next greeting finds out.
+func (g *guide) Lose(term uint64) {
+	if err := g.loop.TryPost(func() { g.roster.Lose(term) }); err != nil {
+		return
+	}
+}
--- /dev/null
+++ b/internal/app/site/replica.go
@@ -0,0 +1,144 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/conf"
+	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/ctrl/node"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/roster"
+	"cowslipstack/internal/ctrl/steer"
+	"cowslipstack/internal/ctrl/store"
+	"cowslipstack/internal/wire/codec"
+	"cowslipstack/internal/wire/link"
+	"cowslipstack/internal/wire/peer"
+)
+
+// replica is this process's part in the replicated log; its node is nil where there is no disk.
+type replica struct {
+	node      *node.Node
+	transport *transport
+	lines     *link.Lines
+	failed    chan error
+}
+
+// ticksPerHeartbeat divides the time between heartbeats into ticks of the log.
+const ticksPerHeartbeat = 2
+
+// disk is the data folder of a process, nil where it has none.
+type disk struct {
+	log   *store.Log
+	found store.Recovered
+}
+
+func newRoster(settings conf.Site, lc fx.Lifecycle, logger *zap.Logger) (*roster.Roster, *disk, error) {
+	self := roster.Process{
+		Name: settings.Name, Control: settings.Listen.Control,
+		Address: net.JoinHostPort(settings.Listen.Host, strconv.Itoa(settings.Listen.PeerPort)),
+	}
+	if settings.Control.DataFolder == "" {
+		return roster.New(self, logger), &disk{}, nil
+	}
+	log, found, err := store.Open(settings.Control.DataFolder, settings.Name, codec.Codec{})
+	if err != nil {
+		return nil, nil, err
+	}
+	lc.Append(fx.StopHook(log.Close))
+	logger.Info("data_folder_opened", zap.String("identity", fmt.Sprintf("%016x", uint64(found.Identity.ID))),
+		zap.Uint64("snapshot", found.Snapshot.Index), zap.Int("entries", len(found.Entries)), zap.Int("torn_bytes", found.Torn))
+	self.Replica = found.Identity.ID
+	return roster.New(self, logger), &disk{log: log, found: found}, nil
+}
+
+func newLines(c clock.Clock, logger *zap.Logger) (*link.Lines, *inbox) {
+	in := &inbox{}
+	return link.NewLines(c, logger, in.deliver), in
+}
+
+// inbox hands on what comes back over connections that this process has made.
+type inbox struct {
+	links *links
+}
+
+func (i *inbox) deliver(f *peer.Link) {
+	if answer := i.links.Deliver(context.Background(), f); answer != nil {
+		i.links.send(codec.MessagesFromWire(answer.GetQuorum().GetMessages()))
+	}
+}
+
+func newReplica(settings conf.Site, l *loop.Loop, c clock.Clock, logger *zap.Logger, r *roster.Roster, d *disk, lines *link.Lines) (*replica, error) {
+	p := &replica{lines: lines, failed: make(chan error, 1)}
+	if d.log == nil {
+		return p, nil
+	}
+	p.transport = &transport{lines: lines, roster: r, holders: map[quorum.ReplicaID]string{}}
+	tick := time.Duration(settings.Control.HeartbeatMs) * time.Millisecond / ticksPerHeartbeat
+	found := d.found
+	n, err := node.New(node.Options{
+		Self: quorum.Member{ID: found.Identity.ID, Name: found.Identity.Name}, Agreed: found.Identity.Agreed,
+		Loop: l, Clock: c, Logger: logger, Snapshot: found.Snapshot,
+		Replica: quorum.New(quorum.Options{
+			ID: found.Identity.ID, Hard: found.Hard, Snapshot: found.Snapshot, Entries: found.Entries,
+			HeartbeatTicks: ticksPerHeartbeat,
+			ElectionTicks:  int(time.Duration(settings.Control.ElectionMs) * time.Millisecond / tick),
+			Random:         rand.IntN,
+		}),
+		Transport: p.transport, Codec: codec.Codec{}, Disk: d.log, Tick: tick,
+		SnapshotRecords: uint64(settings.Control.SnapshotRecords),
+		Failed:          p.fail,
+	})
+	p.node = n
+	return p, err
+}
+
+// fail takes notice that the replica's part is over; the first cause is enough.
+func (p *replica) fail(err error) {
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
+// watchDisk ends the process where its disk fails, so that it starts again with what the disk holds.
+func (p *replica) watchDisk(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-p.failed:
+		return err
+	}
+}
+
+func newEngine(settings conf.Site, p *replica, c clock.Clock, u clock.Uptime, o *orders, logger *zap.Logger) *steer.Engine {
+	if p.node == nil {
+		return nil
+	}
+	return steer.New(steer.Options{
+		Log: p.node, Clock: c, Uptime: u, Logger: logger, Holder: settings.Name, Control: settings.Listen.Control,
+		Bounds: boundsOf(settings), Orders: o.put,
+	})
+}
+
+func newLocal(l *loop.Loop, e *steer.Engine) *local {
+	return &local{loop: l, engine: e}
+}
+
+func newLinks(l *loop.Loop, p *replica, r *roster.Roster, own *local, u clock.Uptime, in *inbox, logger *zap.Logger) *links {
+	in.links = &links{loop: l, node: p.node, roster: r, local: own, uptime: u, logger: logger, transport: p.transport}
+	return in.links
+}
+
+func newGreeter(settings conf.Site, l *links, lines *link.Lines, c clock.Clock, logger *zap.Logger) (*greeter, error) {
+	g := &greeter{links: l, lines: lines, clock: c, logger: logger, mayForm: settings.Control.FirstStart}
+	return g, g.seed(settings)
+}
