--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -71,6 +71,10 @@
 	term   uint64
 	// activeMs is when it became active, by uptime.
 	activeMs int64
+	// ordersFromMs is from when it may order VMs, by uptime: a former leader may have ordered them until a while ago.
+	ordersFromMs int64
+	// stopping are attempts of lasting tasks that are moved to another VM.
+	stopping map[batch.TaskID]int
 
 	commits commits
 	fresh   freshness
@@ -100,6 +104,7 @@
 	e.active = false
 	e.workers, e.addresses = map[string]*worker{}, map[string]string{}
 	e.queues, e.jobs = map[string]*poolQueue{}, map[string]*work{}
+	e.stopping = map[batch.TaskID]int{}
 	e.starting, e.startingOn, e.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[gangKey]*gang{}
 	e.fleet, e.tickets = newFleetView(), newTickets()
 	e.learned = learned{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
@@ -147,6 +152,11 @@
 	e.active = true
 	e.activeMs = e.now()
 	book := e.options.Log.Book()
+	e.ordersFromMs = e.activeMs + e.options.Bounds.HolderMs
+	if book.State().Configuration.Version == 0 {
+		// Without a configuration nobody has ordered anything.
+		e.ordersFromMs = e.activeMs
+	}
 	book.Touched()
 	for id := range book.Jobs() {
 		e.touch(id)
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -23,6 +23,8 @@
 	// leaving means that it gets no tasks, so that it can be moved; maintain means the same for maintenance.
 	leaving  bool
 	maintain bool
+	// due means that a wave has still to take it.
+	due bool
 	// listedMs is when it was last listed, by uptime.
 	listedMs int64
 }
@@ -58,6 +60,12 @@
 	return v != nil && (v.leaving || v.maintain || v.ordered)
 }
 
+// doomed says whether a worker's VM is to be maintained before long.
+func (f *fleetView) doomed(w *worker) bool {
+	v := f.vms[f.byWorker[w.id]]
+	return v != nil && (v.due || v.ordered)
+}
+
 // steerFleet reads the list and orders moves and maintenance.
 func (e *Engine) steerFleet(now int64) {
 	f := &e.fleet
@@ -65,7 +73,7 @@
 		f.reading, f.listedMs, f.found = true, now, map[string]bool{}
 		e.readList("", now)
 	}
-	if now-f.plannedMs < poolsMs || len(f.vms) == 0 || now-e.activeMs < e.options.Bounds.HolderMs {
+	if now-f.plannedMs < poolsMs || len(f.vms) == 0 || now < e.ordersFromMs {
 		return
 	}
 	f.plannedMs = now
@@ -209,15 +217,16 @@
 	}
 	for _, v := range e.fleet.sortedVMs() {
 		i, ok := at[v.Pool]
-		if !ok || v.State == VMDown {
+		if !ok || v.State == VMDown || v.maintain {
+			// What is about to be maintained is no room for tasks.
 			continue
 		}
 		p := &all[i]
 		p.VMMilli = max(p.VMMilli, v.Capacity.CPUMilli)
 		load, empty, lasting := e.load(v)
 		p.VMs = append(p.VMs, pools.VM{
-			Name: v.Name, LoadMilli: load, Empty: empty && v.orderable(now) && !v.maintain,
-			Fixed: lasting || v.maintain || v.ordered || v.State != VMUp || now < v.awayMs || v.fenced,
+			Name: v.Name, LoadMilli: load, Empty: empty && v.orderable(now),
+			Fixed: lasting || v.ordered || v.State != VMUp || now < v.awayMs || v.fenced,
 		})
 	}
 	for i := range all {
--- a/internal/ctrl/steer/give.go
+++ b/internal/ctrl/steer/give.go
@@ -13,20 +13,58 @@
 // give chooses tasks for a worker's free room and adds their starts to the next record.
 func (e *Engine) give(w *worker, sequence uint64, now int64) []batch.StartOrder {
 	pool := e.current().Pool(w.pool)
-	if pool == nil || pool.Standby || e.fleet.held(w) {
+	if pool == nil || pool.Standby {
 		return nil
 	}
+	if e.fleet.held(w) {
+		return e.giveLast(w, sequence, now)
+	}
 	orders := e.giveGangs(w, sequence)
 	q := e.queue(w.pool)
 	for _, one := range e.ordered(q, now) {
 		if len(orders) >= startsAtOnce || w.free.MemoryMB <= 0 {
 			break
 		}
+		if one.item.Lasting && e.fleet.doomed(w) && e.elsewhere(w, one, now) {
+			continue
+		}
 		orders = append(orders, e.giveWork(w, q, one, sequence, now)...)
 	}
 	return orders
 }
 
+// giveLast gives lasting tasks to a worker whose VM is to leave, where no other worker of its pool can take them.
+func (e *Engine) giveLast(w *worker, sequence uint64, now int64) []batch.StartOrder {
+	if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v.ordered {
+		return nil
+	}
+	q := e.queue(w.pool)
+	var orders []batch.StartOrder
+	for _, one := range e.ordered(q, now) {
+		if one.item.Lasting && !e.elsewhere(w, one, now) {
+			orders = append(orders, e.giveWork(w, q, one, sequence, now)...)
+		}
+	}
+	return orders
+}
+
+// elsewhere says whether a worker that stays can take a task of a job.
+func (e *Engine) elsewhere(not *worker, one *work, now int64) bool {
+	for _, id := range one.ready {
+		step := &one.job.Job.Steps[id.Step]
+		for _, w := range e.workers {
+			if w != not && w.pool == not.pool && w.usable(now) && now-w.heardMs < silentMs && !e.fleet.held(w) &&
+				!e.fleet.doomed(w) && w.free.Holds(step.Room()) && (step.PerWorker == 0 || e.countOn(w, one.job, id) < step.PerWorker) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// silentMs is how long a worker may be silent and still be counted on, in milliseconds.
+const silentMs = 1000
+
 // giveWork gives a worker those ready tasks of one job that fit.
 func (e *Engine) giveWork(w *worker, q *poolQueue, one *work, sequence uint64, now int64) []batch.StartOrder {
 	var orders []batch.StartOrder
--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -133,6 +133,7 @@
 			continue
 		}
 		e.end(n.Task, n.Attempt, n.Kind, n.Checkpoint)
+		delete(e.stopping, n.Task)
 		e.blame(w, n)
 		if n.Kind == batch.EndDone && began != nil {
 			e.learnScale(j.Job.Queue, e.now()-began.sinceMs, j.Job.Steps[n.Task.Step].EstimateMs)
@@ -185,7 +186,8 @@
 		step := &j.Job.Steps[r.Task.Step]
 		w.free = w.free.Less(step.Room())
 		switch {
-		case j.Phase.Over() || t.Done || t.Find(r.Attempt) == nil || step.Gang && broken(j, r.Task, r.Attempt):
+		case j.Phase.Over() || t.Done || t.Find(r.Attempt) == nil || step.Gang && broken(j, r.Task, r.Attempt),
+			e.stopping[r.Task] == r.Attempt:
 			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
 		case e.frozen(step, a, now):
 			e.options.Logger.Info("attempt_stands_still", zap.String("job", r.Task.Job), zap.Int("step", r.Task.Step),
--- a/internal/ctrl/steer/wave.go
+++ b/internal/ctrl/steer/wave.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -19,7 +20,7 @@
 // steerWaves takes down VMs of waves that are due.
 func (e *Engine) steerWaves(now int64) {
 	for _, v := range e.fleet.vms {
-		v.maintain = false
+		v.maintain, v.due = false, false
 	}
 	book := e.options.Log.Book()
 	for i := range book.State().Waves {
@@ -31,7 +32,7 @@
 
 func (e *Engine) steerWave(w *batch.Wave, now int64) {
 	down := e.downOf(w, now)
-	left := e.leftOf(w, now)
+	left := e.leftOf(w)
 	remaining := w.AcceptedMs + w.DurationMs - e.wall()
 	for _, c := range left {
 		if down >= w.MostAtOnce {
@@ -53,6 +54,46 @@
 	e.prepare(w, left, now)
 }
 
+// evacuate moves lasting tasks off a VM, a few at a time, where others can take them and enough of their step are at work.
+func (e *Engine) evacuate(v *vm, now int64) {
+	source := e.workers[v.Worker]
+	if source == nil {
+		return
+	}
+	moved := map[gangKey]int{}
+	for id := range e.options.Log.Book().RunsOn(v.Worker) {
+		j, t := e.find(id)
+		if t == nil || !j.Job.Steps[id.Step].LongRunning || e.stopping[id] > 0 {
+			continue
+		}
+		key := gangOf(id)
+		one := &work{job: j, ready: []batch.TaskID{id}}
+		if e.away(j, key)+moved[key] >= j.Job.Steps[id.Step].AllowedMisses || !e.elsewhere(source, one, now) {
+			continue
+		}
+		a := source.running[id]
+		if a == nil {
+			continue
+		}
+		moved[key]++
+		e.stopping[id] = a.number
+		e.options.Logger.Info("task_moving", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
+			zap.Int("attempt", a.number), zap.String("vm", v.Name))
+	}
+}
+
+// away returns how many tasks of a lasting step are not at work, or are about to stop.
+func (e *Engine) away(j *jobs.Job, key gangKey) int {
+	count, at := 0, j.Place(key.occurrence, key.step)
+	for i := range j.Job.Steps[key.step].Count {
+		id := batch.TaskID{Job: key.job, Occurrence: key.occurrence, Step: key.step, Index: i}
+		if e.stopping[id] > 0 || !e.atWork(&j.Tasks[at+i], id) {
+			count++
+		}
+	}
+	return count
+}
+
 // downOf returns how many VMs of a wave are down for it.
 func (e *Engine) downOf(w *batch.Wave, now int64) int {
 	down := map[string]bool{}
@@ -72,7 +113,7 @@
 }
 
 // leftOf returns the VMs that a wave has still to take, those first that cost least; VMs that are gone are recorded.
-func (e *Engine) leftOf(w *batch.Wave, now int64) []candidate {
+func (e *Engine) leftOf(w *batch.Wave) []candidate {
 	var left []candidate
 	for _, name := range w.VMs {
 		if slices.Contains(w.Begun, name) {
@@ -85,6 +126,7 @@
 			}
 			continue
 		}
+		v.due = true
 		load, empty, lasting := e.load(v)
 		left = append(left, candidate{vm: v, empty: empty, lasting: lasting, load: load})
 	}
@@ -100,7 +142,6 @@
 			return boolInt(a.load > b.load)
 		}
 	})
-	_ = now
 	return left
 }
 
@@ -124,6 +165,9 @@
 		if c.vm.orderable(now) {
 			c.vm.maintain = true
 			ahead--
+			if c.lasting {
+				e.evacuate(c.vm, now)
+			}
 		}
 	}
 }
@@ -148,13 +192,7 @@
 	}
 	for key, count := range ending {
 		j := e.options.Log.Book().Job(key.job)
-		step, at := &j.Job.Steps[key.step], j.Place(key.occurrence, key.step)
-		for i := range step.Count {
-			if !e.atWork(&j.Tasks[at+i], batch.TaskID{Job: key.job, Occurrence: key.occurrence, Step: key.step, Index: i}) {
-				count++
-			}
-		}
-		if count > step.AllowedMisses {
+		if count+e.away(j, key) > j.Job.Steps[key.step].AllowedMisses {
 			return false
 		}
 	}
--- a/internal/ctrl/steer/worker.go
+++ b/internal/ctrl/steer/worker.go
@@ -103,6 +103,10 @@
 		if w == nil || w.draining || w.left {
 			continue
 		}
+		if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v != nil && v.ordered {
+			// An order that ends it is under way.
+			continue
+		}
 		if a := w.running[id]; a != nil && a.number == r.Attempt && a.percent >= atWorkPercent {
 			return true
 		}
