--- a/internal/app/site/greet.go
+++ b/internal/app/site/greet.go
@@ -35,10 +35,10 @@
 	lines *link.Lines
 	clock clock.Clock
 	// seeds are addresses of some processes.
-	seeds     atomic.Pointer[[]string]
-	mayForm   bool
-	logger    *zap.Logger
-	lastCause string
+	seeds atomic.Pointer[[]string]
+	// mayForm says that this is the system's first start.
+	mayForm bool
+	logger  *zap.Logger
 }
 
 // seedAddresses returns where the seeds' processes are reached by others: at their hosts, on the port that is the same everywhere.
--- a/internal/app/site/local.go
+++ b/internal/app/site/local.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/ctrl/roster"
 	"cowslipstack/internal/ctrl/steer"
@@ -61,7 +60,6 @@
 type guide struct {
 	roster *roster.Roster
 	loop   *loop.Loop
-	uptime clock.Uptime
 }
 
 // Leader returns what is known now.
--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -49,7 +49,9 @@
 		address string
 		to      *net.Listener
 	}{
-		{settings.Listen.Callers, &l.callers}, {settings.Listen.Ready, &l.ready}, {settings.Listen.Control, &l.control},
+		{settings.Listen.Callers, &l.callers},
+		{settings.Listen.Ready, &l.ready},
+		{settings.Listen.Control, &l.control},
 		{r.Self().Address, &l.peers},
 	} {
 		if want.address == "" {
--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -136,7 +136,7 @@
 
 // failed counts a failure, and fails the job where there were as many as its queue allows.
 func (b *Book) failed(j *Job, t *Task, e *batch.End, nowMs int64) {
-	failures := 0
+	var failures int
 	if j.Job.Steps[e.Task.Step].Gang {
 		at := j.stepAt(e.Task.Occurrence, e.Task.Step)
 		j.GangFailures[at]++
--- a/internal/ctrl/steer/worker.go
+++ b/internal/ctrl/steer/worker.go
@@ -34,8 +34,6 @@
 	shunnedMs int64
 	// share is the pace of the tasks that fill there, in percent.
 	share int
-	// answering says that a heartbeat waits for its record.
-	answering bool
 }
 
 // attempt is what is known of one attempt that a worker lists.
@@ -100,7 +98,7 @@
 func (e *Engine) atWork(t *jobs.Task, id batch.TaskID) bool {
 	for _, r := range t.Runs {
 		w := e.workers[r.Worker]
-		if w == nil || w.draining || w.left {
+		if w == nil || w.draining || w.left || e.now()-w.heardMs > silentMs {
 			continue
 		}
 		if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v != nil && v.ordered {
