--- a/internal/ctrl/store/folder_test.go
+++ b/internal/ctrl/store/folder_test.go
@@ -39,12 +39,15 @@
 	return f.failAt > 0 && f.count >= f.failAt
 }
 
-// crash leaves what is synced, and of the rest some at random: a part of the names and of each file's end.
+// crash leaves what is synced, and of the rest some at random: any of the names, and a part of each file's end.
 func (f *fakeFolder) crash(r *rand.Rand) *fakeFolder {
 	after := newFakeFolder()
 	names := maps.Clone(f.synced)
-	for _, change := range f.changes[:r.IntN(len(f.changes)+1)] {
-		change(names)
+	for _, change := range f.changes {
+		// Each name that was made, changed or removed is kept or lost for itself.
+		if r.IntN(2) == 0 {
+			change(names)
+		}
 	}
 	for name, file := range names {
 		reached := file.synced + r.IntN(len(file.data)-file.synced+1)
--- a/internal/ctrl/store/recover.go
+++ b/internal/ctrl/store/recover.go
@@ -216,6 +216,9 @@
 		switch {
 		case e.Index < first:
 			r.log = nil
+		case e.Index > first+uint64(len(r.log)) && e.Index <= r.found.Snapshot.Index+1:
+			// The snapshot stands for what is missing: removed segments may come back, each for itself, after a power loss.
+			r.log = nil
 		case e.Index > first+uint64(len(r.log)):
 			return errors.Wrapf(ErrDamaged, "entry %d follows entry %d", e.Index, first+uint64(len(r.log))-1)
 		default:
