--- a/internal/ctrl/roster/roster.go
+++ b/internal/ctrl/roster/roster.go
@@ -114,8 +114,12 @@
 			}
 		}
 	}
-	if h.Leader != "" && h.Term > r.term {
+	switch {
+	case h.Leader != "" && h.Term > r.term:
 		r.Follow(h.Leader, h.Term)
+	case h.Self.Name == r.leader && h.Leader != h.Self.Name:
+		// The process that was thought to lead says that it doesn't.
+		r.Lose(r.term)
 	}
 }
 
--- a/internal/edge/desk/desk.go
+++ b/internal/edge/desk/desk.go
@@ -119,6 +119,10 @@
 		reply, err = d.options.Remote.Do(ctx, l.Address, c)
 	}
 	switch {
+	case err == nil && reply.Code == batch.CodeNotRun && !l.Here:
+		// It doesn't lead, or can't confirm that it does: another one may by now.
+		d.options.Guide.Lose(l.Term)
+		return reply, false
 	case err == nil:
 		return reply, true
 	case errors.Is(err, ErrNotSent):
