--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -208,13 +208,14 @@
 	for _, p := range c.Pools {
 		one := pools.Pool{Name: p.Name, Standby: p.Standby}
 		for _, w := range e.queue(p.Name).works {
-			one.RunningMilli += w.runMilli
-			one.ReadyMilli += w.readyMilli
-			one.SoonMilli += w.soonMilli
+			one.Running, one.Ready, one.Soon = one.Running.Add(w.runRoom), one.Ready.Add(w.readyRoom), one.Soon.Add(w.soonRoom)
+			one.Floor = max(one.Floor, w.apart)
 		}
 		at[p.Name] = len(all)
 		all = append(all, one)
 	}
+	// A pool without VMs is sized as if it had those of another one.
+	var usual pools.Room
 	for _, v := range e.fleet.sortedVMs() {
 		i, ok := at[v.Pool]
 		if !ok || v.State == VMDown || v.maintain {
@@ -222,7 +223,8 @@
 			continue
 		}
 		p := &all[i]
-		p.VMMilli = max(p.VMMilli, v.Capacity.CPUMilli)
+		p.VM = pools.Room{CPUMilli: max(p.VM.CPUMilli, v.Capacity.CPUMilli), MemoryMB: max(p.VM.MemoryMB, v.Capacity.MemoryMB)}
+		usual = p.VM
 		load, empty, lasting := e.load(v)
 		p.VMs = append(p.VMs, pools.VM{
 			Name: v.Name, LoadMilli: load, Empty: empty && v.orderable(now),
@@ -231,8 +233,8 @@
 	}
 	for i := range all {
 		p := &all[i]
-		for _, other := range all {
-			p.VMMilli = max(p.VMMilli, other.VMMilli*int64(boolInt(p.VMMilli == 0)))
+		if p.VM == (pools.Room{}) {
+			p.VM = usual
 		}
 		if len(p.VMs) <= pools.Need(*p) || e.fleet.idleSince[p.Name] == 0 {
 			e.fleet.idleSince[p.Name] = now
--- a/internal/ctrl/steer/work.go
+++ b/internal/ctrl/steer/work.go
@@ -3,6 +3,7 @@
 import (
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/pools"
 	"cowslipstack/internal/plan/sched"
 )
 
@@ -12,11 +13,10 @@
 	item sched.Item
 	// ready are the tasks that could start now, gangs excepted.
 	ready []batch.TaskID
-	// readyMilli and runMilli are the processor time that ready and begun tasks hold, in thousandths of a core.
-	readyMilli int64
-	runMilli   int64
-	// soonMilli is what tasks of the steps hold that open after those at work, in thousandths of a core.
-	soonMilli int64
+	// readyRoom and runRoom are what ready and begun tasks hold, soonRoom what tasks hold of the steps that open after those.
+	readyRoom, runRoom, soonRoom pools.Room
+	// apart is how many VMs its tasks need that keep apart from each other.
+	apart int
 	// chainMs is the longest remaining chain of work, and objectiveMs the time from its acceptance until its SLO.
 	chainMs     int64
 	objectiveMs int64
@@ -125,10 +125,11 @@
 	open := j.Open(k, s)
 	if !open {
 		if e.opensSoon(j, k, step) {
-			w.soonMilli += int64(left) * step.Room().CPUMilli
+			w.soonRoom = w.soonRoom.Add(roomOf(step, left))
 		}
 		return before + taskMs
 	}
+	w.apart = max(w.apart, apart(step, left))
 	at := j.Place(k, s)
 	for i := range step.Count {
 		t := &j.Tasks[at+i]
@@ -137,10 +138,10 @@
 		}
 		id := batch.TaskID{Job: j.Job.ID, Occurrence: k, Step: s, Index: i}
 		if len(t.Runs) > 0 || e.starting[id] {
-			w.runMilli += step.Room().CPUMilli
+			w.runRoom = w.runRoom.Add(roomOf(step, 1))
 			continue
 		}
-		w.readyMilli += step.Room().CPUMilli
+		w.readyRoom = w.readyRoom.Add(roomOf(step, 1))
 		if !step.Gang {
 			w.ready = append(w.ready, id)
 		}
@@ -148,6 +149,27 @@
 	return before + taskMs
 }
 
+// roomOf returns what a count of a step's tasks hold.
+func roomOf(step *batch.Step, count int) pools.Room {
+	room := step.Room()
+	return pools.Room{CPUMilli: int64(count) * room.CPUMilli, MemoryMB: int64(count) * room.MemoryMB}
+}
+
+// roundsApart is how many tasks that keep apart and end by themselves may run after each other on one VM.
+const roundsApart = 2
+
+// apart returns how many VMs a step needs for tasks that keep apart.
+func apart(step *batch.Step, left int) int {
+	if step.PerWorker <= 0 {
+		return 0
+	}
+	on := step.PerWorker
+	if !step.LongRunning {
+		on *= roundsApart
+	}
+	return (left + on - 1) / on
+}
+
 // opensSoon says whether all steps before a step are at work.
 func (e *Engine) opensSoon(j *jobs.Job, k int, step *batch.Step) bool {
 	for _, a := range step.After {
--- a/internal/plan/pools/plan.go
+++ b/internal/plan/pools/plan.go
@@ -10,22 +10,35 @@
 	Name string
 	// Standby means that its VMs are off and cost nothing.
 	Standby bool
-	// RunningMilli is the processor time that its tasks hold, in thousandths of a core.
-	RunningMilli int64
-	// ReadyMilli is what its waiting tasks would hold, in thousandths of a core.
-	ReadyMilli int64
-	// SoonMilli is what tasks of steps that open soon would hold, in thousandths of a core.
-	SoonMilli int64
-	// VMMilli is what one of its VMs has, in thousandths of a core; 0 where it isn't known.
-	VMMilli int64
+	// Running is what its tasks hold.
+	Running Room
+	// Ready is what its waiting tasks would hold.
+	Ready Room
+	// Soon is what tasks of steps that open soon would hold.
+	Soon Room
+	// VM is what one of its VMs has; zero where it isn't known.
+	VM Room
 	// VMs are its VMs that can work, and those that are on their way to it.
 	VMs []VM
-	// Floor is the least count of VMs that it keeps.
+	// Floor is the least count of VMs that it needs, whatever their room: some tasks keep apart.
 	Floor int
 	// IdleMs is how long it has had more VMs than it needs, in milliseconds.
 	IdleMs int64
 }
 
+// Room is what tasks hold or VMs have.
+type Room struct {
+	// CPUMilli is in thousandths of a core.
+	CPUMilli int64
+	// MemoryMB is in megabytes.
+	MemoryMB int64
+}
+
+// Add returns the sum of two.
+func (r Room) Add(o Room) Room {
+	return Room{CPUMilli: r.CPUMilli + o.CPUMilli, MemoryMB: r.MemoryMB + o.MemoryMB}
+}
+
 // VM is one VM of a pool.
 type VM struct {
 	// Name is the platform's name.
@@ -67,11 +80,19 @@
 
 // Need returns how many VMs a pool should have.
 func Need(p Pool) int {
-	if p.Standby || p.VMMilli <= 0 {
+	if p.Standby || p.VM.CPUMilli <= 0 {
+		return 0
+	}
+	d := p.Running.Add(p.Ready).Add(Room{CPUMilli: p.Soon.CPUMilli * soonPercent / 100, MemoryMB: p.Soon.MemoryMB * soonPercent / 100})
+	return max(p.Floor, vms(d.CPUMilli, p.VM.CPUMilli), vms(d.MemoryMB, p.VM.MemoryMB))
+}
+
+// vms returns how many VMs hold a demand.
+func vms(demand, each int64) int {
+	if each <= 0 {
 		return 0
 	}
-	demand := p.RunningMilli + p.ReadyMilli + p.SoonMilli*soonPercent/100
-	return max(p.Floor, int((demand*upPercent/100+p.VMMilli-1)/p.VMMilli))
+	return int((demand*upPercent/100 + each - 1) / each)
 }
 
 // giver is a pool that can give VMs.
