Let one process name the one founder of a new system

Small sites were spared by luck, since all their replicas are seeds. Change: the process at the lowest seed names one founder, which forms a group of itself alone; others join it, and nothing is taken on before enough vote. A leader that was given up is followed again when it says itself that it leads. Beyond 100 workers heartbeats are spread over all processes and paced, and jobs keep their order for 50 ms.

--- a/internal/app/site/links.go
+++ b/internal/app/site/links.go
@@ -151,6 +151,7 @@
 func helloToWire(h *roster.Hello) *peer.LinkHello {
 	w := &peer.LinkHello{
 		Self: processToWire(h.Self), Leader: h.Leader, Term: h.Term, HasState: h.HasState, Members: codec.MembersToWire(h.Members),
+		Founder: h.Founder,
 	}
 	for _, p := range h.Known {
 		w.Known = append(w.Known, processToWire(p))
@@ -161,7 +162,7 @@
 func helloFromWire(w *peer.LinkHello) roster.Hello {
 	h := roster.Hello{
 		Self: processFromWire(w.GetSelf()), Leader: w.GetLeader(), Term: w.GetTerm(), HasState: w.GetHasState(),
-		Members: codec.MembersFromWire(w.GetMembers()),
+		Members: codec.MembersFromWire(w.GetMembers()), Founder: w.GetFounder(),
 	}
 	for _, p := range w.GetKnown() {
 		h.Known = append(h.Known, processFromWire(p))
--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -119,13 +119,17 @@
 	}
 }
 
-func newEngine(settings conf.Site, p *replica, c clock.Clock, u clock.Uptime, o *orders, logger *zap.Logger) *steer.Engine {
+func newEngine(settings conf.Site, p *replica, r *roster.Roster, c clock.Clock, u clock.Uptime, o *orders, logger *zap.Logger) *steer.Engine {
 	if p.node == nil {
 		return nil
 	}
 	return steer.New(steer.Options{
 		Log: p.node, Clock: c, Uptime: u, Logger: logger, Holder: settings.Name, Control: settings.Listen.Control,
 		Bounds: boundsOf(settings), Orders: o.put,
+		Enough: func() bool {
+			_, members, _ := p.node.Self()
+			return r.Enough(members, settings.Control.Losses)
+		},
 	})
 }
 
@@ -140,5 +144,11 @@
 
 func newGreeter(settings conf.Site, l *links, lines *link.Lines, c clock.Clock, logger *zap.Logger) (*greeter, error) {
 	g := &greeter{links: l, lines: lines, clock: c, logger: logger, mayForm: settings.Control.FirstStart}
-	return g, g.seed(settings)
+	if err := g.seed(settings); err != nil {
+		return nil, err
+	}
+	if g.mayForm {
+		l.roster.BeginFounding(*g.seeds.Load(), l.uptime.Milliseconds())
+	}
+	return g, nil
 }
--- a/internal/app/site/tend.go
+++ b/internal/app/site/tend.go
@@ -15,7 +15,7 @@
 )
 
 // tendPause spaces looks at the members.
-const tendPause = 200 * time.Millisecond
+const tendPause = 100 * time.Millisecond
 
 // tender runs what the leader does by time.
 type tender struct {
--- a/internal/ctrl/roster/found.go
+++ b/internal/ctrl/roster/found.go
@@ -1,30 +1,69 @@
 package roster
 
 import (
-	"cmp"
-	"slices"
+	"go.uber.org/zap"
 
 	"cowslipstack/internal/ctrl/quorum"
 )
 
-// settleMs is how long no process with a replica may have been added before the first members are agreed on, in milliseconds:
-// processes start within a third of a second of each other.
-const settleMs = 700
+// gatherMs is how long the process that names the founder waits for others, in milliseconds: processes start within a
+// third of a second of each other.
+const gatherMs = 600
 
-// Founders returns the first members of a group, where this process is the one to form it: all processes with a replica,
-// once all of them are empty, none was added of late, and this one comes first by name.
-func (r *Roster) Founders(now int64) []quorum.Member {
+// founding is what is known of who forms the group at the system's first start. All processes have the same seeds then:
+// the process at the lowest seed names one founder, and only that one forms a group, of itself alone; the others join it.
+type founding struct {
+	// arbiter is the address of the process that names the founder; empty after the first start.
+	arbiter string
+	// sinceMs is when this process began, by uptime.
+	sinceMs int64
+	founder string
+}
+
+// BeginFounding takes notice that this is the system's first start; seeds are the addresses of the seeds' processes.
+func (r *Roster) BeginFounding(seeds []string, now int64) {
+	for _, s := range seeds {
+		if r.founding.arbiter == "" || s < r.founding.arbiter {
+			r.founding.arbiter = s
+		}
+	}
+	r.founding.sinceMs = now
+}
+
+// nameFounder names the process that forms the group, where this one is to do so and has not yet.
+func (r *Roster) nameFounder(now int64) {
+	f := &r.founding
 	core := r.Core()
-	if len(core) == 0 || core[0].Name != r.self.Name || now-r.settledMs < settleMs || r.settledMs == 0 && len(core) > 1 {
+	if f.arbiter != r.self.Address || f.founder != "" || now-f.sinceMs < gatherMs || len(core) == 0 {
+		return
+	}
+	f.founder = core[0].Name
+	r.logger.Info("founder_named", zap.String("name", f.founder), zap.Int("with_disk", len(core)))
+}
+
+// hearFounder takes the founder's name from the process that names it, and from no other.
+func (r *Roster) hearFounder(h *Hello) {
+	if r.founding.arbiter != "" && h.Self.Address == r.founding.arbiter && r.founding.founder == "" {
+		r.founding.founder = h.Founder
+	}
+}
+
+// Founders returns the first members of a group, where this process is the one to form it: itself.
+func (r *Roster) Founders(now int64) []quorum.Member {
+	r.nameFounder(now)
+	if r.founding.founder != r.self.Name || r.self.Replica == 0 {
 		return nil
 	}
-	members := make([]quorum.Member, 0, len(core))
-	for _, p := range core {
-		if e := r.entries[p.Name]; e != nil && (e.state || !e.alive(now)) {
-			return nil
+	return []quorum.Member{{ID: r.self.Replica, Name: r.self.Name, Voter: true}}
+}
+
+// Enough says whether as many replicas vote as a new system needs before it takes anything on.
+func (r *Roster) Enough(members []quorum.Member, losses int) bool {
+	voters := 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
 		}
-		members = append(members, quorum.Member{ID: p.Replica, Name: p.Name, Voter: true})
 	}
-	slices.SortFunc(members, func(a, b quorum.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return members
+	return voters >= min(len(r.Core()), 2*losses+1)
 }
--- a/internal/ctrl/roster/roster.go
+++ b/internal/ctrl/roster/roster.go
@@ -36,6 +36,8 @@
 	HasState bool
 	// Members are the members that its replica knows.
 	Members []quorum.Member
+	// Founder is the process that is to form the group at the system's first start; empty where it isn't known.
+	Founder string
 }
 
 // entry is what is known of a process.
@@ -44,8 +46,6 @@
 	// heardMs is when it spoke itself, and toldMs when another one last told of it, by uptime.
 	heardMs int64
 	toldMs  int64
-	state   bool
-	members []quorum.Member
 }
 
 const (
@@ -70,14 +70,13 @@
 
 // Roster is what a process knows of the others; but for Route it belongs to the control loop.
 type Roster struct {
-	self    Process
-	logger  *zap.Logger
-	entries map[string]*entry
-	// settledMs is when a process was last added that has a replica, by uptime.
-	settledMs int64
-	route     atomic.Pointer[Route]
-	leader    string
-	term      uint64
+	self     Process
+	logger   *zap.Logger
+	entries  map[string]*entry
+	founding founding
+	route    atomic.Pointer[Route]
+	leader   string
+	term     uint64
 }
 
 // New returns a roster that knows its own process alone.
@@ -106,7 +105,8 @@
 	if e == nil {
 		return
 	}
-	e.heardMs, e.state, e.members = now, h.HasState, h.Members
+	r.hearFounder(h)
+	e.heardMs = now
 	for _, p := range h.Known {
 		if p.Name != r.self.Name && p.Name != "" {
 			if known := r.entries[p.Name]; known == nil || now-known.heardMs > aliveMs {
@@ -117,6 +117,9 @@
 	switch {
 	case h.Leader != "" && h.Term > r.term:
 		r.Follow(h.Leader, h.Term)
+	case h.Term == r.term && r.leader == "" && h.Leader == h.Self.Name:
+		// It was given up, and says itself that it leads.
+		r.Follow(h.Leader, h.Term)
 	case h.Self.Name == r.leader && h.Leader != h.Self.Name:
 		// The process that was thought to lead says that it doesn't.
 		r.Lose(r.term)
@@ -135,9 +138,6 @@
 		r.logger.Info("process_known", zap.String("name", p.Name), zap.String("address", p.Address),
 			zap.Bool("has_disk", p.Replica != 0), zap.Int("known", len(r.entries)))
 	}
-	if e.process.Replica != p.Replica {
-		r.settledMs = now
-	}
 	e.process, e.toldMs = p, now
 	if p.Name == r.leader {
 		r.publish()
@@ -197,7 +197,11 @@
 
 // Tell returns what this process tells others.
 func (r *Roster) Tell(now int64) Hello {
+	r.nameFounder(now)
 	h := Hello{Self: r.self, Leader: r.leader, Term: r.term}
+	if r.founding.arbiter == r.self.Address {
+		h.Founder = r.founding.founder
+	}
 	for name, e := range r.entries {
 		if now-e.toldMs > forgetMs && now-e.heardMs > forgetMs {
 			delete(r.entries, name)
--- a/internal/ctrl/steer/calls.go
+++ b/internal/ctrl/steer/calls.go
@@ -16,6 +16,10 @@
 		reply(batch.Reply{Code: batch.CodeNotRun, Detail: "this process does not lead"})
 		return
 	}
+	if e.current().Version == 0 && !e.options.Enough() {
+		reply(batch.Reply{Code: batch.CodeNotRun, Detail: "too few replicas vote yet"})
+		return
+	}
 	switch {
 	case c.Submit != nil:
 		e.submit(c.Submit, reply)
--- a/internal/ctrl/steer/commit.go
+++ b/internal/ctrl/steer/commit.go
@@ -50,10 +50,7 @@
 		if err != nil {
 			e.options.Logger.Info("record_lost", zap.Uint64("term", term), zap.Error(err))
 		}
-		for _, s := range change.Starts {
-			delete(e.starting, s.Task)
-			delete(e.startingOn, s.Task)
-		}
+		e.started(change.Starts)
 		finishAll(waiting, err == nil)
 		if e.active {
 			e.flush()
@@ -64,9 +61,8 @@
 	}
 	e.options.Logger.Info("record_refused", zap.Uint64("term", term), zap.Error(err))
 	c.inFlight--
+	e.started(change.Starts)
 	for _, s := range change.Starts {
-		delete(e.starting, s.Task)
-		delete(e.startingOn, s.Task)
 		e.touch(s.Task.Job)
 	}
 	finishAll(waiting, false)
@@ -112,3 +108,14 @@
 		e.fresh.asking = false
 	}
 }
+
+// started takes notice that proposed starts are applied, or will never be.
+func (e *Engine) started(starts []batch.Start) {
+	for _, s := range starts {
+		if w := e.workers[e.startingOn[s.Task]]; w != nil {
+			w.starting = max(0, w.starting-1)
+		}
+		delete(e.starting, s.Task)
+		delete(e.startingOn, s.Task)
+	}
+}
--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -37,6 +37,8 @@
 	Control string
 	// Bounds are the platform's times and limits.
 	Bounds Bounds
+	// Enough says whether enough replicas vote for a new system to take anything on.
+	Enough func() bool
 	// Orders takes what is to be asked of the platform; it returns false where too many wait.
 	Orders func(Order) bool
 }
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -170,12 +170,7 @@
 			lasting = lasting || step.LongRunning
 		}
 	}
-	for _, on := range e.startingOn {
-		if on == v.Worker {
-			empty = false
-		}
-	}
-	return milli, empty, lasting
+	return milli, empty && w.starting == 0, lasting
 }
 
 // orderable says whether a VM may be ordered now.
--- a/internal/ctrl/steer/give.go
+++ b/internal/ctrl/steer/give.go
@@ -150,6 +150,7 @@
 	w.free = w.free.Less(step.Room())
 	e.starting[id] = true
 	e.startingOn[id] = w.id
+	w.starting++
 	e.commits.next.Starts = append(e.commits.next.Starts, batch.Start{
 		Task: id, Attempt: number, Worker: w.id, Incarnation: w.incarnation, Sequence: sequence,
 	})
--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -251,7 +251,10 @@
 	if w.incarnation == h.Incarnation {
 		w.acknowledged = max(w.acknowledged, acknowledge)
 	}
-	o.LeaseMs, o.Acknowledged, o.Token, o.Leader = leaseMs, acknowledge, e.term, e.options.Control
+	o.LeaseMs, o.Acknowledged, o.Token = leaseMs, acknowledge, e.term
+	if len(e.workers) <= directWorkers {
+		o.Leader = e.options.Control
+	}
 	o.Start = slices.DeleteFunc(o.Start, func(s batch.StartOrder) bool {
 		j, t := e.find(s.Task)
 		return t == nil || j.Phase.Over() || t.Find(s.Attempt) == nil
@@ -265,15 +268,16 @@
 }
 
 func (e *Engine) nextCall(w *worker, now int64) int64 {
+	least := int64(len(e.workers)) * milli / callsPerS
 	switch {
 	case !w.usable(now):
-		return drainCallMs
+		return max(least, drainCallMs)
 	case e.queue(w.pool).demand > 0:
-		return idleCallMs
+		return max(least, idleCallMs)
 	case len(w.running) > 0:
-		return busyCallMs
+		return max(least, busyCallMs)
 	default:
-		return restCallMs
+		return max(least, restCallMs)
 	}
 }
 
--- a/internal/ctrl/steer/limits.go
+++ b/internal/ctrl/steer/limits.go
@@ -22,6 +22,11 @@
 	restCallMs = 250
 	// drainCallMs is when workers call again that take no more tasks.
 	drainCallMs = 300
+	// callsPerS bounds the heartbeats a second of all workers together, those after an end excepted.
+	callsPerS = 1000
+	// directWorkers is the count of workers up to which they call the leader itself; more are spread over all processes,
+	// which spares the leader the reading and writing of their messages.
+	directWorkers = 100
 	// dueEarlyMs is how long before its time a scheduled occurrence may start; 0 since clocks differ.
 	dueEarlyMs = 0
 	// frozenMs is how long a task's progress may stand still before it is stopped and begun elsewhere.
--- a/internal/ctrl/steer/work.go
+++ b/internal/ctrl/steer/work.go
@@ -9,8 +9,11 @@
 
 // work is a job that isn't over, as the leader sees it.
 type work struct {
-	job  *jobs.Job
-	item sched.Item
+	job *jobs.Job
+	// pool is the pool that runs it; queued says that it stands in the pool's order.
+	pool   string
+	queued bool
+	item   sched.Item
 	// ready are the tasks that could start now, gangs excepted.
 	ready []batch.TaskID
 	// readyRoom and runRoom are what ready and begun tasks hold, soonRoom what tasks hold of the steps that open after those.
@@ -27,15 +30,15 @@
 // poolQueue is what waits for one pool.
 type poolQueue struct {
 	works map[string]*work
-	// order is the order in which jobs get room; nil where it is to be worked out anew.
+	// order is the order in which jobs get room; those that came since it was worked out stand at its end.
 	order    []*work
 	sortedMs int64
 	// demand is the count of ready tasks.
 	demand int
 }
 
-// sortMs is how long an order of jobs holds while nothing changes, in milliseconds.
-const sortMs = 100
+// sortMs is how long an order of jobs holds, in milliseconds.
+const sortMs = 50
 
 func (e *Engine) queue(pool string) *poolQueue {
 	q := e.queues[pool]
@@ -61,27 +64,49 @@
 func (e *Engine) touch(id string) {
 	j := e.options.Log.Book().Job(id)
 	old := e.jobs[id]
-	if old != nil {
-		for _, q := range e.queues {
-			if q.works[id] != nil {
-				delete(q.works, id)
-				q.demand -= len(old.ready)
-				q.order = nil
-			}
-		}
-		delete(e.jobs, id)
-	}
 	if j == nil || j.Phase.Over() {
 		if old != nil {
 			e.learnWork(old)
+			e.drop(old)
+			delete(e.jobs, id)
+			// The order may still hold it: it has nothing to give.
+			old.ready = nil
 		}
 		return
 	}
 	w := e.describe(j)
-	q := e.queue(e.poolOf(j))
-	e.jobs[id], q.works[id] = w, w
-	q.demand += len(w.ready)
-	q.order = nil
+	pool := e.poolOf(j)
+	if old != nil && old.pool == pool {
+		e.queue(pool).demand += len(w.ready) - len(old.ready)
+		w.pool, w.queued = pool, old.queued
+		*old = *w
+	} else {
+		if old != nil {
+			e.drop(old)
+			old.ready = nil
+		}
+		w.pool = pool
+		e.jobs[id] = w
+		e.queue(pool).works[id] = w
+		e.queue(pool).demand += len(w.ready)
+	}
+	e.enqueue(e.jobs[id])
+}
+
+// drop takes a job out of its pool's queue.
+func (e *Engine) drop(w *work) {
+	q := e.queue(w.pool)
+	delete(q.works, w.job.Job.ID)
+	q.demand -= len(w.ready)
+}
+
+// enqueue puts a job with ready tasks at the end of its pool's order, until that is worked out anew.
+func (e *Engine) enqueue(w *work) {
+	if len(w.ready) > 0 && !w.queued {
+		w.queued = true
+		q := e.queue(w.pool)
+		q.order = append(q.order, w)
+	}
 }
 
 // describe works out what a job could start, and how it stands.
@@ -206,12 +231,13 @@
 
 // ordered returns the works of a pool in the order in which they get room.
 func (e *Engine) ordered(q *poolQueue, now int64) []*work {
-	if q.order != nil && now-q.sortedMs < sortMs {
+	if now-q.sortedMs < sortMs {
 		return q.order
 	}
-	q.order, q.sortedMs = make([]*work, 0, len(q.works)), now
+	clear(q.order)
+	q.order, q.sortedMs = q.order[:0], now
 	for _, w := range q.works {
-		if len(w.ready) == 0 {
+		if w.queued = len(w.ready) > 0; !w.queued {
 			continue
 		}
 		w.item.SlackMs = w.job.Job.AcceptedMs + w.objectiveMs - w.chainMs - e.wall()
--- a/internal/ctrl/steer/worker.go
+++ b/internal/ctrl/steer/worker.go
@@ -29,6 +29,8 @@
 	acknowledged uint64
 	// running are the attempts of the last heartbeat.
 	running map[batch.TaskID]*attempt
+	// starting is the count of starts that are proposed and not yet applied.
+	starting int
 	// failures counts attempts that failed or stood still there since one was done; shunnedMs is until when it gets no tasks.
 	failures  int
 	shunnedMs int64
