Record orders for VMs before they go out, so that a new leader need not wait

Change: the log names the VMs that are about to be ordered, and counts the time under leaders; a new leader waits for those VMs alone.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -36,9 +36,30 @@
 			w.Begun = append(w.Begun, u.VM)
 		}
 	}
+	b.order(c)
 	b.expire(nowMs)
 }
 
+// order moves the time under leaders on, and remembers the VMs that are about to be ordered.
+func (b *Book) order(c *batch.Change) {
+	s := &b.state
+	if c.Leader.Term == s.Leader.Term {
+		s.LedMs += max(0, c.Leader.UptimeMs-s.Leader.UptimeMs)
+	}
+	s.Leader = c.Leader
+	for _, vm := range c.Ordered {
+		s.Ordered[vm] = Ordered{VM: vm, Holder: c.Leader.Name, AtMs: s.LedMs}
+	}
+	if len(c.Ordered) == 0 {
+		return
+	}
+	for vm, o := range s.Ordered {
+		if s.LedMs-o.AtMs > orderedMs {
+			delete(s.Ordered, vm)
+		}
+	}
+}
+
 func (b *Book) submit(j *batch.Job) {
 	if b.jobs[j.ID] == nil {
 		n := newJob(*j)
--- a/internal/ctrl/jobs/book.go
+++ b/internal/ctrl/jobs/book.go
@@ -9,6 +9,8 @@
 const (
 	// keptMs is how long an ended job's state can still be asked for.
 	keptMs = 180_000
+	// orderedMs is how long the last order for a VM is remembered, above any time that holders are kept apart.
+	orderedMs = 30_000
 	// wavesKept bounds the waves that are remembered.
 	wavesKept = 256
 )
@@ -21,6 +23,22 @@
 	Jobs map[string]*Record
 	// Waves are the waves of maintenance, oldest first.
 	Waves []batch.Wave
+	// LedMs counts the time under leaders, in milliseconds: it never runs ahead of true time, whatever clocks do.
+	LedMs int64
+	// Leader is the last change's proposer.
+	Leader batch.Leader
+	// Ordered are the VMs that were ordered of late.
+	Ordered map[string]Ordered
+}
+
+// Ordered is the last order for a VM.
+type Ordered struct {
+	// VM is the VM's name.
+	VM string
+	// Holder is the process that ordered it.
+	Holder string
+	// AtMs is the time under leaders when it did.
+	AtMs int64
 }
 
 // Record is what is kept of a job: how far it has come.
@@ -106,6 +124,9 @@
 	if s.Jobs == nil {
 		s.Jobs = map[string]*Record{}
 	}
+	if s.Ordered == nil {
+		s.Ordered = map[string]Ordered{}
+	}
 	b.jobs = make(map[string]*Job, len(s.Jobs))
 	b.state, b.runs, b.ended, b.touched = s, map[string]map[batch.TaskID]struct{}{}, nil, nil
 	for id, r := range s.Jobs {
--- a/internal/ctrl/steer/commit.go
+++ b/internal/ctrl/steer/commit.go
@@ -42,6 +42,7 @@
 		return
 	}
 	c.inFlight++
+	change.Leader = batch.Leader{Name: e.options.Holder, Term: term, UptimeMs: e.now()}
 	err := e.options.Log.ProposeNow(record.Command{Time: e.options.Clock.Now(), Batch: &change}, func(err error) {
 		if e.term == term && e.active {
 			e.commits.inFlight--
--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -73,8 +73,6 @@
 	term   uint64
 	// activeMs is when it became active, by uptime.
 	activeMs int64
-	// ordersFromMs is from when it may order VMs, by uptime: a former leader may have ordered them until a while ago.
-	ordersFromMs int64
 	// stopping are attempts of lasting tasks that are moved to another VM.
 	stopping map[batch.TaskID]int
 
@@ -154,10 +152,11 @@
 	e.active = true
 	e.activeMs = e.now()
 	book := e.options.Log.Book()
-	e.ordersFromMs = e.activeMs + e.options.Bounds.HolderMs
-	if book.State().Configuration.Version == 0 {
-		// Without a configuration nobody has ordered anything.
-		e.ordersFromMs = e.activeMs
+	for vm, o := range book.State().Ordered {
+		if o.Holder != e.options.Holder {
+			// The platform keeps holders apart; how long ago the order was is known at least so far.
+			e.fleet.notBefore[vm] = e.activeMs + e.options.Bounds.HolderMs - (book.State().LedMs - o.AtMs)
+		}
 	}
 	book.Touched()
 	for id := range book.Jobs() {
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -43,6 +43,8 @@
 	idleSince map[string]int64
 	// ordersMs are when orders went out in the last second.
 	ordersMs []int64
+	// notBefore is when VMs may be ordered that a former leader ordered of late, by uptime.
+	notBefore map[string]int64
 	// downFor are the VMs that each wave has taken down, until when, by uptime.
 	downFor map[uint64]map[string]int64
 }
@@ -50,7 +52,7 @@
 func newFleetView() fleetView {
 	return fleetView{
 		vms: map[string]*vm{}, byWorker: map[string]string{}, idleSince: map[string]int64{},
-		downFor: map[uint64]map[string]int64{},
+		downFor: map[uint64]map[string]int64{}, notBefore: map[string]int64{},
 	}
 }
 
@@ -73,7 +75,7 @@
 		f.reading, f.listedMs, f.found = true, now, map[string]bool{}
 		e.readList("", now)
 	}
-	if now-f.plannedMs < poolsMs || len(f.vms) == 0 || now < e.ordersFromMs {
+	if now-f.plannedMs < poolsMs || len(f.vms) == 0 {
 		return
 	}
 	f.plannedMs = now
@@ -113,7 +115,7 @@
 	f.found[v.Name] = true
 	held := f.vms[v.Name]
 	if held == nil {
-		held = &vm{}
+		held = &vm{retryMs: f.notBefore[v.Name]}
 		f.vms[v.Name] = held
 	}
 	if held.ordered || held.awayMs > asked {
@@ -266,7 +268,7 @@
 	})
 }
 
-// order sends an order for a VM and takes notice of what comes of it.
+// order sends an order for a VM, once it is recorded that it will be, and takes notice of what comes of it.
 func (e *Engine) order(v *vm, o Order, now int64, done func()) {
 	term := e.term
 	o.Term = term
@@ -286,7 +288,13 @@
 			v.retryMs = e.now() + orderRetryMs
 		}
 	}
-	v.ordered = e.options.Orders(o)
+	v.ordered = true
+	e.commits.next.Ordered = append(e.commits.next.Ordered, v.Name)
+	e.commit(func(ok bool) {
+		if !ok || !e.options.Orders(o) {
+			v.ordered = false
+		}
+	})
 }
 
 // gone takes notice that all on a VM has ended by our order.
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -16,12 +16,26 @@
 	Wave *Wave
 	// Upkeeps record VMs whose maintenance has begun.
 	Upkeeps []Upkeep
+	// Ordered are VMs that the leader is about to order.
+	Ordered []string
+	// Leader is who proposed the change, and when.
+	Leader Leader
+}
+
+// Leader is the proposer of a change.
+type Leader struct {
+	// Name is the process that leads.
+	Name string
+	// Term is its term.
+	Term uint64
+	// UptimeMs is its uptime when it proposed the change, in milliseconds.
+	UptimeMs int64
 }
 
 // Empty says whether the change does nothing.
 func (c *Change) Empty() bool {
 	return c.Configuration == nil && c.Wave == nil &&
-		len(c.Submits)+len(c.Cancels)+len(c.Ends)+len(c.Starts)+len(c.Upkeeps) == 0
+		len(c.Submits)+len(c.Cancels)+len(c.Ends)+len(c.Starts)+len(c.Upkeeps)+len(c.Ordered) == 0
 }
 
 // Start gives one attempt of a task to a worker.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -10,7 +10,7 @@
 )
 
 func batchToWire(c *batch.Change) *peer.BatchChange {
-	w := &peer.BatchChange{Cancels: c.Cancels}
+	w := &peer.BatchChange{Cancels: c.Cancels, Ordered: c.Ordered, Leader: leaderToWire(c.Leader)}
 	if c.Configuration != nil {
 		w.Configuration = ConfigurationToWire(c.Configuration)
 	}
@@ -37,7 +37,7 @@
 }
 
 func batchFromWire(w *peer.BatchChange) *batch.Change {
-	c := &batch.Change{Cancels: w.GetCancels()}
+	c := &batch.Change{Cancels: w.GetCancels(), Ordered: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader())}
 	if w.GetConfiguration() != nil {
 		c.Configuration = ConfigurationFromWire(w.GetConfiguration())
 	}
@@ -166,8 +166,22 @@
 	}
 }
 
+func leaderToWire(l batch.Leader) *peer.BatchLeader {
+	return &peer.BatchLeader{Name: l.Name, Term: l.Term, UptimeMs: l.UptimeMs}
+}
+
+func leaderFromWire(w *peer.BatchLeader) batch.Leader {
+	return batch.Leader{Name: w.GetName(), Term: w.GetTerm(), UptimeMs: w.GetUptimeMs()}
+}
+
 func bookToWire(s *jobs.State) *peer.BatchState {
-	w := &peer.BatchState{Configuration: ConfigurationToWire(&s.Configuration)}
+	w := &peer.BatchState{
+		Configuration: ConfigurationToWire(&s.Configuration), LedMs: s.LedMs, Leader: leaderToWire(s.Leader),
+	}
+	for _, vm := range slices.Sorted(maps.Keys(s.Ordered)) {
+		o := s.Ordered[vm]
+		w.Ordered = append(w.Ordered, &peer.BatchOrdered{Vm: o.VM, Holder: o.Holder, AtMs: o.AtMs})
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		j := s.Jobs[id]
 		one := &peer.BatchJobState{Job: jobToWire(&j.Job), Phase: uint32(j.Phase), EndedMs: j.EndedMs}
@@ -195,7 +209,13 @@
 }
 
 func bookFromWire(w *peer.BatchState) jobs.State {
-	s := jobs.State{Jobs: make(map[string]*jobs.Record, len(w.GetJobs()))}
+	s := jobs.State{
+		Jobs: make(map[string]*jobs.Record, len(w.GetJobs())), LedMs: w.GetLedMs(), Leader: leaderFromWire(w.GetLeader()),
+		Ordered: make(map[string]jobs.Ordered, len(w.GetOrdered())),
+	}
+	for _, o := range w.GetOrdered() {
+		s.Ordered[o.GetVm()] = jobs.Ordered{VM: o.GetVm(), Holder: o.GetHolder(), AtMs: o.GetAtMs()}
+	}
 	if w.GetConfiguration() != nil {
 		s.Configuration = *ConfigurationFromWire(w.GetConfiguration())
 	}
