--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -170,7 +170,13 @@
 			_, t := book.Find(task)
 			for _, r := range t.Runs {
 				if r.Worker == id {
-					w.incarnation = max(w.incarnation, r.Incarnation)
+					if r.Incarnation > w.incarnation {
+						w.incarnation, w.sequence = r.Incarnation, 0
+					}
+					// Heartbeats up to this one were sent before the worker knew of the attempt.
+					if r.Incarnation == w.incarnation {
+						w.sequence = max(w.sequence, r.Sequence)
+					}
 				}
 			}
 		}
