--- /dev/null
+++ b/internal/ctrl/roster/script_test.go
@@ -0,0 +1,112 @@
+package roster_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/roster"
+)
+
+// process returns the process of a short name: a letter and a digit, with a replica where the digit is odd.
+func process(name string) roster.Process {
+	n, _ := strconv.Atoi(name[1:])
+	p := roster.Process{Name: name, Address: "10.0.0." + name[1:] + ":7000", Control: "10.0.0." + name[1:] + ":8000"}
+	if n%2 == 1 {
+		p.Replica = quorum.ReplicaID(n)
+	}
+	return p
+}
+
+// TestScripts plays the scripts under testdata: several rosters that greet each other as the script says.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		all := map[string]*roster.Roster{}
+		now := int64(10_000)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var names []string
+			for _, a := range d.CmdArgs {
+				names = append(names, a.Key)
+			}
+			switch d.Cmd {
+			case "begin":
+				// The first is new; the others are the seeds.
+				all[names[0]] = roster.New(process(names[0]), zap.NewNop())
+				var seeds []string
+				for _, s := range names[1:] {
+					seeds = append(seeds, process(s).Address)
+				}
+				if len(seeds) > 0 {
+					all[names[0]].BeginFounding(seeds, now)
+				}
+				return "ok\n"
+			case "greet":
+				// The first greets the others, and hears their answers.
+				for _, to := range names[1:] {
+					h := all[names[0]].Tell(now)
+					all[to].Hear(&h, now)
+					answer := all[to].Tell(now)
+					all[names[0]].Hear(&answer, now)
+				}
+				return "ok\n"
+			case "advance":
+				ms, _ := strconv.ParseInt(names[0], 10, 64)
+				now += ms
+				return "ok\n"
+			case "founders":
+				var out []string
+				for _, n := range names {
+					for _, m := range all[n].Founders(now) {
+						out = append(out, n+" forms "+m.Name)
+					}
+				}
+				if len(out) == 0 {
+					return "nobody\n"
+				}
+				return strings.Join(out, "\n") + "\n"
+			case "lead":
+				term, _ := strconv.ParseUint(names[1], 10, 64)
+				all[names[0]].Follow(names[0], term)
+				return "ok\n"
+			case "lose":
+				all[names[0]].Lose(all[names[0]].Route().Term)
+				return "ok\n"
+			case "route":
+				r := all[names[0]].Route()
+				return fmt.Sprintf("%q at %q in term %d\n", r.Leader, r.Address, r.Term)
+			case "tend":
+				return tend(all[names[0]], d.Input, now)
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+// tend shows the change for members that are given one a line: name, identity, and any of voter, leader, heard, caught-up.
+func tend(r *roster.Roster, input string, now int64) string {
+	var all []quorum.Standing
+	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+		f := strings.Fields(line)
+		id, _ := strconv.ParseUint(f[1], 10, 64)
+		s := quorum.Standing{Member: quorum.Member{Name: f[0], ID: quorum.ReplicaID(id)}}
+		for _, w := range f[2:] {
+			s.Member.Voter = s.Member.Voter || w == "voter"
+			s.Leader = s.Leader || w == "leader"
+			s.Heard = s.Heard || w == "heard"
+			s.CaughtUp = s.CaughtUp || w == "caught-up"
+		}
+		all = append(all, s)
+	}
+	c, ok := r.Tend(all, 1, now)
+	if !ok {
+		return "nothing\n"
+	}
+	return fmt.Sprintf("%s %s %d\n", c.Kind, c.Member.Name, c.Member.ID)
+}
--- /dev/null
+++ b/internal/plan/pace/script_test.go
@@ -0,0 +1,30 @@
+package pace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipstack/internal/plan/pace"
+)
+
+// TestScripts feeds the tails under testdata one after the other, and shows the share after each.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			share := pace.Full
+			var out []string
+			for _, word := range strings.Fields(d.Input) {
+				var worst int
+				if _, err := fmt.Sscan(word, &worst); err != nil {
+					t.Fatal(err)
+				}
+				share = pace.Next(share, worst)
+				out = append(out, fmt.Sprint(share))
+			}
+			return strings.Join(out, " ") + "\n"
+		})
+	})
+}
