--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -63,8 +63,9 @@
 	case h.Sequence <= w.sequence:
 		return false
 	}
-	if other := e.workers[e.addresses[h.Address]]; other != nil && other != w && other.incarnation < h.Incarnation {
-		// Another life serves at the address: the former one is gone.
+	other := e.workers[e.addresses[h.Address]]
+	if other != nil && other != w && other.address == h.Address && other.incarnation < h.Incarnation {
+		// Another life serves at the address: the former one is gone, unless it has come back elsewhere meanwhile.
 		e.loseAll(other, other.incarnation, "address_taken_over")
 		other.left = true
 	}
