Believe that a VM's order ended what ran there only once the list shows it

Change: after an order the list is read at once, and tells. Lasting tasks move in a fixed order, and an attempt's end always ends its move. The end of a process no longer fails on its own closed listener: a test over four processes found it.

--- /dev/null
+++ b/internal/app/site/site_test.go
@@ -0,0 +1,175 @@
+package site_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipstack/internal/app/site"
+)
+
+const (
+	// processes is how many there are; the last one has no disk.
+	processes = 4
+	// patience bounds each wait for an event, on a busy machine too.
+	patience = 90 * time.Second
+)
+
+// member is one running process.
+type member struct {
+	host string
+	stop context.CancelFunc
+	done chan error
+}
+
+// group is a system of a few processes on loopback addresses.
+type group struct {
+	t       *testing.T
+	port    int
+	members []*member
+}
+
+// startGroup starts processes that know three seeds alone.
+func startGroup(t *testing.T) *group {
+	t.Helper()
+	is := is.New(t)
+	var config net.ListenConfig
+	probe, err := config.Listen(t.Context(), "tcp", "127.0.0.2:0")
+	is.NoErr(err)
+	g := &group{t: t, port: probe.Addr().(*net.TCPAddr).Port}
+	is.NoErr(probe.Close())
+	for i := range processes {
+		m := &member{host: fmt.Sprintf("127.0.0.%d", i+2), done: make(chan error, 1)}
+		path := filepath.Join(t.TempDir(), "site.toml")
+		folder := ""
+		if i < processes-1 {
+			folder = fmt.Sprintf("data_folder = %q\n", t.TempDir())
+		}
+		text := fmt.Sprintf("name = \"p%d\"\ndata_centre = \"dc\"\nseeds = [\"127.0.0.2:1\", \"127.0.0.3:1\", \"127.0.0.4:1\"]\n"+
+			"[listen]\nhost = %q\npeer_port = %d\ncallers = %q\nready = %q\ncontrol = %q\n[control]\n%sfirst_start = true\n"+
+			"heartbeat_ms = 200\nelection_ms = 1500\n[bounds]\ngrace_s = 2\n",
+			i, m.host, g.port, g.address(m, 1), g.address(m, 2), g.address(m, 3), folder)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		ctx, stop := context.WithCancel(context.Background())
+		m.stop = stop
+		go func() {
+			m.done <- site.Run(ctx, site.Options{Path: path, Out: io.Discard, Reload: make(chan struct{})})
+			close(m.done)
+		}()
+		g.members = append(g.members, m)
+	}
+	t.Cleanup(func() {
+		for _, m := range g.members {
+			m.stop()
+		}
+		for _, m := range g.members {
+			is.NoErr(<-m.done)
+		}
+	})
+	return g
+}
+
+func (g *group) address(m *member, offset int) string {
+	return fmt.Sprintf("%s:%d", m.host, g.port+offset)
+}
+
+// call makes a call until it has the status that is wanted, and returns the answer's body.
+func (g *group) call(method, address, path, body string, want int) string {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	last := ""
+	for ctx.Err() == nil {
+		r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		r.Host = "queue.example"
+		answer, err := http.DefaultClient.Do(r)
+		if err != nil {
+			last = err.Error()
+			continue
+		}
+		text, err := io.ReadAll(answer.Body)
+		if closed := answer.Body.Close(); err != nil || closed != nil {
+			continue
+		}
+		if last = fmt.Sprint(answer.StatusCode, " ", string(text)); answer.StatusCode == want {
+			return string(text)
+		}
+	}
+	g.t.Fatalf("%s %s%s: wanted %d, last was %s", method, address, path, want, last)
+	return ""
+}
+
+// worker is a stand-in for a worker that does at once what it is told.
+type worker struct {
+	sequence int
+	ended    []any
+}
+
+// beat reports to a process and does what it is told; it returns how many tasks it has done so far.
+func (w *worker) beat(g *group, m *member) int {
+	g.t.Helper()
+	w.sequence++
+	report, err := json.Marshal(map[string]any{
+		"service": "pool", "address": "10.9.9.9:1", "state": "ready", "seq": w.sequence, "born": 1,
+		"capacity": map[string]int{"cpu": 4000, "memMb": 4000}, "labels": []string{"a", "r1"}, "running": []any{}, "ended": w.ended,
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	var orders struct {
+		Start [][]any `json:"start"`
+	}
+	answer := g.call(http.MethodPost, g.address(m, 3), "/-/instances/i-1/heartbeat", string(report), http.StatusOK)
+	if err := json.Unmarshal([]byte(answer), &orders); err != nil {
+		g.t.Fatal(err)
+	}
+	for _, s := range orders.Start {
+		w.ended = append(w.ended, []any{len(w.ended) + 1, s[0], s[1], "done", ""})
+	}
+	return len(w.ended)
+}
+
+// TestJobOverProcesses takes a job from its submission at a process without a disk to its end, through a change of leader.
+func TestJobOverProcesses(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	diskless := g.members[processes-1]
+	g.call(http.MethodGet, g.address(diskless, 2), "/-/readyz", "", http.StatusOK)
+	configuration := `{"version":3,"routes":[{"host":"queue.example","pathPrefix":"/q/","timeoutMs":3000,"service":"pool","maxAttempts":2}],` +
+		`"services":[{"name":"pool","admissionCheck":true}]}`
+	g.call(http.MethodPost, g.address(diskless, 3), "/-/config/replace", configuration, http.StatusOK)
+	job := "/q/5c0e7a21d94b36f8"
+	g.call(http.MethodPost, g.address(diskless, 1), job, `{"spec":"text","phases":[{"count":2,"cpu":1000},{"count":1,"cpu":1000,"after":[0]}]}`, http.StatusOK)
+	w := &worker{}
+	for w.beat(g, diskless) < 2 {
+		is.True(w.sequence < 1000)
+	}
+	// The first member leads or follows: either way the others go on without it.
+	g.members[0].stop()
+	is.NoErr(<-g.members[0].done)
+	for w.beat(g, diskless) < 3 {
+		is.True(w.sequence < 1000)
+	}
+	w.beat(g, diskless)
+	for _, m := range g.members[1:] {
+		is.Equal(g.call(http.MethodGet, g.address(m, 1), job, "", http.StatusOK), `{"state":"completed"}`)
+		is.Equal(g.call(http.MethodGet, g.address(m, 3), "/-/config/get", "", http.StatusOK), configuration)
+		g.call(http.MethodGet, g.address(m, 1), "/q/0000000000000000", "", http.StatusGone)
+		g.call(http.MethodGet, g.address(m, 1), "/elsewhere/", "", http.StatusNotFound)
+		is.True(strings.Contains(g.call(http.MethodGet, g.address(m, 2), "/metrics", "", http.StatusOK), "cowslip_calls_total"))
+	}
+}
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -16,6 +16,8 @@
 	ordered bool
 	// awayMs is until when it is on its way or down by our own order, by uptime.
 	awayMs int64
+	// doneMs is when an order was answered as done, by uptime, until a list shows whether it was done just then; 0 for none.
+	doneMs int64
 	// retryMs is when it may be ordered again, by uptime.
 	retryMs int64
 	// fenced means that a higher token was used on it: this leader orders it no more.
@@ -36,6 +38,8 @@
 	byWorker map[string]string
 	reading  bool
 	listedMs int64
+	// wanted means that the list is needed before its time.
+	wanted bool
 	// found are the VMs of the reading under way.
 	found     map[string]bool
 	plannedMs int64
@@ -59,20 +63,20 @@
 // held says whether a worker gets no tasks since its VM is to leave.
 func (f *fleetView) held(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.leaving || v.maintain || v.ordered)
+	return v != nil && (v.leaving || v.maintain || v.ordered || v.doneMs > 0)
 }
 
 // doomed says whether a worker's VM is to be maintained before long.
 func (f *fleetView) doomed(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.due || v.ordered)
+	return v != nil && (v.due || v.ordered || v.doneMs > 0)
 }
 
 // steerFleet reads the list and orders moves and maintenance.
 func (e *Engine) steerFleet(now int64) {
 	f := &e.fleet
-	if !f.reading && now-f.listedMs >= listMs {
-		f.reading, f.listedMs, f.found = true, now, map[string]bool{}
+	if !f.reading && (now-f.listedMs >= listMs || f.wanted && now-f.listedMs >= listAgainMs) {
+		f.reading, f.wanted, f.listedMs, f.found = true, false, now, map[string]bool{}
 		e.readList("", now)
 	}
 	if now-f.plannedMs < poolsMs || len(f.vms) == 0 {
@@ -118,6 +122,9 @@
 		held = &vm{retryMs: f.notBefore[v.Name]}
 		f.vms[v.Name] = held
 	}
+	if held.doneMs > 0 && asked >= held.doneMs {
+		e.verify(held, v)
+	}
 	if held.ordered || held.awayMs > asked {
 		// What was ordered since is newer than the list.
 		return
@@ -192,7 +199,7 @@
 
 // orderable says whether a VM may be ordered now.
 func (v *vm) orderable(now int64) bool {
-	return !v.ordered && !v.fenced && v.State == VMUp && now >= v.awayMs && now >= v.retryMs
+	return !v.ordered && v.doneMs == 0 && !v.fenced && v.State == VMUp && now >= v.awayMs && now >= v.retryMs
 }
 
 // steerPools moves VMs to where there is work, and switches off what no pool needs.
@@ -240,7 +247,7 @@
 		load, empty, lasting := e.load(v)
 		p.VMs = append(p.VMs, pools.VM{
 			Name: v.Name, LoadMilli: load, Empty: empty && v.orderable(now),
-			Fixed: lasting || v.ordered || v.State != VMUp || now < v.awayMs || v.fenced,
+			Fixed: lasting || v.ordered || v.doneMs > 0 || v.State != VMUp || now < v.awayMs || v.fenced,
 		})
 	}
 	for i := range all {
@@ -280,7 +287,7 @@
 		if p := e.current().Pool(m.To); p != nil && p.Standby {
 			v.State = VMUp
 		}
-		e.gone(v)
+		e.done(v)
 	})
 }
 
@@ -313,6 +320,24 @@
 	})
 }
 
+// done takes notice that an order was answered as done. It may have been done before, by an order whose answer was lost,
+// and what runs there now runs on: the list tells.
+func (e *Engine) done(v *vm) {
+	v.doneMs = e.now()
+	e.fleet.wanted = true
+}
+
+// verify compares a VM whose order is done with the list that was asked for since.
+func (e *Engine) verify(held *vm, v VM) {
+	held.doneMs = 0
+	if v.State == VMUp && v.Worker != "" && v.Worker == held.Worker {
+		held.awayMs = 0
+		e.options.Logger.Info("vm_order_was_done", zap.String("vm", v.Name), zap.String("worker", v.Worker))
+		return
+	}
+	e.gone(held)
+}
+
 // gone takes notice that all on a VM has ended by our order.
 func (e *Engine) gone(v *vm) {
 	if w := e.workers[v.Worker]; w != nil {
--- a/internal/ctrl/steer/give.go
+++ b/internal/ctrl/steer/give.go
@@ -35,7 +35,7 @@
 
 // giveLast gives lasting tasks to a worker whose VM is to leave, where no other worker of its pool can take them.
 func (e *Engine) giveLast(w *worker, sequence uint64, now int64) []batch.StartOrder {
-	if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v.ordered {
+	if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v.ordered || v.doneMs > 0 {
 		return nil
 	}
 	q := e.queue(w.pool)
--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -114,6 +114,7 @@
 // end adds the end of an attempt to the next record.
 func (e *Engine) end(id batch.TaskID, number int, kind batch.EndKind, checkpoint string) {
 	countEnd(kind)
+	delete(e.stopping, id)
 	e.commits.next.Ends = append(e.commits.next.Ends, batch.End{
 		Task: id, Attempt: number, Kind: kind, Checkpoint: checkpoint, TimeMs: e.wall(),
 	})
@@ -135,7 +136,6 @@
 			continue
 		}
 		e.end(n.Task, n.Attempt, n.Kind, n.Checkpoint)
-		delete(e.stopping, n.Task)
 		e.blame(w, n)
 		if n.Kind == batch.EndDone && began != nil {
 			e.learnScale(j.Job.Queue, e.now()-began.sinceMs, j.Job.Steps[n.Task.Step].EstimateMs)
--- a/internal/ctrl/steer/limits.go
+++ b/internal/ctrl/steer/limits.go
@@ -36,6 +36,8 @@
 	blameFailures = 3
 	// listMs is the time between readings of the platform's VM list.
 	listMs = 1000
+	// listAgainMs is the least time between readings, where one is needed before its time.
+	listAgainMs = 50
 	// poolsMs is the time between two plans of the pools.
 	poolsMs = 200
 	// orderRetryMs spaces orders for a VM that was busy.
--- a/internal/ctrl/steer/wave.go
+++ b/internal/ctrl/steer/wave.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -61,7 +63,7 @@
 		return
 	}
 	moved := map[gangKey]int{}
-	for id := range e.options.Log.Book().RunsOn(v.Worker) {
+	for _, id := range e.sortedRuns(v.Worker) {
 		j, t := e.find(id)
 		if t == nil || !j.Job.Steps[id.Step].LongRunning || e.stopping[id] > 0 {
 			continue
@@ -82,6 +84,13 @@
 	}
 }
 
+// sortedRuns returns the tasks with attempts on a worker in a fixed order.
+func (e *Engine) sortedRuns(worker string) []batch.TaskID {
+	return slices.SortedFunc(maps.Keys(e.options.Log.Book().RunsOn(worker)), func(a, b batch.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 // away returns how many tasks of a lasting step are not at work, or are about to stop.
 func (e *Engine) away(j *jobs.Job, key gangKey) int {
 	count, at := 0, j.Place(key.occurrence, key.step)
@@ -216,7 +225,7 @@
 	e.order(v, Order{Kind: OrderMaintain, VM: name, Wave: wave}, now, func() {
 		v.State, v.awayMs = VMMaintained, e.now()+e.options.Bounds.UpkeepMs
 		e.fleet.downFor[wave][name] = e.now() + e.options.Bounds.UpkeepMs + downMarginMs
-		e.gone(v)
+		e.done(v)
 		if held := e.options.Log.Book().Wave(wave); held != nil {
 			e.begun(held, name, "maintenance_begun")
 			e.flush()
--- a/internal/ctrl/steer/worker.go
+++ b/internal/ctrl/steer/worker.go
@@ -104,7 +104,7 @@
 		if w == nil || w.draining || w.left || e.now()-w.heardMs > silentMs {
 			continue
 		}
-		if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v != nil && v.ordered {
+		if v := e.fleet.vms[e.fleet.byWorker[w.id]]; v != nil && (v.ordered || v.doneMs > 0) {
 			// An order that ends it is under way.
 			continue
 		}
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -47,7 +47,7 @@
 	defer open.Wait()
 	for {
 		conn, err := s.Listener.Accept()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
