Heed nothing that an ended life of a worker says late, and start nothing beside a stray attempt

A late leave took a later life's tasks with it. Besides, no attempt starts while a worker still lists a former one.

--- a/internal/ctrl/steer/calls.go
+++ b/internal/ctrl/steer/calls.go
@@ -31,7 +31,7 @@
 		e.read(reply, func() batch.Reply { return e.pending(c.Pending) })
 	case c.Heartbeat != nil:
 		e.heartbeat(c.Heartbeat, reply)
-	case c.Leave != "":
+	case c.Leave != nil:
 		e.leave(c.Leave, reply)
 	case c.Configure != nil:
 		e.configure(c.Configure, reply)
--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -73,6 +73,8 @@
 	term   uint64
 	// activeMs is when it became active, by uptime.
 	activeMs int64
+	// strays are tasks of which a worker lists an attempt that was given up: until when none is started, by uptime.
+	strays map[batch.TaskID]int64
 	// stopping are attempts of lasting tasks that are moved to another VM.
 	stopping map[batch.TaskID]int
 
@@ -104,7 +106,7 @@
 	e.active = false
 	e.workers, e.addresses = map[string]*worker{}, map[string]string{}
 	e.queues, e.jobs = map[string]*poolQueue{}, map[string]*work{}
-	e.stopping = map[batch.TaskID]int{}
+	e.stopping, e.strays = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
 	e.starting, e.startingOn, e.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[gangKey]*gang{}
 	e.fleet, e.tickets = newFleetView(), newTickets()
 	e.learned = learned{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
@@ -204,6 +206,7 @@
 		e.seekConfirmation()
 	}
 	e.lapse(now)
+	e.forgetStrays(now)
 	e.openDue()
 	e.planGangs(now)
 	e.steerFleet(now)
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -149,6 +149,7 @@
 		}
 		if v.State == VMDown || id != v.Worker {
 			e.loseAll(w, w.incarnation, "vm_listed_"+v.State.String())
+			w.left = true
 		}
 	}
 }
--- a/internal/ctrl/steer/give.go
+++ b/internal/ctrl/steer/give.go
@@ -90,6 +90,8 @@
 // mayRun says whether a worker may run a task now, and with which ticket.
 func (e *Engine) mayRun(w *worker, one *work, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
 	switch {
+	case e.strays[id] > now:
+		return "", false
 	case !w.free.Holds(step.Room()):
 		return "", false
 	case step.RequiredLabel != "" && !slices.Contains(w.labels, step.RequiredLabel):
--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -62,6 +62,11 @@
 		e.begin(w, h)
 	case h.Sequence <= w.sequence:
 		return false
+	case w.left:
+		// This life is known to be over: the heartbeat was on its way when it ended.
+		e.options.Logger.Info("heartbeat_outdated", zap.String("worker", w.id), zap.Int64("incarnation", h.Incarnation),
+			zap.Uint64("sequence", h.Sequence))
+		return false
 	}
 	other := e.workers[e.addresses[h.Address]]
 	if other != nil && other != w && other.address == h.Address && other.incarnation < h.Incarnation {
@@ -74,7 +79,7 @@
 			zap.Bool("draining", h.Draining), zap.Int64("remaining_ms", h.RemainingMs), zap.Uint64("sequence", h.Sequence))
 	}
 	e.addresses[h.Address] = w.id
-	w.inherited, w.left = false, false
+	w.inherited = false
 	w.sequence, w.heardMs = h.Sequence, now
 	w.pool, w.address, w.draining = h.Pool, h.Address, h.Draining
 	w.capacity, w.labels, w.rack = h.Capacity, h.Labels, rackOf(h.Labels)
@@ -187,6 +192,9 @@
 		}
 		step := &j.Job.Steps[r.Task.Step]
 		w.free = w.free.Less(step.Room())
+		if t.Find(r.Attempt) == nil {
+			e.strays[r.Task] = now + strayMs
+		}
 		switch {
 		case j.Phase.Over() || t.Done || t.Find(r.Attempt) == nil || step.Gang && broken(j, r.Task, r.Attempt),
 			e.stopping[r.Task] == r.Attempt:
@@ -284,12 +292,13 @@
 	}
 }
 
-// leave takes notice that a worker is gone for good.
-func (e *Engine) leave(id string, reply func(batch.Reply)) {
-	if w := e.workers[id]; w != nil {
+// leave takes notice that a worker's life is over; what a former life said late is not heeded.
+func (e *Engine) leave(l *batch.Leaving, reply func(batch.Reply)) {
+	w := e.workers[l.Worker]
+	if w != nil && (l.Incarnation == 0 || l.Incarnation >= w.incarnation) {
 		w.left = true
-		e.options.Logger.Info("worker_left", zap.String("worker", id), zap.String("pool", w.pool),
-			zap.Int("running", len(e.options.Log.Book().RunsOn(id))))
+		e.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
+			zap.Int64("incarnation", l.Incarnation), zap.Int("running", len(e.options.Log.Book().RunsOn(w.id))))
 		e.loseAll(w, w.incarnation, "worker_left")
 	}
 	e.settle(reply, batch.Reply{Code: batch.CodeOK})
--- a/internal/ctrl/steer/limits.go
+++ b/internal/ctrl/steer/limits.go
@@ -34,6 +34,8 @@
 	// blameWindowMs is how long a worker on which tasks fail gets none, and blameFailures how many failures in a row it takes.
 	blameWindowMs = 4000
 	blameFailures = 3
+	// strayMs is how long after a given-up attempt was last listed no other of its task is started: workers call more often.
+	strayMs = 500
 	// listMs is the time between readings of the platform's VM list.
 	listMs = 1000
 	// listAgainMs is the least time between readings, where one is needed before its time.
--- a/internal/ctrl/steer/script_test.go
+++ b/internal/ctrl/steer/script_test.go
@@ -205,7 +205,7 @@
 	case "heartbeat":
 		w.heartbeat(t, d)
 	case "leave":
-		w.call("leave", &batch.Call{Leave: text(d, "worker", "w1")})
+		w.call("leave", &batch.Call{Leave: &batch.Leaving{Worker: text(d, "worker", "w1"), Incarnation: number(t, d, "born", 0)}})
 	case "wave":
 		w.call("wave", &batch.Call{StartWave: &batch.Wave{
 			ID: uint64(number(t, d, "id", 1)), VMs: strings.Split(text(d, "vms", ""), ","),
--- a/internal/ctrl/steer/worker.go
+++ b/internal/ctrl/steer/worker.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// forgetStrays drops tasks whose given-up attempts are no longer listed.
+func (e *Engine) forgetStrays(now int64) {
+	for id, until := range e.strays {
+		if until <= now {
+			delete(e.strays, id)
+		}
+	}
+}
+
 // forgetMs is how long a silent worker is remembered, in milliseconds.
 const forgetMs = 15_000
 
--- a/internal/edge/desk/desk.go
+++ b/internal/edge/desk/desk.go
@@ -156,7 +156,7 @@
 		return "pending"
 	case c.Heartbeat != nil:
 		return "heartbeat"
-	case c.Leave != "":
+	case c.Leave != nil:
 		return "leave"
 	case c.Configure != nil:
 		return "configure"
@@ -176,8 +176,8 @@
 		return c.Submit.Path
 	case c.Heartbeat != nil:
 		return c.Heartbeat.Worker
-	case c.Leave != "":
-		return c.Leave
+	case c.Leave != nil:
+		return c.Leave.Worker
 	}
 	for _, l := range []*batch.Lookup{c.Cancel, c.State, c.Pending} {
 		if l != nil {
--- a/internal/model/batch/call.go
+++ b/internal/model/batch/call.go
@@ -30,8 +30,8 @@
 	Pending *Lookup
 	// Heartbeat is a worker's report.
 	Heartbeat *Heartbeat
-	// Leave is the identity of a worker that leaves for good.
-	Leave string
+	// Leave tells that a worker leaves for good.
+	Leave *Leaving
 	// Configure puts a configuration into force.
 	Configure *Configuration
 	// ReadConfiguration asks for the configuration in force.
@@ -42,6 +42,14 @@
 	WaveState uint64
 }
 
+// Leaving names the life of a worker that leaves for good.
+type Leaving struct {
+	// Worker is the worker's identity.
+	Worker string
+	// Incarnation is the life, in Unix milliseconds of the worker's clock; 0 where it isn't told.
+	Incarnation int64
+}
+
 // Submission is a job with the host and path that it came to.
 type Submission struct {
 	// Host is the caller's host.
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -7,7 +7,7 @@
 
 // CallToWire returns the message of a call on the leader.
 func CallToWire(c *batch.Call) *peer.LinkCall {
-	w := &peer.LinkCall{Leave: c.Leave, ReadConfiguration: c.ReadConfiguration, WaveState: c.WaveState}
+	w := &peer.LinkCall{ReadConfiguration: c.ReadConfiguration, WaveState: c.WaveState}
 	if c.Submit != nil {
 		w.Submit = jobToWire(&c.Submit.Job)
 		w.SubmitTo = &peer.LinkLookup{Host: c.Submit.Host, Path: c.Submit.Path}
@@ -16,6 +16,9 @@
 	if c.Heartbeat != nil {
 		w.Heartbeat = heartbeatToWire(c.Heartbeat)
 	}
+	if c.Leave != nil {
+		w.Leave = &peer.LinkLeaving{Worker: c.Leave.Worker, Incarnation: c.Leave.Incarnation}
+	}
 	if c.Configure != nil {
 		w.Configure = ConfigurationToWire(c.Configure)
 	}
@@ -27,7 +30,7 @@
 
 // CallFromWire returns the call of a message.
 func CallFromWire(w *peer.LinkCall) *batch.Call {
-	c := &batch.Call{Leave: w.GetLeave(), ReadConfiguration: w.GetReadConfiguration(), WaveState: w.GetWaveState()}
+	c := &batch.Call{ReadConfiguration: w.GetReadConfiguration(), WaveState: w.GetWaveState()}
 	if w.GetSubmit() != nil {
 		c.Submit = &batch.Submission{Host: w.GetSubmitTo().GetHost(), Path: w.GetSubmitTo().GetPath(), Job: jobFromWire(w.GetSubmit())}
 	}
@@ -35,6 +38,9 @@
 	if w.GetHeartbeat() != nil {
 		c.Heartbeat = heartbeatFromWire(w.GetHeartbeat())
 	}
+	if l := w.GetLeave(); l != nil {
+		c.Leave = &batch.Leaving{Worker: l.GetWorker(), Incarnation: l.GetIncarnation()}
+	}
 	if w.GetConfigure() != nil {
 		c.Configure = ConfigurationFromWire(w.GetConfigure())
 	}
