--- a/internal/app/daemon/command.go
+++ b/internal/app/daemon/command.go
@@ -29,6 +29,7 @@
 	Site      string `arg:"--site" help:"path of the settings file of a process that finds the others through seeds (TOML)"`
 	Check     bool   `arg:"--check" help:"check the settings and exit"`
 	Reference bool   `arg:"--reference" help:"write the reference page of the settings to stdout and exit"`
+	SitePage  bool   `arg:"--site-reference" help:"write the reference page of the settings for --site to stdout and exit"`
 }
 
 // Description returns the text that heads the help.
@@ -60,7 +61,10 @@
 		return fail(t.Err, err, ExitSettings)
 	}
 	if a.Reference {
-		return reference(t)
+		return reference(t, schema.Daemon)
+	}
+	if a.SitePage {
+		return reference(t, schema.Site)
 	}
 	if a.Site != "" {
 		return runSite(ctx, a, t)
@@ -81,9 +85,9 @@
 	return ExitOK
 }
 
-// reference writes the page that docs/SETTINGS.md holds.
-func reference(t Terminal) int {
-	page, err := conf.Reference(schema.Daemon)
+// reference writes the page of a schema, as docs/SETTINGS.md and docs/SITE.md hold it.
+func reference(t Terminal, text string) int {
+	page, err := conf.Reference(text)
 	if err != nil {
 		return fail(t.Err, err, ExitFailure)
 	}
--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -165,29 +165,33 @@
 		e.touch(id)
 	}
 	for _, id := range book.Workers() {
-		w := e.worker(id)
-		w.inherited, w.heardMs = true, e.activeMs
-		// Any former leader granted this lease at the most, on a confirmation that was this old at the most.
-		w.lapseMs = e.activeMs + withDrift(e.lease()) + freshMs
-		for task := range book.RunsOn(id) {
-			_, t := book.Find(task)
-			for _, r := range t.Runs {
-				if r.Worker == id {
-					if r.Incarnation > w.incarnation {
-						w.incarnation, w.sequence = r.Incarnation, 0
-					}
-					// Heartbeats up to this one were sent before the worker knew of the attempt.
-					if r.Incarnation == w.incarnation {
-						w.sequence = max(w.sequence, r.Sequence)
-					}
-				}
-			}
-		}
+		e.inherit(id)
 	}
 	e.options.Logger.Info("control_taken", zap.Uint64("term", e.term), zap.Int("jobs", len(book.Jobs())),
 		zap.Int("workers_with_tasks", len(e.workers)), zap.Uint64("configuration", book.State().Configuration.Version))
 }
 
+// inherit takes over a worker with attempts that a former leader ordered.
+func (e *Engine) inherit(id string) {
+	w := e.worker(id)
+	w.inherited, w.heardMs = true, e.activeMs
+	// Any former leader granted this lease at the most, on a confirmation that was this old at the most.
+	w.lapseMs = e.activeMs + withDrift(e.lease()) + freshMs
+	for task := range e.options.Log.Book().RunsOn(id) {
+		_, t := e.find(task)
+		for _, r := range t.Runs {
+			switch {
+			case r.Worker != id || r.Incarnation < w.incarnation:
+			case r.Incarnation > w.incarnation:
+				w.incarnation, w.sequence = r.Incarnation, r.Sequence
+			default:
+				// Heartbeats up to this one were sent before the worker knew of the attempt.
+				w.sequence = max(w.sequence, r.Sequence)
+			}
+		}
+	}
+}
+
 // absorb takes over what the log has applied.
 func (e *Engine) absorb() {
 	for _, id := range e.options.Log.Book().Touched() {
--- a/layout_test.go
+++ b/layout_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io/fs"
+	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -34,3 +36,43 @@
 		}
 	}
 }
+
+// TestPlatformNames checks that the platform's paths and compound field names stand nowhere outside platform/.
+func TestPlatformNames(t *testing.T) {
+	is := is.New(t)
+	// A name in lower case alone may be a word of ours too; one with a capital inside, or a path, is the platform's.
+	pattern := regexp.MustCompile("\"([a-z]+[A-Z][A-Za-z]*|/-/[a-z/-]+|[A-Z][a-z]+-(?:Holder|Token|Ms))[\",{/]")
+	names := map[string]bool{}
+	files, err := filepath.Glob("platform/*.go")
+	is.NoErr(err)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		is.NoErr(err)
+		for _, m := range pattern.FindAllSubmatch(text, -1) {
+			names[string(m[1])] = true
+		}
+	}
+	// Fewer would mean that the pattern no longer finds them.
+	const least = 30
+	is.True(len(names) > least)
+	for _, folder := range []string{"internal", "cmd", "schema"} {
+		is.NoErr(filepath.WalkDir(folder, func(path string, e fs.DirEntry, err error) error {
+			// Generated messages give our own fields names in the same form.
+			skip := strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".pb.go") || strings.Contains(path, "testdata")
+			if err != nil || e.IsDir() || skip {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			is.NoErr(err)
+			for name := range names {
+				if strings.Contains(string(text), "\""+name) {
+					t.Errorf("%s: %q is the platform's name", path, name)
+				}
+			}
+			return nil
+		}))
+	}
+}
--- a/pages_test.go
+++ b/pages_test.go
@@ -17,14 +17,14 @@
 
 // TestReferencePages checks that the pages made from the schemas are the present ones.
 func TestReferencePages(t *testing.T) {
-	for file, text := range map[string]string{"docs/SETTINGS.md": schema.Daemon, "docs/DOCUMENT.md": schema.Environment} {
+	for file, text := range map[string]string{"docs/SETTINGS.md": schema.Daemon, "docs/SITE.md": schema.Site, "docs/DOCUMENT.md": schema.Environment} {
 		is := is.New(t)
 		want, err := conf.Reference(text)
 		is.NoErr(err)
 		got, err := os.ReadFile(file)
 		is.NoErr(err)
 		if string(got) != want {
-			t.Errorf("%s is not what its schema gives; see CONTRIBUTING.md for how to write it again", file)
+			t.Errorf("%s is not what its schema gives; see DEVELOPERS.md for how to write it again", file)
 		}
 	}
 }
@@ -36,6 +36,8 @@
 		_, err := conf.LoadDaemon(filepath.Join("examples", name))
 		is.NoErr(err)
 	}
+	_, err := conf.LoadSite(filepath.Join("examples", "site.toml"))
+	is.NoErr(err)
 	for _, name := range []string{"swan-coastal.toml", "tucuman-frost.toml"} {
 		path := filepath.Join("examples", name)
 		text, err := os.ReadFile(path)
--- a/schema/doc.go
+++ b/schema/doc.go
@@ -23,4 +23,5 @@
 // The pages come last, since the programs that write them are built from the other generated code.
 //
 //go:generate sh -c "cd .. && go run ./cmd/cowslipd --reference > docs/SETTINGS.md"
+//go:generate sh -c "cd .. && go run ./cmd/cowslipd --site-reference > docs/SITE.md"
 //go:generate sh -c "cd .. && go run ./cmd/cowslip reference > docs/DOCUMENT.md"
