--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -187,6 +187,8 @@
 		seen[r.Task] = a
 		j, t := e.find(r.Task)
 		if t == nil {
+			// What it takes is no longer known: the worker counts as full until it is gone.
+			w.free = batch.Capacity{}
 			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
 			continue
 		}
