--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -155,6 +155,8 @@
 	e.activeMs = e.now()
 	book := e.options.Log.Book()
 	for vm, o := range book.State().Ordered {
+		// The order may be under way still; maintenance begins when it arrives.
+		e.fleet.maybeDown[vm] = e.activeMs + e.options.Bounds.UpkeepMs + milli - (book.State().LedMs - o.AtMs)
 		if o.Holder != e.options.Holder {
 			// The platform keeps holders apart; how long ago the order was is known at least so far.
 			e.fleet.notBefore[vm] = e.activeMs + e.options.Bounds.HolderMs - (book.State().LedMs - o.AtMs)
--- a/internal/ctrl/steer/fleet.go
+++ b/internal/ctrl/steer/fleet.go
@@ -40,6 +40,10 @@
 	listedMs int64
 	// wanted means that the list is needed before its time.
 	wanted bool
+	// whole says that the list was read to its end since this process leads.
+	whole bool
+	// maybeDown are VMs that a former leader ordered of late: until when they may be down for it, by uptime.
+	maybeDown map[string]int64
 	// found are the VMs of the reading under way.
 	found     map[string]bool
 	plannedMs int64
@@ -57,6 +61,7 @@
 	return fleetView{
 		vms: map[string]*vm{}, byWorker: map[string]string{}, idleSince: map[string]int64{},
 		downFor: map[uint64]map[string]int64{}, notBefore: map[string]int64{},
+		maybeDown: map[string]int64{},
 	}
 }
 
@@ -79,7 +84,7 @@
 		f.reading, f.wanted, f.listedMs, f.found = true, false, now, map[string]bool{}
 		e.readList("", now)
 	}
-	if now-f.plannedMs < poolsMs || len(f.vms) == 0 {
+	if now-f.plannedMs < poolsMs || !f.whole {
 		return
 	}
 	f.plannedMs = now
@@ -157,7 +162,7 @@
 // listEnds drops VMs that are no longer listed.
 func (e *Engine) listEnds() {
 	f := &e.fleet
-	f.reading = false
+	f.reading, f.whole = false, true
 	for name, v := range f.vms {
 		if !f.found[name] && !v.ordered {
 			delete(f.byWorker, v.Worker)
--- a/internal/ctrl/steer/script_test.go
+++ b/internal/ctrl/steer/script_test.go
@@ -276,6 +276,7 @@
 		}
 		r.VMs = append(r.VMs, v)
 	}
+	r.Next = text(d, "next", "")
 	w.finish(func(o steer.Order) bool { return o.Kind == steer.OrderList }, r)
 }
 
--- a/internal/ctrl/steer/wave.go
+++ b/internal/ctrl/steer/wave.go
@@ -114,7 +114,8 @@
 		}
 	}
 	for _, name := range w.VMs {
-		if v := e.fleet.vms[name]; v != nil && (v.State == VMMaintained || v.ordered) {
+		v := e.fleet.vms[name]
+		if v != nil && (v.State == VMMaintained || v.ordered) || e.fleet.maybeDown[name] > now {
 			down[name] = true
 		}
 	}
