--- a/internal/app/site/greet.go
+++ b/internal/app/site/greet.go
@@ -14,7 +14,6 @@
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/ctrl/quorum"
-	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/internal/wire/peer"
 )
@@ -25,7 +24,7 @@
 	// seekPause spaces greetings while no leader is known, and restPause while one is.
 	seekPause = 100 * time.Millisecond
 	restPause = 400 * time.Millisecond
-	// agreeTime bounds one process's agreement to the first members.
+	// agreeTime bounds this process's own agreement to the first members.
 	agreeTime = 2 * time.Second
 )
 
@@ -147,24 +146,13 @@
 	if err != nil || len(members) == 0 {
 		return
 	}
-	agree := func(ctx context.Context, name string, members []quorum.Member) error {
-		var address string
-		if err := g.links.loop.Call(ctx, func() { address = g.links.roster.Address(name) }); err != nil {
-			return err
-		}
-		answer, err := g.lines.Call(ctx, address, &peer.Link{Body: &peer.Link_Agree{
-			Agree: &peer.LinkAgree{Members: codec.MembersToWire(members)},
-		}})
-		if err != nil {
-			return err
-		}
-		if cause := answer.GetStatus().GetError(); cause != "" {
-			return errors.New(cause)
-		}
-		return nil
-	}
 	call, cancel := context.WithTimeout(ctx, agreeTime)
 	defer cancel()
-	err = g.links.node.Form(call, members, agree)
+	err = g.links.node.Form(call, members, alone)
 	g.logger.Info("group_forming", zap.Int("members", len(members)), zap.Error(err))
 }
+
+// alone is asked for the agreement of other founders: there are none.
+func alone(_ context.Context, name string, _ []quorum.Member) error {
+	return errors.Newf("%s is no founder", name)
+}
--- a/internal/app/site/links.go
+++ b/internal/app/site/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -106,26 +105,12 @@
 			return nil
 		}
 		return &peer.Link{Body: &peer.Link_Reply{Reply: codec.ReplyToWire(&reply)}}
-	case *peer.Link_Agree:
-		return l.agree(ctx, body.Agree)
 	default:
 		l.logger.Warn("call_not_known")
 		return nil
 	}
 }
 
-func (l *links) agree(ctx context.Context, a *peer.LinkAgree) *peer.Link {
-	status := &peer.LinkStatus{}
-	err := errors.New("this process has no disk")
-	if l.node != nil {
-		err = l.node.Agree(ctx, codec.MembersFromWire(a.GetMembers()))
-	}
-	if err != nil {
-		status.Error = err.Error()
-	}
-	return &peer.Link{Body: &peer.Link_Status{Status: status}}
-}
-
 func (l *links) hello(ctx context.Context, h *peer.LinkHello) *peer.Link {
 	var own roster.Hello
 	heard := helloFromWire(h)
@@ -141,17 +126,12 @@
 
 // tell returns what this process tells of itself; it runs on the control loop.
 func (l *links) tell() roster.Hello {
-	own := l.roster.Tell(l.uptime.Milliseconds())
-	if l.node != nil {
-		_, own.Members, own.HasState = l.node.Self()
-	}
-	return own
+	return l.roster.Tell(l.uptime.Milliseconds())
 }
 
 func helloToWire(h *roster.Hello) *peer.LinkHello {
 	w := &peer.LinkHello{
-		Self: processToWire(h.Self), Leader: h.Leader, Term: h.Term, HasState: h.HasState, Members: codec.MembersToWire(h.Members),
-		Founder: h.Founder,
+		Self: processToWire(h.Self), Leader: h.Leader, Term: h.Term, Founder: h.Founder,
 	}
 	for _, p := range h.Known {
 		w.Known = append(w.Known, processToWire(p))
@@ -161,8 +141,7 @@
 
 func helloFromWire(w *peer.LinkHello) roster.Hello {
 	h := roster.Hello{
-		Self: processFromWire(w.GetSelf()), Leader: w.GetLeader(), Term: w.GetTerm(), HasState: w.GetHasState(),
-		Members: codec.MembersFromWire(w.GetMembers()), Founder: w.GetFounder(),
+		Self: processFromWire(w.GetSelf()), Leader: w.GetLeader(), Term: w.GetTerm(), Founder: w.GetFounder(),
 	}
 	for _, p := range w.GetKnown() {
 		h.Known = append(h.Known, processFromWire(p))
--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -131,9 +131,9 @@
 func boundsOf(settings conf.Site) steer.Bounds {
 	b := settings.Bounds
 	return steer.Bounds{
-		LeaseMaxMs: int64(b.LeaseMaxMs), StopMs: int64(b.StopMs), GangMs: int64(b.GangMs), NoticeMs: int64(b.NoticeMs),
+		LeaseMaxMs: int64(b.LeaseMaxMs), GangMs: int64(b.GangMs),
 		MoveMs: int64(b.MoveS * msPerS), UpkeepMs: int64(b.MaintainS * msPerS), HolderMs: int64(b.HolderMs),
-		OrdersPerS: settings.Provider.OrdersPerS, ReadsPerS: settings.Provider.ReadsPerS,
+		OrdersPerS: settings.Provider.OrdersPerS,
 	}
 }
 
--- a/internal/base/conf/site_gen.go
+++ b/internal/base/conf/site_gen.go
@@ -26,12 +26,6 @@
 
 	// MoveS is how long a VM is away for a move, in seconds.
 	MoveS float64 `json:"move_s,omitempty,omitzero"`
-
-	// NoticeMs is how long a lasting task may be away before it counts as away.
-	NoticeMs float64 `json:"notice_ms,omitempty,omitzero"`
-
-	// StopMs is how long a worker takes to stop an attempt.
-	StopMs float64 `json:"stop_ms,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -63,12 +57,6 @@
 	if v, ok := raw["move_s"]; !ok || v == nil {
 		plain.MoveS = 1.5
 	}
-	if v, ok := raw["notice_ms"]; !ok || v == nil {
-		plain.NoticeMs = 4500.0
-	}
-	if v, ok := raw["stop_ms"]; !ok || v == nil {
-		plain.StopMs = 1000.0
-	}
 	*j = Bounds(plain)
 	return nil
 }
@@ -166,9 +154,6 @@
 
 	// OrdersPerS bounds moves and maintenance a second, over all processes.
 	OrdersPerS float64 `json:"orders_per_s,omitempty,omitzero"`
-
-	// ReadsPerS bounds readings of the VM list a second, over all processes.
-	ReadsPerS float64 `json:"reads_per_s,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -191,9 +176,6 @@
 	if v, ok := raw["orders_per_s"]; !ok || v == nil {
 		plain.OrdersPerS = 10.0
 	}
-	if v, ok := raw["reads_per_s"]; !ok || v == nil {
-		plain.ReadsPerS = 10.0
-	}
 	*j = Provider(plain)
 	return nil
 }
--- a/internal/ctrl/roster/roster.go
+++ b/internal/ctrl/roster/roster.go
@@ -32,10 +32,6 @@
 	Leader string
 	// Term is the term of that leader.
 	Term uint64
-	// HasState says whether its replica holds a log.
-	HasState bool
-	// Members are the members that its replica knows.
-	Members []quorum.Member
 	// Founder is the process that is to form the group at the system's first start; empty where it isn't known.
 	Founder string
 }
--- a/internal/ctrl/steer/engine.go
+++ b/internal/ctrl/steer/engine.go
@@ -47,22 +47,14 @@
 type Bounds struct {
 	// LeaseMaxMs is the longest lease of a worker, in milliseconds.
 	LeaseMaxMs int64
-	// StopMs is how long a worker takes to stop an attempt, in milliseconds.
-	StopMs int64
 	// GangMs is how long a member of a gang waits for the others, in milliseconds.
 	GangMs int64
-	// NoticeMs is how long a lasting task may be away before it no longer counts as at work, in milliseconds.
-	NoticeMs int64
 	// MoveMs and UpkeepMs are how long a VM is away for a move and for maintenance, in milliseconds.
 	MoveMs, UpkeepMs int64
 	// HolderMs is how long the platform keeps an order's holder apart from the next one, in milliseconds.
 	HolderMs int64
 	// OrdersPerS bounds moves and maintenance a second, over all processes.
 	OrdersPerS float64
-	// ReadsPerS bounds the readings of the VM list a second, over all processes.
-	ReadsPerS float64
-	// StepSlack is how much longer a task takes away from its data's rack.
-	StepSlack float64
 }
 
 // Engine is the leader's control of batch work; its methods must be called on the control loop.
--- a/internal/ctrl/steer/give.go
+++ b/internal/ctrl/steer/give.go
@@ -98,7 +98,7 @@
 		return "", false
 	case step.PerWorker > 0 && e.countOn(w, one.job, id) >= step.PerWorker:
 		return "", false
-	case step.DataRack != "" && step.DataRack != w.rack && !e.awayAllowed(one, id, step):
+	case step.DataRack != "" && step.DataRack != w.rack && !e.awayAllowed(one, step):
 		return "", false
 	}
 	if !e.advised(one.job) {
@@ -125,7 +125,7 @@
 const awayMs = 1200
 
 // awayAllowed says whether a task may run away from its data.
-func (e *Engine) awayAllowed(one *work, _ batch.TaskID, step *batch.Step) bool {
+func (e *Engine) awayAllowed(one *work, step *batch.Step) bool {
 	waited := e.wall() - one.job.Job.AcceptedMs
 	return waited > awayMs || !e.rackKnown(one, step)
 }
@@ -161,3 +161,14 @@
 	})
 	return batch.StartOrder{Task: id, Attempt: number, Text: j.Job.Text, Checkpoint: t.Checkpoint, Ticket: ticket}
 }
+
+// runsOf returns the attempts of a task that may be running on a worker.
+func runsOf(t *jobs.Task, worker string) int {
+	count := 0
+	for _, r := range t.Runs {
+		if r.Worker == worker {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/ctrl/steer/heartbeat.go
+++ b/internal/ctrl/steer/heartbeat.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -305,14 +304,3 @@
 	}
 	e.settle(reply, batch.Reply{Code: batch.CodeOK})
 }
-
-// runsOf returns the attempts of a task that may be running on a worker.
-func runsOf(t *jobs.Task, worker string) int {
-	count := 0
-	for _, r := range t.Runs {
-		if r.Worker == worker {
-			count++
-		}
-	}
-	return count
-}
