--- a/internal/app/chaos/run_test.go
+++ b/internal/app/chaos/run_test.go
@@ -287,11 +287,18 @@
 	t.Helper()
 	is := is.New(t)
 	var addresses [4]string
-	for i := range addresses {
+	for i := 0; i < len(addresses); {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		defer func() { is.NoErr(listener.Close()) }()
 		addresses[i] = listener.Addr().String()
+		if _, given := givenAddresses.LoadOrStore(addresses[i], true); !given {
+			i++
+		}
 	}
 	return addresses
 }
+
+// givenAddresses are the addresses that processes were given: a port that was free again before its process listened
+// must not go to another one.
+var givenAddresses sync.Map
