--- a/internal/app/chaos/forward_test.go
+++ b/internal/app/chaos/forward_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
 // forwarder passes bytes from one process to another, and loses them silently while it is cut.
@@ -20,7 +22,7 @@
 }
 
 func newForwarder(target string) (*forwarder, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenApart()
 	if err != nil {
 		return nil, err
 	}
@@ -84,3 +86,17 @@
 	_, _ = io.Copy(io.Discard, from)
 	_ = from.Close()
 }
+
+// listenApart listens on an address that no process was given.
+func listenApart() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	if _, given := givenAddresses.LoadOrStore(listener.Addr().String(), true); !given {
+		return listener, nil
+	}
+	// The port stays taken while another one is asked for, so that the next one differs.
+	next, err := listenApart()
+	return next, errors.CombineErrors(err, listener.Close())
+}
