--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -145,6 +145,7 @@
 			count++
 		}
 	}
+	s.logWaitingJobs(key, count)
 	return batch.Reply{Code: batch.CodeOK, Pending: count}
 }
 
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -92,6 +92,8 @@
 	fleet          fleetView
 	permits        permits
 	estimates      estimates
+	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
+	waitingCountedMs int64
 }
 
 // New returns a scheduler that is inactive until its process leads.
@@ -102,6 +104,7 @@
 }
 
 func (s *Scheduler) reset() {
+	s.clearWaitingGauges()
 	s.active, s.formerStopsUntilMs = false, 0
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
@@ -217,6 +220,7 @@
 	s.openDueOccurrences()
 	s.planGangs(now)
 	s.manageFleet(now)
+	s.observeWaitingJobs(now)
 	s.flush()
 }
 
--- a/internal/model/batch/configuration.go
+++ b/internal/model/batch/configuration.go
@@ -79,6 +79,16 @@
 	return best, path[len(best.Prefix):]
 }
 
+// Queue returns the queue with a key, or nil if there is none.
+func (c *Configuration) Queue(key QueueKey) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Key() == key {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
 // Pool returns the pool with a name, or nil if there is none.
 func (c *Configuration) Pool(name string) *Pool {
 	for i := range c.Pools {
