--- /dev/null
+++ b/internal/ctrl/sched/parse_test.go
@@ -0,0 +1,96 @@
+package sched_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipstack/internal/model/batch"
+)
+
+// parseConfiguration returns a configuration with the pools p and spare and one queue at h/q/.
+func parseConfiguration(t *testing.T, d *datadriven.TestData) *batch.Configuration {
+	t.Helper()
+	version := intArg(t, d, "version", 1)
+	pool := stringArg(d, "pool", "p")
+	return &batch.Configuration{
+		Version: uint64(version), Text: []byte("text-" + strconv.FormatInt(version, 10)),
+		Queues: []batch.Queue{{
+			Host: "h", Prefix: "/q/", Pool: pool, MaxAttempts: int(intArg(t, d, "attempts", 2)), SlackFactor: 2,
+			TargetLatencyMs: 3000, TimeoutMs: intArg(t, d, "timeout", 3000), RequiresPermit: stringArg(d, "requires_permit", "") != "",
+		}},
+		Pools: []batch.Pool{{Name: "p", AdmissionCheck: true}, {Name: "spare", Standby: true}},
+	}
+}
+
+// parseJob reads a job: one step per line, as key=value pairs.
+func parseJob(t *testing.T, d *datadriven.TestData) batch.Job {
+	t.Helper()
+	j := batch.Job{Text: "text", RunCount: int(intArg(t, d, "run_count", 0)), FirstDueMs: intArg(t, d, "first_due", 0), IntervalMs: 1000}
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		s := batch.Step{Count: 1, Need: batch.Resources{CPUMilli: 1000, MemoryMB: 1000}, EstimateMs: 500}
+		for _, pair := range strings.Fields(line) {
+			key, value, _ := strings.Cut(pair, "=")
+			n, _ := strconv.Atoi(value)
+			switch key {
+			case "count":
+				s.Count = n
+			case "cpu":
+				s.Need.CPUMilli = int64(n)
+			case "memory":
+				s.Need.MemoryMB = int64(n)
+			case "after":
+				s.After = []int{n}
+			case "gang":
+				s.Gang = true
+			case "long_running":
+				s.LongRunning = true
+			case "max_per_worker":
+				s.MaxPerWorker = n
+			case "max_unavailable":
+				s.MaxUnavailable = n
+			case "label":
+				s.RequiredLabel = value
+			case "speculative":
+				s.Speculative = true
+			case "estimate":
+				s.EstimateMs = int64(n)
+			case "best_effort":
+				s.BestEffort = true
+			case "tail_latency_target":
+				s.TailLatencyTargetMs = int64(n)
+			default:
+				t.Fatalf("%s: unknown key %s", d.Pos, key)
+			}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+func parseEndKind(t *testing.T, name string) batch.EndKind {
+	t.Helper()
+	for k := batch.EndDone; k <= batch.EndWorkerLost; k++ {
+		if k.String() == name {
+			return k
+		}
+	}
+	t.Fatalf("no end is called %s", name)
+	return 0
+}
+
+func parseTask(t *testing.T, name string) (batch.TaskID, int) {
+	t.Helper()
+	id, attempt, _ := strings.Cut(name, "#")
+	fields := strings.Split(id, ".")
+	if len(fields) != 4 {
+		t.Fatalf("%q is no task", name)
+	}
+	var n [4]int
+	for i, text := range []string{fields[1], fields[2], fields[3], attempt} {
+		n[i], _ = strconv.Atoi(text)
+	}
+	return batch.TaskID{Job: jobID(fields[0]), Occurrence: n[0], Step: n[1], Index: n[2]}, n[3]
+}
