--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -209,6 +209,8 @@
 		h.call("cancel", &batch.Call{Cancel: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
 	case "state":
 		h.call("state", &batch.Call{JobState: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
+	case "count-waiting":
+		h.countWaiting()
 	case "heartbeat":
 		h.sendHeartbeat(t, d)
 	case "leave":
@@ -251,6 +253,14 @@
 	}
 }
 
+// countWaiting asks how many jobs of the queue wait.
+func (h *harness) countWaiting() {
+	h.scheduler.Call(&batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: "/q/"}}, func(r batch.Reply) {
+		h.replies = append(h.replies, fmt.Sprintf("%s; %d jobs wait", r.Code, r.Pending))
+	})
+	h.log.commitAll()
+}
+
 // topics maps the topic argument of the inspect command.
 var topics = map[string]batch.Topic{
 	"overview": batch.TopicOverview, "job": batch.TopicJob, "workers": batch.TopicWorkers, "vms": batch.TopicVMs,
