Count a job as waiting until a worker has begun it

Callers who asked how many jobs of a queue wait were told too few: a job became running, and left the count, when the log entry with its first order was applied. An order whose reply came too late, that was lost with its leader, that a worker refused, or for a gang that never was complete left it so for good.

Now a job stays queued until a worker lists one of its tasks, of a gang with progress, or reports an end that shows that it ran. The leader adds the job's identity to its next record (field begun of BatchChange; older data and processes don't write it, and their jobs count as begun with their next end). The log tells when a job has begun, and cowslip_first_start_seconds ends there, no longer at the order.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -22,6 +22,11 @@
 			m.endJob(j, batch.PhaseCancelled, nowMs)
 		}
 	}
+	for _, id := range c.BegunJobs {
+		if j := m.jobs[id]; j != nil {
+			m.markBegun(j)
+		}
+	}
 	for i := range c.Ends {
 		m.endAttempt(&c.Ends[i], nowMs)
 	}
@@ -82,11 +87,16 @@
 		Number: start.Attempt, Worker: start.Worker, Incarnation: start.Incarnation, Sequence: start.Sequence,
 	})
 	j.LiveAttempts++
+	m.indexAttempt(start.Worker, start.Task)
+	m.markChanged(start.Task.Job)
+}
+
+// markBegun notes that a worker has begun a task of a job.
+func (m *StateMachine) markBegun(j *Job) {
 	if j.Phase == batch.PhaseQueued {
 		j.Phase = batch.PhaseRunning
+		m.markChanged(j.Spec.ID)
 	}
-	m.indexAttempt(start.Worker, start.Task)
-	m.markChanged(start.Task.Job)
 }
 
 // endAttempt removes an attempt and applies its outcome to its task.
@@ -114,6 +124,9 @@
 		m.keepCheckpoint(j, end)
 	}
 	step := &j.Spec.Steps[end.Task.Step]
+	if end.Kind.ShowsBegun(step.Gang) {
+		m.markBegun(j)
+	}
 	switch {
 	case step.LongRunning:
 	case end.Kind == batch.EndDone:
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -178,9 +178,6 @@
 	if step.Gang {
 		number = s.gangs[stepOf(id)].attempt
 	}
-	if j.Phase == batch.PhaseQueued && id.Index == 0 && id.Step == 0 {
-		observeFirstStart(w.pool, s.wallMs()-j.Spec.AcceptedMs)
-	}
 	w.free = w.free.Sub(step.ReservedResources())
 	s.starting[id] = true
 	s.startingWorker[id] = w.id
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -139,14 +139,7 @@
 	if q == nil || rest != "" {
 		return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}
 	}
-	key, count := q.Key(), 0
-	for _, job := range s.jobs {
-		if job.state.Spec.Queue == key && job.state.Phase == batch.PhaseQueued {
-			count++
-		}
-	}
-	s.logWaitingJobs(key, count)
-	return batch.Reply{Code: batch.CodeOK, Pending: count}
+	return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q.Key())}
 }
 
 func (s *Scheduler) configure(c *batch.Configuration, reply func(batch.Reply)) {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -174,6 +174,7 @@
 		}
 		step := &j.Spec.Steps[r.Task.Step]
 		w.free = w.free.Sub(step.ReservedResources())
+		s.noteBegun(j, t, r)
 		if t.FindAttempt(r.Attempt) == nil {
 			s.abandonedUntilMs[r.Task] = now + abandonedHoldMs
 		}
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -13,7 +13,9 @@
 	// pool is the pool that runs it; queued is set while the job stands in the pool's order.
 	pool   string
 	queued bool
-	item   order.Item
+	// waiting is set until a worker has begun a task of the job.
+	waiting bool
+	item    order.Item
 	// ready are the tasks that could start now, except those of gangs.
 	ready []batch.TaskID
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -69,6 +71,9 @@
 func (s *Scheduler) refreshJob(id string) {
 	j := s.options.Log.Batch().Job(id)
 	old := s.jobs[id]
+	if old != nil && old.waiting && j != nil {
+		s.observeBegun(old)
+	}
 	if j == nil || j.Phase.IsTerminal() {
 		if old != nil {
 			s.learnWork(old)
@@ -119,7 +124,7 @@
 
 // describeJob computes which tasks of a job could start, and its scheduling inputs.
 func (s *Scheduler) describeJob(j *jobs.Job) *activeJob {
-	job := &activeJob{state: j, item: order.Item{ID: j.Spec.ID}}
+	job := &activeJob{state: j, waiting: j.Phase == batch.PhaseQueued, item: order.Item{ID: j.Spec.ID}}
 	scale := s.estimates.scaleOf(j.Spec.Queue)
 	var chains []float64
 	for occurrence := range j.Spec.Occurrences() {
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,12 +15,10 @@
 // waitingIntervalMs is the interval between two counts of the waiting jobs for the metrics, in milliseconds.
 const waitingIntervalMs = 1000
 
-// waitingJobs counts jobs that no worker has begun, as far as the workers' reports tell.
+// waitingJobs counts jobs of which no worker has begun a task.
 type waitingJobs struct {
-	// queued is the number of jobs in phase queued.
-	queued int
-	// unlisted is the number of jobs in phase running of which no worker has listed a task.
-	unlisted int
+	// unordered is the number of jobs without an attempt, and ordered the number of those with one that has not begun.
+	unordered, ordered int
 	// oldestMs is the greatest age among both, in milliseconds since their acceptance or their first due time.
 	oldestMs int64
 }
@@ -27,53 +26,61 @@
 // add counts a job if it waits.
 func (c *waitingJobs) add(s *Scheduler, j *jobs.Job) {
 	switch {
-	case j.Phase == batch.PhaseQueued:
-		c.queued++
-	case !s.listed(j):
-		c.unlisted++
-	default:
+	case j.Phase != batch.PhaseQueued:
 		return
+	case j.LiveAttempts > 0:
+		c.ordered++
+	default:
+		c.unordered++
 	}
 	c.oldestMs = max(c.oldestMs, s.wallMs()-max(j.Spec.AcceptedMs, j.Spec.DueMs(0)))
 }
 
-// listed reports whether a worker has listed a task of a job, or one has ended by itself.
-func (s *Scheduler) listed(j *jobs.Job) bool {
-	for index := range j.Tasks {
-		t := &j.Tasks[index]
-		if t.Done || t.Failures > 0 || t.Checkpoint != "" {
-			return true
-		}
-		id := j.TaskID(index)
-		for _, r := range t.Attempts {
-			w := s.workers[r.Worker]
-			if w != nil && w.running[id] != nil && w.running[id].number == r.Number {
-				return true
-			}
-		}
+func (c *waitingJobs) count() int {
+	return c.unordered + c.ordered
+}
+
+// noteBegun adds to the next command that a worker has begun a job, if the attempt that it lists is the first to show
+// so. Members of a gang wait at no progress until all are present.
+func (s *Scheduler) noteBegun(j *jobs.Job, t *jobs.Task, r *batch.Running) {
+	if j.Phase != batch.PhaseQueued || r.Attempt > t.LastAttempt || j.Spec.Steps[r.Task.Step].Gang && r.Percent <= 0 {
+		return
 	}
-	return false
+	if !slices.Contains(s.proposals.pending.BegunJobs, j.Spec.ID) {
+		s.proposals.pending.BegunJobs = append(s.proposals.pending.BegunJobs, j.Spec.ID)
+	}
+}
+
+// observeBegun logs and measures how long a job waited, once a worker has begun it.
+func (s *Scheduler) observeBegun(job *activeJob) {
+	j := job.state
+	if j.Phase == batch.PhaseQueued || j.Phase == batch.PhaseCancelled {
+		return
+	}
+	waitedMs := s.wallMs() - max(j.Spec.AcceptedMs, j.Spec.DueMs(0))
+	observeFirstStart(job.pool, waitedMs)
+	s.options.Logger.Info("job_begun", zap.String("job", j.Spec.ID), zap.String("pool", job.pool), zap.Int64("waited_ms", waitedMs),
+		zap.Int64("objective_ms", job.objectiveMs), zap.Uint64("term", s.term))
 }
 
-// logWaitingJobs logs what a count of a queue's waiting jobs was based on.
-func (s *Scheduler) logWaitingJobs(key batch.QueueKey, answered int) {
+// countWaiting counts the waiting jobs of a queue, and logs what the count was based on.
+func (s *Scheduler) countWaiting(key batch.QueueKey) int {
 	var waiting waitingJobs
-	active, unqueued := 0, 0
+	active, withoutQueue := 0, 0
 	for _, job := range s.jobs {
-		if job.state.Spec.Queue != key {
-			if job.state.Phase == batch.PhaseQueued && s.currentConfiguration().Queue(job.state.Spec.Queue) == nil {
-				unqueued++
-			}
-			continue
+		if job.state.Spec.Queue == key {
+			active++
+			waiting.add(s, job.state)
+		} else if job.waiting && s.currentConfiguration().Queue(job.state.Spec.Queue) == nil {
+			withoutQueue++
 		}
-		active++
-		waiting.add(s, job.state)
 	}
 	s.options.Logger.Info("waiting_jobs_counted", zap.String("host", key.Host), zap.String("path", key.Prefix),
-		zap.Int("answered", answered), zap.Int("queued", waiting.queued), zap.Int("unlisted", waiting.unlisted),
-		zap.Int64("oldest_ms", waiting.oldestMs), zap.Int("active", active), zap.Int("without_queue", unqueued),
+		zap.Int("unordered", waiting.unordered), zap.Int("ordered", waiting.ordered), zap.Int64("oldest_ms", waiting.oldestMs),
+		zap.Int("active", active), zap.Int("without_queue", withoutQueue),
 		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term),
 		zap.Int64("confirmed_ms_ago", s.now()-s.leadership.confirmedMs))
+	return waiting.count()
 }
 
 // observeWaitingJobs sets the metrics of waiting jobs, by pool.
@@ -100,8 +107,8 @@
 
 func setWaitingGauges(pool string, waiting waitingJobs) {
 	labels := hist.Labels{Service: pool}
-	metrics.GetOrCreateGauge(hist.Name("cowslip_jobs_queued", labels), nil).Set(float64(waiting.queued))
-	metrics.GetOrCreateGauge(hist.Name("cowslip_jobs_unlisted", labels), nil).Set(float64(waiting.unlisted))
+	metrics.GetOrCreateGauge(hist.Name("cowslip_jobs_waiting", labels), nil).Set(float64(waiting.count()))
+	metrics.GetOrCreateGauge(hist.Name("cowslip_jobs_ordered", labels), nil).Set(float64(waiting.ordered))
 	oldest := time.Duration(waiting.oldestMs) * time.Millisecond
 	metrics.GetOrCreateGauge(hist.Name("cowslip_jobs_oldest_waiting_seconds", labels), nil).Set(oldest.Seconds())
 }
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -8,6 +8,8 @@
 	NewJobs []Job
 	// CancelledJobs are the identities of the jobs to cancel.
 	CancelledJobs []string
+	// BegunJobs are the identities of the jobs of which a worker has begun a first task.
+	BegunJobs []string
 	// Ends are the attempts that have ended.
 	Ends []AttemptEnd
 	// Starts are the attempts to start, with their workers.
@@ -35,7 +37,7 @@
 // IsEmpty reports whether the change has no effect; Leader is not considered.
 func (c *Change) IsEmpty() bool {
 	return c.Configuration == nil && c.Wave == nil &&
-		len(c.NewJobs)+len(c.CancelledJobs)+len(c.Ends)+len(c.Starts)+len(c.MaintenanceStarts)+len(c.OrderedVMs) == 0
+		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Starts)+len(c.MaintenanceStarts)+len(c.OrderedVMs) == 0
 }
 
 // AttemptStart assigns one attempt of a task to a worker.
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -8,9 +8,9 @@
 type Phase int
 
 const (
-	// PhaseQueued means that no task has started.
+	// PhaseQueued means that no worker has begun a task, though tasks may have been ordered.
 	PhaseQueued Phase = iota + 1 // queued
-	// PhaseRunning means that a task has started.
+	// PhaseRunning means that a worker has begun a task.
 	PhaseRunning // running
 	// PhaseCompleted means that all tasks are done.
 	PhaseCompleted // completed
@@ -47,6 +47,18 @@
 	EndWorkerLost // lost
 )
 
+// ShowsBegun reports whether an attempt that ended so had begun, of a gang that it was complete.
+func (k EndKind) ShowsBegun(gang bool) bool {
+	switch k {
+	case EndDone, EndFailed:
+		return true
+	case EndStopped, EndLeaseExpired:
+		return !gang
+	default:
+		return false
+	}
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	// Count is the number of tasks; at least 1.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -10,7 +10,7 @@
 )
 
 func batchChangeToWire(c *batch.Change) *peer.BatchChange {
-	w := &peer.BatchChange{Cancels: c.CancelledJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader)}
+	w := &peer.BatchChange{Cancels: c.CancelledJobs, Begun: c.BegunJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader)}
 	if c.Configuration != nil {
 		w.Configuration = ConfigurationToWire(c.Configuration)
 	}
@@ -37,7 +37,9 @@
 }
 
 func batchChangeFromWire(w *peer.BatchChange) *batch.Change {
-	c := &batch.Change{CancelledJobs: w.GetCancels(), OrderedVMs: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader())}
+	c := &batch.Change{
+		CancelledJobs: w.GetCancels(), BegunJobs: w.GetBegun(), OrderedVMs: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader()),
+	}
 	if w.GetConfiguration() != nil {
 		c.Configuration = ConfigurationFromWire(w.GetConfiguration())
 	}
