Show operators which tasks are ordered and which run

ORDERED is a column of its own now. The script inspect showed Running:1 for a task of which nothing was listed, at -1%; it shows Ordered:1.

--- a/internal/app/opcli/batch.go
+++ b/internal/app/opcli/batch.go
@@ -103,10 +103,10 @@
 	return c.writeTable(func(w *tabwriter.Writer) {
 		fmt.Fprintf(w, "job\t%s in pool %s, %s\n", j.GetId(), j.GetPool(), batch.Phase(j.GetPhase()))
 		fmt.Fprintf(w, "taken\t%d ms ago, slack %d ms\n\n", j.GetAgeMs(), j.GetSlackMs())
-		fmt.Fprintln(w, "OCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING\tFAILURES\tWAITS")
+		fmt.Fprintln(w, "OCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING\tORDERED\tFAILURES\tWAITS")
 		for _, s := range j.GetSteps() {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.GetOccurrence(), s.GetStep(), s.GetTasks(), s.GetDone(), s.GetRunning(),
-				s.GetFailures(), s.GetWaits())
+			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.GetOccurrence(), s.GetStep(), s.GetTasks(), s.GetDone(), s.GetRunning(),
+				s.GetOrdered(), s.GetFailures(), s.GetWaits())
 		}
 		fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tINDEX\tATTEMPT\tWORKER\tPERCENT")
 		for _, a := range j.GetRuns() {
--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -108,8 +108,10 @@
 		switch {
 		case t.Done:
 			step.Done++
-		case len(t.Attempts) > 0:
+		case slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool { return s.percentOf(r, id) >= 0 }):
 			step.Running++
+		case len(t.Attempts) > 0:
+			step.Ordered++
 		default:
 			waiting++
 		}
@@ -125,10 +127,11 @@
 
 // percentOf returns the progress of an attempt, -1 if its worker hasn't listed it.
 func (s *Scheduler) percentOf(r jobs.Attempt, id batch.TaskID) int {
-	if w := s.workers[r.Worker]; w != nil && w.running[id] != nil {
-		return w.running[id].percent
+	w := s.workers[r.Worker]
+	if w == nil || w.running[id] == nil || w.running[id].number != r.Number {
+		return -1
 	}
-	return -1
+	return w.running[id].percent
 }
 
 // waitsFor describes what a step's tasks that haven't started wait for.
--- a/internal/model/batch/inspect.go
+++ b/internal/model/batch/inspect.go
@@ -106,8 +106,9 @@
 type StepView struct {
 	// Occurrence and Step count from 0.
 	Occurrence, Step int
-	// Tasks, Done and Running count the step's tasks; Failures counts their failed attempts.
-	Tasks, Done, Running, Failures int
+	// Tasks counts the step's tasks, Done, Running and Ordered those that are done, that a worker lists, and that were
+	// ordered and that no worker lists; Failures counts their failed attempts.
+	Tasks, Done, Running, Ordered, Failures int
 	// WaitingFor says what the tasks that have not started wait for; empty if there are none.
 	WaitingFor string
 }
--- a/internal/wire/codec/inspect.go
+++ b/internal/wire/codec/inspect.go
@@ -119,7 +119,7 @@
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, &peer.InspectStep{
 			Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done), Running: int64(s.Running),
-			Failures: int64(s.Failures), Waits: s.WaitingFor,
+			Ordered: int64(s.Ordered), Failures: int64(s.Failures), Waits: s.WaitingFor,
 		})
 	}
 	for _, r := range j.Attempts {
@@ -140,7 +140,7 @@
 	for _, s := range w.GetSteps() {
 		j.Steps = append(j.Steps, batch.StepView{
 			Occurrence: int(s.GetOccurrence()), Step: int(s.GetStep()), Tasks: int(s.GetTasks()), Done: int(s.GetDone()),
-			Running: int(s.GetRunning()), Failures: int(s.GetFailures()), WaitingFor: s.GetWaits(),
+			Running: int(s.GetRunning()), Ordered: int(s.GetOrdered()), Failures: int(s.GetFailures()), WaitingFor: s.GetWaits(),
 		})
 	}
 	for _, r := range w.GetRuns() {
