--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -82,7 +82,7 @@
 		zap.String("job", start.Task.Job), zap.Int("attempt", start.Attempt), zap.Int("held", t.LastAttempt), zap.Bool("done", t.Done)) {
 		return
 	}
-	t.LastAttempt, t.Started = start.Attempt, true
+	t.LastAttempt = start.Attempt
 	t.Attempts = append(t.Attempts, Attempt{
 		Number: start.Attempt, Worker: start.Worker, Incarnation: start.Incarnation, Sequence: start.Sequence,
 	})
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -76,8 +76,6 @@
 	Failures int
 	// Done is set once an attempt has finished the work.
 	Done bool
-	// Started is set once an attempt was assigned to a worker.
-	Started bool
 	// Checkpoint is passed to the next attempt to resume from; empty for none.
 	Checkpoint string
 	// Attempts are the attempts that may be running.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -193,7 +193,7 @@
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
-				Attempt: int32(t.LastAttempt), Failures: int32(t.Failures), Done: t.Done, Begun: t.Started, Checkpoint: t.Checkpoint,
+				Attempt: int32(t.LastAttempt), Failures: int32(t.Failures), Done: t.Done, Checkpoint: t.Checkpoint,
 			}
 			for _, r := range t.Attempts {
 				task.Runs = append(task.Runs, &peer.BatchRun{
@@ -228,8 +228,7 @@
 		}
 		for _, t := range job.GetTasks() {
 			task := jobs.Task{
-				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Started: t.GetBegun(),
-				Checkpoint: t.GetCheckpoint(),
+				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Checkpoint: t.GetCheckpoint(),
 			}
 			for _, r := range t.GetRuns() {
 				task.Attempts = append(task.Attempts, jobs.Attempt{
