--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -188,10 +188,8 @@
 
 // MaxAttempts returns the number of failures of one task or gang that fails its job.
 func (m *StateMachine) MaxAttempts(j *Job) int {
-	for i := range m.state.Configuration.Queues {
-		if q := &m.state.Configuration.Queues[i]; q.Key() == j.Spec.Queue {
-			return max(1, q.MaxAttempts)
-		}
+	if q := m.state.Configuration.Queue(j.Spec.Queue); q != nil {
+		return max(1, q.MaxAttempts)
 	}
 	// The queue was removed: its jobs continue with the limit that was in force when they were submitted.
 	return max(1, j.Spec.MaxAttempts)
--- a/internal/ctrl/sched/advice.go
+++ b/internal/ctrl/sched/advice.go
@@ -43,13 +43,8 @@
 
 // needsPermit reports whether a job's queue requires advice.
 func (s *Scheduler) needsPermit(j *jobs.Job) bool {
-	c := s.currentConfiguration()
-	for i := range c.Queues {
-		if c.Queues[i].Key() == j.Spec.Queue {
-			return c.Queues[i].RequiresPermit
-		}
-	}
-	return false
+	q := s.currentConfiguration().Queue(j.Spec.Queue)
+	return q != nil && q.RequiresPermit
 }
 
 // permitTicket returns the ticket of a worker's permit for a step, or requests one.
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -58,11 +58,8 @@
 
 // poolOf returns the pool that runs a job's tasks under the current configuration.
 func (s *Scheduler) poolOf(j *jobs.Job) string {
-	c := s.currentConfiguration()
-	for i := range c.Queues {
-		if c.Queues[i].Key() == j.Spec.Queue {
-			return c.Queues[i].Pool
-		}
+	if q := s.currentConfiguration().Queue(j.Spec.Queue); q != nil {
+		return q.Pool
 	}
 	return j.Spec.Pool
 }
@@ -228,14 +225,9 @@
 
 // setOrderInputs computes a job's SLO and the inputs that order it among other jobs.
 func (s *Scheduler) setOrderInputs(job *activeJob) {
-	c := s.currentConfiguration()
 	slackFactor, targetMs := 1.0, int64(0)
-	for i := range c.Queues {
-		if q := &c.Queues[i]; q.Key() == job.state.Spec.Queue {
-			slackFactor, targetMs = q.SlackFactor, q.TargetLatencyMs
-			job.item.Priority = q.Priority
-			break
-		}
+	if q := s.currentConfiguration().Queue(job.state.Spec.Queue); q != nil {
+		slackFactor, targetMs, job.item.Priority = q.SlackFactor, q.TargetLatencyMs, q.Priority
 	}
 	var totalEstimateMs int64
 	for i := range job.state.Spec.Steps {
