Let the process tests listen where no connection takes their ports

The test chooses free ports on 127.0.0.1, from the range that outgoing connections of any process use; one took the port between choice and listen. The processes listen on a loopback host of the test's own now, where connections don't start.

--- a/internal/app/chaos/run_test.go
+++ b/internal/app/chaos/run_test.go
@@ -287,13 +287,20 @@
 	})
 }
 
+// processHost returns the loopback host on which this test's processes listen. Connections leave from 127.0.0.1, so that
+// none of them takes a port there before its process listens on it.
+func processHost() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.78.%d.%d", id>>8&0xff, id&0xff)
+}
+
 // freeAddresses reserves four loopback addresses.
 func freeAddresses(t *testing.T) [4]string {
 	t.Helper()
 	is := is.New(t)
 	var addresses [4]string
 	for i := 0; i < len(addresses); {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", processHost()+":0")
 		is.NoErr(err)
 		defer func() { is.NoErr(listener.Close()) }()
 		addresses[i] = listener.Addr().String()
