Keep the cost of a heartbeat independent of the backlog

Each heartbeat went through all jobs of its pool that wait, copied each job's list of ready tasks and tried each task: 4.4 ms at 3,000 jobs. A leader has half a core and about 1,000 heartbeats a second. Now a job, and the whole order, is passed over if the worker's free resources are less than the least that a ready task needs; a step that the worker can't run is tried once; the list is changed in place. The tick looks only at jobs with gangs or occurrences to come, and the lookup for jobs whose queue is gone, which showed nothing, is dropped from waiting_jobs_counted.

BenchmarkHeartbeat, before and after beside a load, us: 41 and 18 at a backlog of 10 jobs, 430 and 20 at 300, 2,040 and 31 at 1,000, 4,391 and 66 at 3,000; BenchmarkTick 423 and 7. TestBacklogOverloadsLeader failed before: 4,040 allocations against 79.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -25,7 +25,7 @@
 	orders := s.assignGangs(w, sequence)
 	q := s.queueOf(w.pool)
 	for _, job := range s.orderedJobs(q, now) {
-		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 {
+		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 || !w.free.Covers(q.leastNeed) {
 			break
 		}
 		if job.item.LongRunning && s.fleet.maintenanceDue(w) && s.fitsElsewhere(w, job, now) {
@@ -95,31 +95,43 @@
 
 // assignJob assigns the ready tasks of one job that fit a worker.
 func (s *Scheduler) assignJob(w *worker, q *poolQueue, job *activeJob, sequence uint64, now int64) []batch.StartOrder {
+	if !w.free.Covers(job.leastNeed) {
+		return nil
+	}
 	var orders []batch.StartOrder
-	left := job.ready[:0:0]
-	for i, id := range job.ready {
-		step := &job.state.Spec.Steps[id.Step]
-		ticket, ok := s.mayRun(w, job, id, step, now)
-		if len(orders) >= maxStartsPerReply {
-			left = append(left, job.ready[i:]...)
-			break
-		}
-		if !ok {
-			left = append(left, id)
-			continue
+	// refused is the last step of which the worker may run no task.
+	var refused stepKey
+	left := 0
+	for _, id := range job.ready {
+		key := stepOf(id)
+		if len(orders) < maxStartsPerReply && key != refused && s.abandonedUntilMs[id] <= now {
+			ticket, ok := s.mayRunStep(w, job, id, &job.state.Spec.Steps[id.Step], now)
+			if ok {
+				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
+				continue
+			}
+			refused = key
 		}
-		orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
+		job.ready[left] = id
+		left++
 	}
-	q.demand -= len(job.ready) - len(left)
-	job.ready = left
+	q.demand -= len(job.ready) - left
+	job.ready = job.ready[:left]
 	return orders
 }
 
 // mayRun reports whether a worker may run a task now, and with which ticket.
 func (s *Scheduler) mayRun(w *worker, job *activeJob, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
-	switch {
-	case s.abandonedUntilMs[id] > now:
+	if s.abandonedUntilMs[id] > now {
 		return "", false
+	}
+	return s.mayRunStep(w, job, id, step, now)
+}
+
+// mayRunStep reports whether a worker may run one more task of a step now, and with which ticket; it holds for any
+// task of the step.
+func (s *Scheduler) mayRunStep(w *worker, job *activeJob, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
+	switch {
 	case !w.free.Covers(step.ReservedResources()):
 		return "", false
 	case step.RequiredLabel != "" && !slices.Contains(w.labels, step.RequiredLabel):
--- /dev/null
+++ b/internal/ctrl/sched/bench_test.go
@@ -0,0 +1,110 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+
+	"cowslipstack/internal/ctrl/sched"
+	"cowslipstack/internal/model/batch"
+)
+
+const (
+	benchWorkers        = 61
+	benchTasksPerWorker = 7
+)
+
+// TestBacklogOverloadsLeader checks that a heartbeat costs the leader no more where a long backlog waits.
+func TestBacklogOverloadsLeader(t *testing.T) {
+	allocations := func(backlog int) float64 {
+		h := newBenchHarness(backlog)
+		return testing.AllocsPerRun(1000, func() { h.beat(0) })
+	}
+	short, long := allocations(10), allocations(1000)
+	if long > 2*short {
+		t.Errorf("a heartbeat allocates %.0f times with 1000 jobs waiting, %.0f times with 10", long, short)
+	}
+}
+
+// BenchmarkHeartbeat measures a heartbeat of a full worker that reports one end, while a backlog of jobs waits for its
+// pool.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, backlog := range []int{10, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("backlog=%d", backlog), func(b *testing.B) {
+			h := newBenchHarness(backlog)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				h.beat(i % benchWorkers)
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures a tick while a backlog of jobs waits.
+func BenchmarkTick(b *testing.B) {
+	h := newBenchHarness(3000)
+	for b.Loop() {
+		h.uptime.ms += sched.TickMs
+		h.scheduler.Tick()
+		h.log.commitAll()
+	}
+}
+
+// benchHarness drives a scheduler with workers that run what they are told and end their oldest task at each heartbeat.
+type benchHarness struct {
+	*harness
+	running [benchWorkers][]batch.Running
+	ended   [benchWorkers]uint64
+	beats   [benchWorkers]uint64
+	jobs    int
+	started int
+	backlog int
+}
+
+func newBenchHarness(backlog int) *benchHarness {
+	h := &benchHarness{harness: newHarness(), backlog: backlog}
+	h.call("configure", &batch.Call{Configure: &batch.Configuration{
+		Version: 1, Text: []byte("text"),
+		Queues: []batch.Queue{{Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 4, SlackFactor: 2, TargetLatencyMs: 3000, TimeoutMs: 3000}},
+		Pools:  []batch.Pool{{Name: "p", AdmissionCheck: true}},
+	}})
+	h.fill()
+	for w := range benchWorkers {
+		h.beat(w)
+	}
+	return h
+}
+
+// fill submits jobs until the backlog is as large as it should be.
+func (h *benchHarness) fill() {
+	for ; h.jobs*8-h.started < h.backlog*8; h.jobs++ {
+		h.scheduler.Call(&batch.Call{Submit: &batch.Submission{Host: "h", Path: fmt.Sprintf("/q/%016x", h.jobs), Job: batch.Job{
+			Text: "text", Steps: []batch.Step{{Count: 8, Need: batch.Resources{CPUMilli: 8100, MemoryMB: 9000}, EstimateMs: 640}},
+		}}}, func(batch.Reply) {})
+		h.log.commitAll()
+	}
+}
+
+// beat sends a worker's heartbeat: its oldest task has ended.
+func (h *benchHarness) beat(w int) {
+	h.beats[w]++
+	report := &batch.Heartbeat{
+		Worker: fmt.Sprintf("i-%010d", w), Incarnation: 1, Sequence: h.beats[w], Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", w),
+		Capacity: batch.Resources{CPUMilli: 64000, MemoryMB: 128000}, Labels: []string{"a", "r1"},
+	}
+	if len(h.running[w]) >= benchTasksPerWorker {
+		h.ended[w]++
+		oldest := h.running[w][0]
+		report.Ended = []batch.EndReport{{Number: h.ended[w], Task: oldest.Task, Attempt: oldest.Attempt, Kind: batch.EndDone}}
+		h.running[w] = h.running[w][1:]
+	}
+	report.Running = h.running[w]
+	h.scheduler.Call(&batch.Call{Heartbeat: report}, func(r batch.Reply) {
+		for _, s := range r.Orders.Start {
+			h.running[w] = append(h.running[w], batch.Running{Task: s.Task, Attempt: s.Attempt, Percent: 10})
+			h.started++
+		}
+	})
+	h.log.commitAll()
+	h.uptime.ms++
+	h.fill()
+}
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -139,7 +139,7 @@
 	if q == nil || rest != "" {
 		return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}
 	}
-	return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q.Key())}
+	return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q)}
 }
 
 func (s *Scheduler) configure(c *batch.Configuration, reply func(batch.Reply)) {
--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -38,7 +38,7 @@
 			delete(s.gangs, key)
 		}
 	}
-	for _, job := range s.jobs {
+	for _, job := range s.gangJobs {
 		for stepIndex := range job.state.Spec.Steps {
 			if !job.state.Spec.Steps[stepIndex].Gang {
 				continue
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/plan/order"
@@ -18,6 +20,8 @@
 	item    order.Item
 	// ready are the tasks that could start now, except those of gangs.
 	ready []batch.TaskID
+	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
+	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
 	copyable []batch.TaskID
 	// readyResources and runningResources are what ready and started tasks reserve, nextResources what the tasks of
@@ -40,6 +44,8 @@
 	// end.
 	order    []*activeJob
 	sortedMs int64
+	// leastNeed is a lower bound of what a ready task of these jobs reserves, in each dimension.
+	leastNeed batch.Resources
 	// demand is the number of ready tasks, and copyable the number of tasks of which a speculative copy may run.
 	demand, copyable int
 }
@@ -76,6 +82,8 @@
 			s.learnWork(old)
 			s.removeJob(old)
 			delete(s.jobs, id)
+			delete(s.gangJobs, id)
+			delete(s.scheduledJobs, id)
 			// The pool's order may still contain it, so its ready tasks are cleared.
 			old.ready = nil
 		}
@@ -100,6 +108,20 @@
 		s.queueOf(pool).copyable += len(updated.copyable)
 	}
 	s.enqueue(s.jobs[id])
+	s.trackJob(s.jobs[id])
+}
+
+// trackJob notes whether a job has gangs to plan, or an occurrence that is still to become due.
+func (s *Scheduler) trackJob(job *activeJob) {
+	id := job.state.Spec.ID
+	if slices.ContainsFunc(job.state.Spec.Steps, func(step batch.Step) bool { return step.Gang }) {
+		s.gangJobs[id] = job
+	}
+	if job.nextDueMs > 0 {
+		s.scheduledJobs[id] = job
+	} else {
+		delete(s.scheduledJobs, id)
+	}
 }
 
 // removeJob removes a job from its pool's queue.
@@ -110,13 +132,27 @@
 	q.copyable -= len(job.copyable)
 }
 
-// enqueue appends a job with ready tasks to its pool's order; the next sort moves it to its place.
+// enqueue appends a job with ready tasks to its pool's order, unless it stands there; the next sort moves it to its
+// place.
 func (s *Scheduler) enqueue(job *activeJob) {
-	if len(job.ready) > 0 && !job.queued {
+	if len(job.ready) == 0 {
+		return
+	}
+	q := s.queueOf(job.pool)
+	if !job.queued {
 		job.queued = true
-		q := s.queueOf(job.pool)
 		q.order = append(q.order, job)
 	}
+	q.noteNeed(job)
+}
+
+// noteNeed lowers the least need to that of a job in the order.
+func (q *poolQueue) noteNeed(job *activeJob) {
+	if len(q.order) == 1 {
+		q.leastNeed = job.leastNeed
+		return
+	}
+	q.leastNeed = q.leastNeed.Min(job.leastNeed)
 }
 
 // describeJob computes which tasks of a job could start, and its scheduling inputs.
@@ -182,12 +218,21 @@
 		}
 		job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
 		if !step.Gang {
-			job.ready = append(job.ready, id)
+			job.addReady(id, step.ReservedResources())
 		}
 	}
 	return dependenciesMs + taskMs
 }
 
+// addReady adds a task that could start and what it reserves.
+func (job *activeJob) addReady(id batch.TaskID, need batch.Resources) {
+	if len(job.ready) == 0 {
+		job.leastNeed = need
+	}
+	job.leastNeed = job.leastNeed.Min(need)
+	job.ready = append(job.ready, id)
+}
+
 // resourcesOf returns the resources that a number of a step's tasks reserve.
 func resourcesOf(step *batch.Step, count int) pools.Resources {
 	reserved := step.ReservedResources()
@@ -246,12 +291,14 @@
 	}
 	clear(q.order)
 	q.order, q.sortedMs = q.order[:0], now
+	wallMs := s.wallMs()
 	for _, job := range q.jobs {
 		if job.queued = len(job.ready) > 0; !job.queued {
 			continue
 		}
-		job.item.SlackMs = job.state.Spec.AcceptedMs + job.objectiveMs - job.criticalPathMs - s.wallMs()
+		job.item.SlackMs = job.state.Spec.AcceptedMs + job.objectiveMs - job.criticalPathMs - wallMs
 		q.order = append(q.order, job)
+		q.noteNeed(job)
 	}
 	order.Sort(q.order, func(job *activeJob) *order.Item { return &job.item })
 	return q.order
@@ -260,8 +307,8 @@
 // openDueOccurrences refreshes jobs with an occurrence that has become due.
 func (s *Scheduler) openDueOccurrences() {
 	now := s.wallMs()
-	for id, job := range s.jobs {
-		if job.nextDueMs > 0 && now >= job.nextDueMs-earlyStartMs {
+	for id, job := range s.scheduledJobs {
+		if now >= job.nextDueMs-earlyStartMs {
 			s.refreshJob(id)
 		}
 	}
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -84,6 +84,8 @@
 	workerByAddress map[string]string
 	queues          map[string]*poolQueue
 	jobs            map[string]*activeJob
+	// gangJobs are the jobs with gangs, and scheduledJobs those with an occurrence that is still to become due.
+	gangJobs, scheduledJobs map[string]*activeJob
 	// starting holds the tasks whose start is proposed and not yet applied.
 	starting map[batch.TaskID]bool
 	// startingWorker holds the workers of these tasks.
@@ -108,6 +110,7 @@
 	s.active, s.formerStopsUntilMs = false, 0
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
+	s.gangJobs, s.scheduledJobs = map[string]*activeJob{}, map[string]*activeJob{}
 	s.stopping, s.abandonedUntilMs = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits = newFleetView(), newPermits()
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -23,8 +23,8 @@
 	oldestMs int64
 }
 
-// add counts a job if it waits.
-func (c *waitingJobs) add(s *Scheduler, j *jobs.Job) {
+// add counts a job if it waits at a time in Unix milliseconds.
+func (c *waitingJobs) add(j *jobs.Job, wallMs int64) {
 	switch {
 	case j.Phase != batch.PhaseQueued:
 		return
@@ -33,7 +33,7 @@
 	default:
 		c.unordered++
 	}
-	c.oldestMs = max(c.oldestMs, s.wallMs()-max(j.Spec.AcceptedMs, j.Spec.DueMs(0)))
+	c.oldestMs = max(c.oldestMs, wallMs-max(j.Spec.AcceptedMs, j.Spec.DueMs(0)))
 }
 
 func (c *waitingJobs) count() int {
@@ -64,20 +64,18 @@
 }
 
 // countWaiting counts the waiting jobs of a queue, and logs what the count was based on.
-func (s *Scheduler) countWaiting(key batch.QueueKey) int {
+func (s *Scheduler) countWaiting(queue *batch.Queue) int {
 	var waiting waitingJobs
-	active, withoutQueue := 0, 0
+	key, wallMs, active := queue.Key(), s.wallMs(), 0
 	for _, job := range s.jobs {
 		if job.state.Spec.Queue == key {
 			active++
-			waiting.add(s, job.state)
-		} else if job.waiting && s.currentConfiguration().Queue(job.state.Spec.Queue) == nil {
-			withoutQueue++
+			waiting.add(job.state, wallMs)
 		}
 	}
-	s.options.Logger.Info("waiting_jobs_counted", zap.String("host", key.Host), zap.String("path", key.Prefix),
+	s.options.Logger.Info("waiting_jobs_counted", zap.String("host", queue.Host), zap.String("path", queue.Prefix),
 		zap.Int("unordered", waiting.unordered), zap.Int("ordered", waiting.ordered), zap.Int64("oldest_ms", waiting.oldestMs),
-		zap.Int("active", active), zap.Int("without_queue", withoutQueue),
+		zap.Int("active", active),
 		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term),
 		zap.Int64("confirmed_ms_ago", s.now()-s.leadership.confirmedMs))
 	return waiting.count()
@@ -89,10 +87,11 @@
 		return
 	}
 	s.waitingCountedMs = now
+	wallMs := s.wallMs()
 	for _, p := range s.currentConfiguration().Pools {
 		var waiting waitingJobs
 		for _, job := range s.queueOf(p.Name).jobs {
-			waiting.add(s, job.state)
+			waiting.add(job.state, wallMs)
 		}
 		setWaitingGauges(p.Name, waiting)
 	}
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -110,6 +110,14 @@
 	return need.CPUMilli <= c.CPUMilli && need.MemoryMB <= c.MemoryMB && need.Accelerators <= c.Accelerators
 }
 
+// Min returns the smaller amount of c and other in each dimension.
+func (c Resources) Min(other Resources) Resources {
+	return Resources{
+		CPUMilli: min(c.CPUMilli, other.CPUMilli), MemoryMB: min(c.MemoryMB, other.MemoryMB),
+		Accelerators: min(c.Accelerators, other.Accelerators),
+	}
+}
+
 // Sub returns c minus need; dimensions may become negative.
 func (c Resources) Sub(need Resources) Resources {
 	return Resources{
