Refuse calls that waited too long for the leader

A leader that falls behind worked through calls whose callers had left: it ordered tasks in replies that came too late, counted the delay of a reply only from when it began, and so stayed late long after a burst.

Each call carries when it arrived. Operators' calls and cancellations are handled all the same. The delay of a heartbeat's reply counts from its arrival.

The script overload-orders-in-vain holds it; the process that forwards a call passes the refusal on, but tells that an earlier attempt may have run.

--- a/internal/app/site/local.go
+++ b/internal/app/site/local.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/ctrl/member"
 	"cowslipstack/internal/ctrl/sched"
@@ -19,6 +20,7 @@
 type local struct {
 	loop      *loop.Loop
 	scheduler *sched.Scheduler
+	uptime    clock.Uptime
 }
 
 // Do executes a call on the control loop and waits for its reply. Errors mean that the outcome is unknown.
@@ -27,7 +29,8 @@
 		return batch.Reply{Code: batch.CodeNotRun, Detail: "this process has no disk"}, nil
 	}
 	replies := make(chan batch.Reply, 1)
-	execute := func() { l.scheduler.Call(c, func(r batch.Reply) { replies <- r }) }
+	arrivedMs := l.uptime.Milliseconds()
+	execute := func() { l.scheduler.Call(c, arrivedMs, func(r batch.Reply) { replies <- r }) }
 	if err := l.loop.Post(ctx, execute); err != nil {
 		return batch.Reply{Code: batch.CodeNotRun, Detail: err.Error()}, nil
 	}
--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -156,8 +156,8 @@
 	})
 }
 
-func newLocal(l *loop.Loop, s *sched.Scheduler) *local {
-	return &local{loop: l, scheduler: s}
+func newLocal(l *loop.Loop, s *sched.Scheduler, u clock.Uptime) *local {
+	return &local{loop: l, scheduler: s, uptime: u}
 }
 
 func newPeerHandler(l *loop.Loop, r *replica, m *member.Membership, own *local, u clock.Uptime, in *inbox, logger *zap.Logger) *peerHandler {
--- a/internal/ctrl/sched/bench_test.go
+++ b/internal/ctrl/sched/bench_test.go
@@ -79,7 +79,7 @@
 	for ; h.jobs*8-h.started < h.backlog*8; h.jobs++ {
 		h.scheduler.Call(&batch.Call{Submit: &batch.Submission{Host: "h", Path: fmt.Sprintf("/q/%016x", h.jobs), Job: batch.Job{
 			Text: "text", Steps: []batch.Step{{Count: 8, Need: batch.Resources{CPUMilli: 8100, MemoryMB: 9000}, EstimateMs: 640}},
-		}}}, func(batch.Reply) {})
+		}}}, h.uptime.ms, func(batch.Reply) {})
 		h.log.commitAll()
 	}
 }
@@ -98,7 +98,7 @@
 		h.running[w] = h.running[w][1:]
 	}
 	report.Running = h.running[w]
-	h.scheduler.Call(&batch.Call{Heartbeat: report}, func(r batch.Reply) {
+	h.scheduler.Call(&batch.Call{Heartbeat: report}, h.uptime.ms, func(r batch.Reply) {
 		for _, s := range r.Orders.Start {
 			h.running[w] = append(h.running[w], batch.Running{Task: s.Task, Attempt: s.Attempt, Percent: 10})
 			h.started++
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -10,8 +10,9 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// Call handles a call of a caller, an operator or a worker; reply is called once, on the control loop.
-func (s *Scheduler) Call(c *batch.Call, reply func(batch.Reply)) {
+// Call handles a call of a caller, an operator or a worker that arrived at an uptime in milliseconds; reply is called
+// once, on the control loop.
+func (s *Scheduler) Call(c *batch.Call, arrivedMs int64, reply func(batch.Reply)) {
 	if !s.active {
 		reply(batch.Reply{Code: batch.CodeNotRun, Detail: "this process does not lead"})
 		return
@@ -20,6 +21,10 @@
 		reply(batch.Reply{Code: batch.CodeNotRun, Detail: "too few replicas vote yet"})
 		return
 	}
+	if s.now()-arrivedMs > maxQueuedMs && c.Sheddable() {
+		s.shed(c, arrivedMs, reply)
+		return
+	}
 	switch {
 	case c.Submit != nil:
 		s.submit(c.Submit, reply)
@@ -30,7 +35,7 @@
 	case c.Pending != nil:
 		s.replyWhenConfirmed(reply, func() batch.Reply { return s.pendingJobs(c.Pending) })
 	case c.Heartbeat != nil:
-		s.handleHeartbeat(c.Heartbeat, reply)
+		s.handleHeartbeat(c.Heartbeat, arrivedMs, reply)
 	case c.Deregister != nil:
 		s.handleDeregistration(c.Deregister, reply)
 	case c.Configure != nil:
@@ -48,6 +53,19 @@
 	}
 }
 
+// shed refuses a call that waited too long for the control loop: what its caller still waits for would come too late.
+// A worker's heartbeat is acknowledged, so that the worker doesn't call another process at once; it grants no lease.
+func (s *Scheduler) shed(c *batch.Call, arrivedMs int64, reply func(batch.Reply)) {
+	callsShedTotal.Inc()
+	s.options.Logger.Info("call_shed", zap.Int64("queued_ms", s.now()-arrivedMs), zap.Bool("heartbeat", c.Heartbeat != nil),
+		zap.Uint64("term", s.term))
+	if c.Heartbeat != nil {
+		reply(batch.Reply{Code: batch.CodeOK, Orders: batch.Orders{NextHeartbeatMs: overloadHeartbeatMs}})
+		return
+	}
+	reply(batch.Reply{Code: batch.CodeOverloaded, Detail: "the leader is behind"})
+}
+
 // replyWhenConfirmed replies from the replicated state once the leadership is confirmed.
 func (s *Scheduler) replyWhenConfirmed(reply func(batch.Reply), answer func() batch.Reply) {
 	s.whenConfirmed(func(ok bool) {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -8,8 +8,9 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// handleHeartbeat applies a worker's report and replies with orders once the changes behind them are committed.
-func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, reply func(batch.Reply)) {
+// handleHeartbeat applies a worker's report that arrived at an uptime in milliseconds, and replies with orders once the
+// changes behind them are committed.
+func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, arrivedMs int64, reply func(batch.Reply)) {
 	w := s.workerOf(h.Worker)
 	now := s.now()
 	if !s.acceptHeartbeat(w, h, now) {
@@ -24,7 +25,6 @@
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
 	lease := withClockDrift(s.workerLeaseMs())
-	received := now
 	if len(orders.Start) > 0 {
 		w.leaseEndMs = max(w.leaseEndMs, now+lease)
 	}
@@ -39,7 +39,7 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-received > maxReplyDelayMs {
+			if s.now()-arrivedMs > maxReplyDelayMs {
 				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed.
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -20,6 +20,10 @@
 	maxProposalsInFlight = 2
 	// maxReplyDelayMs is how long a heartbeat reply may wait for its command; the worker drops later replies.
 	maxReplyDelayMs = 700
+	// maxQueuedMs is how long a call may wait for the control loop; the process that forwarded it gives up soon after.
+	maxQueuedMs = 400
+	// overloadHeartbeatMs is the heartbeat interval of workers whose heartbeat a leader that is behind didn't handle.
+	overloadHeartbeatMs = 500
 	// demandHeartbeatMs is the heartbeat interval of workers whose pool has ready tasks, and busyHeartbeatMs that
 	// of others that run tasks.
 	demandHeartbeatMs = 100
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -15,6 +15,7 @@
 	leaseExpiriesTotal = metrics.NewCounter("cowslip_worker_lapses_total")
 	movesTotal         = metrics.NewCounter("cowslip_vm_moves_total")
 	maintainedTotal    = metrics.NewCounter("cowslip_vm_maintained_total")
+	callsShedTotal     = metrics.NewCounter("cowslip_calls_shed_total")
 	commandsLostTotal  = metrics.NewCounter("cowslip_records_lost_total")
 )
 
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -74,6 +74,8 @@
 	replies         []string
 	sequence        map[string]uint64
 	hasEnoughVoters bool
+	// queuedMs is how long calls have waited for the control loop when they are handled.
+	queuedMs int64
 }
 
 func newHarness() *harness {
@@ -109,7 +111,7 @@
 
 // call makes a call and records its reply once it arrives.
 func (h *harness) call(name string, c *batch.Call) {
-	h.scheduler.Call(c, func(r batch.Reply) { h.replies = append(h.replies, name+": "+describe(r)) })
+	h.scheduler.Call(c, h.uptime.ms-h.queuedMs, func(r batch.Reply) { h.replies = append(h.replies, name+": "+describe(r)) })
 	h.log.commitAll()
 }
 
@@ -209,6 +211,8 @@
 		h.call("cancel", &batch.Call{Cancel: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
 	case "state":
 		h.call("state", &batch.Call{JobState: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
+	case "queue-delay":
+		h.queuedMs = intArg(t, d, "ms", 0)
 	case "count-waiting":
 		h.countWaiting()
 	case "heartbeat":
@@ -255,7 +259,7 @@
 
 // countWaiting asks how many jobs of the queue wait.
 func (h *harness) countWaiting() {
-	h.scheduler.Call(&batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: "/q/"}}, func(r batch.Reply) {
+	h.scheduler.Call(&batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: "/q/"}}, h.uptime.ms-h.queuedMs, func(r batch.Reply) {
 		h.replies = append(h.replies, fmt.Sprintf("%s; %d jobs wait", r.Code, r.Pending))
 	})
 	h.log.commitAll()
@@ -269,7 +273,7 @@
 // inspect queries the scheduler and prints each part of the answer on its own line.
 func (h *harness) inspect(d *datadriven.TestData) {
 	query := &batch.InspectRequest{Topic: topics[stringArg(d, "topic", "")], Job: jobID(stringArg(d, "job", "a"))}
-	h.scheduler.Call(&batch.Call{Inspect: query}, func(r batch.Reply) {
+	h.scheduler.Call(&batch.Call{Inspect: query}, h.uptime.ms, func(r batch.Reply) {
 		if r.Inspection == nil {
 			h.replies = append(h.replies, describe(r)+" "+r.Detail)
 			return
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -111,6 +111,10 @@
 	worst := batch.Reply{Code: batch.CodeNotRun, Detail: "no leader is known"}
 	for {
 		reply, sent := p.attempt(ctx, c)
+		if reply.Code == batch.CodeOverloaded && worst.Code == batch.CodeUnknown {
+			// An earlier attempt may have run.
+			return worst
+		}
 		if reply.Code != batch.CodeNotRun && reply.Code != batch.CodeUnknown {
 			return reply
 		}
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -35,6 +35,8 @@
 		return batch.Reply{Code: batch.CodeOK}, nil
 	case "not_leading":
 		return batch.Reply{Code: batch.CodeNotRun, Detail: "this process does not lead"}, nil
+	case "overloaded":
+		return batch.Reply{Code: batch.CodeOverloaded, Detail: "the leader is behind"}, nil
 	case "not_sent":
 		return batch.Reply{}, errors.Mark(errors.New("no connection"), proxy.ErrNotSent)
 	default:
--- a/internal/model/batch/call.go
+++ b/internal/model/batch/call.go
@@ -16,6 +16,9 @@
 	CodeNotRun // not_run
 	// CodeUnknown means that the call may or may not have been done.
 	CodeUnknown // unknown
+	// CodeOverloaded means that nothing was done and nothing will be, because the leader is behind; the call may be
+	// retried later.
+	CodeOverloaded // overloaded
 )
 
 // Call is one call on the leader; exactly one field is set.
@@ -44,6 +47,12 @@
 	Inspect *InspectRequest
 }
 
+// Sheddable reports whether a leader that is behind may refuse the call: one of those that come in great numbers, and
+// that is made again or followed by another.
+func (c *Call) Sheddable() bool {
+	return c.Submit != nil || c.JobState != nil || c.Pending != nil || c.Heartbeat != nil
+}
+
 // Deregistration names a worker, and the incarnation of it, that leaves for good.
 type Deregistration struct {
 	// Worker is the worker's identity.
--- a/internal/model/batch/enums_gen.go
+++ b/internal/model/batch/enums_gen.go
@@ -61,11 +61,12 @@
 	_ = x[CodeInvalid-4]
 	_ = x[CodeNotRun-5]
 	_ = x[CodeUnknown-6]
+	_ = x[CodeOverloaded-7]
 }
 
-const _Code_name = "oknot_foundgoneinvalidnot_rununknown"
+const _Code_name = "oknot_foundgoneinvalidnot_rununknownoverloaded"
 
-var _Code_index = [...]uint8{0, 2, 11, 15, 22, 29, 36}
+var _Code_index = [...]uint8{0, 2, 11, 15, 22, 29, 36, 46}
 
 func (i Code) String() string {
 	idx := int(i) - 1
--- a/internal/wire/serve/batch.go
+++ b/internal/wire/serve/batch.go
@@ -26,7 +26,7 @@
 // batchCodes maps reply codes other than CodeOK to Connect codes.
 var batchCodes = map[batch.Code]connect.Code{
 	batch.CodeNotFound: connect.CodeNotFound, batch.CodeGone: connect.CodeNotFound, batch.CodeInvalid: connect.CodeInvalidArgument,
-	batch.CodeNotRun: connect.CodeUnavailable, batch.CodeUnknown: connect.CodeUnknown,
+	batch.CodeNotRun: connect.CodeUnavailable, batch.CodeUnknown: connect.CodeUnknown, batch.CodeOverloaded: connect.CodeUnavailable,
 }
 
 // Inspect returns the leader's state of a topic.
