Drop the start of a copy whose task ends in the same command

The leader ordered a copy of a straggler and, before that command was proposed, heard that the task was done: Apply takes the ends of a command first, and took the start for a mistake. The start did nothing, and the order was left out of the reply; only the error was wrong. A start of a task that is done is passed over now, and the invariant is on the number alone.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -75,11 +75,12 @@
 
 func (m *StateMachine) startAttempt(start *batch.AttemptStart) {
 	j, t := m.FindTask(start.Task)
-	if t == nil || j.Phase.IsTerminal() {
+	if t == nil || t.Done || j.Phase.IsTerminal() {
+		// The task ended in this command or before: a copy is not needed any more.
 		return
 	}
-	if !check.That(!t.Done && start.Attempt > t.LastAttempt, "attempts_only_rise",
-		zap.String("job", start.Task.Job), zap.Int("attempt", start.Attempt), zap.Int("held", t.LastAttempt), zap.Bool("done", t.Done)) {
+	if !check.That(start.Attempt > t.LastAttempt, "attempts_only_rise",
+		zap.String("job", start.Task.Job), zap.Int("attempt", start.Attempt), zap.Int("held", t.LastAttempt)) {
 		return
 	}
 	t.LastAttempt = start.Attempt
