Take waiting jobs along when their queue changes its pool

The view of all jobs is made again after a change of the configuration, with the queues' new priorities and objectives. The script configurations-pool-change failed before: the worker of the old pool got the job.

--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"maps"
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -94,6 +97,8 @@
 	fleet          fleetView
 	permits        permits
 	estimates      estimates
+	// viewVersion is the version of the configuration by which the view of all jobs was last refreshed.
+	viewVersion uint64
 	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
 	waitingCountedMs int64
 }
@@ -169,6 +174,7 @@
 		}
 	}
 	machine.TakeChanged()
+	s.viewVersion = machine.State().Configuration.Version
 	for id := range machine.Jobs() {
 		s.refreshJob(id)
 	}
@@ -201,9 +207,15 @@
 	}
 }
 
-// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed.
+// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed: all jobs after a
+// change of the configuration, which may name other pools and priorities.
 func (s *Scheduler) refreshChangedJobs() {
-	for _, id := range s.options.Log.Batch().TakeChanged() {
+	changed := s.options.Log.Batch().TakeChanged()
+	if version := s.currentConfiguration().Version; version != s.viewVersion {
+		s.viewVersion = version
+		changed = slices.AppendSeq(changed, maps.Keys(s.jobs))
+	}
+	for _, id := range changed {
 		s.refreshJob(id)
 	}
 }
