Refuse jobs whose numbers overflow

Operators of like systems report one odd entry with a number too large on which the machines ended again and again. Cause: Job.Check multiplied and added without a bound. Change: tasks are counted down from what is allowed; a step's needs, its estimate and a job's due times have upper bounds.

--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -147,6 +147,10 @@
 	maxTextBytes = 4000
 	// maxTasks bounds the tasks of one job over all occurrences.
 	maxTasks = 20000
+	// maxNeed bounds each amount that one task needs, far above any VM: sums over all jobs stay within 64 bits.
+	maxNeed = 1_000_000_000
+	// maxSpanMs bounds times and durations, in milliseconds: the year 9999.
+	maxSpanMs = 253_402_300_799_999
 )
 
 // ValidID reports whether id has the form of a job's identity: 16 hexadecimal digits in either case.
@@ -186,21 +190,46 @@
 	if len(j.Steps) == 0 {
 		return errors.New("the job has no steps")
 	}
-	tasks := 0
+	if err := j.checkTimes(); err != nil {
+		return err
+	}
+	tasksLeft := maxTasks / j.Occurrences()
 	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.Count < 1 || s.Need.CPUMilli < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
-			return errors.Newf("step %d has a count below 1 or a need below 0", i)
+		if err := j.Steps[i].check(i); err != nil {
+			return err
 		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return errors.Newf("step %d comes after step %d, which is no earlier one", i, a)
-			}
+		if j.Steps[i].Count > tasksLeft {
+			return errors.Newf("the job has more tasks than the %d that are allowed", maxTasks)
 		}
-		tasks += s.Count
+		tasksLeft -= j.Steps[i].Count
+	}
+	return nil
+}
+
+// checkTimes returns an error if an occurrence would be due outside the range of times.
+func (j *Job) checkTimes() error {
+	if j.RunCount <= 0 {
+		return nil
+	}
+	if max(j.FirstDueMs, j.IntervalMs) > maxSpanMs || min(j.FirstDueMs, j.IntervalMs) < 0 {
+		return errors.Newf("the job is due at %d ms and every %d ms; 0 to %d are allowed", j.FirstDueMs, j.IntervalMs, int64(maxSpanMs))
 	}
-	if tasks*j.Occurrences() > maxTasks {
-		return errors.Newf("the job has %d tasks; %d are allowed", tasks*j.Occurrences(), maxTasks)
+	return nil
+}
+
+// check returns an error that says why a step can't be accepted as the one with an index, or nil.
+func (s *Step) check(index int) error {
+	need := s.Need
+	if s.Count < 1 || min(need.CPUMilli, need.MemoryMB, need.Accelerators) < 0 {
+		return errors.Newf("step %d has a count below 1 or a need below 0", index)
+	}
+	if max(need.CPUMilli, need.MemoryMB, need.Accelerators) > maxNeed || s.EstimateMs > maxSpanMs {
+		return errors.Newf("step %d needs more than %d of a resource or more than %d ms", index, maxNeed, int64(maxSpanMs))
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return errors.Newf("step %d comes after step %d, which is no earlier one", index, a)
+		}
 	}
 	return nil
 }
