Keep large numbers large between processes and in the log

Cause: the codec of batch calls and log entries cut numbers to 32 bits. Change: a number that doesn't fit in 32 bits becomes the nearest that does, so that the checks of jobs refuse it and no task has its index.

--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"cowslipstack/internal/ctrl/jobs"
@@ -19,12 +20,12 @@
 	}
 	for _, e := range c.Ends {
 		w.Ends = append(w.Ends, &peer.BatchEnd{
-			Task: taskIDToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
+			Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
 		})
 	}
 	for _, s := range c.Starts {
 		w.Starts = append(w.Starts, &peer.BatchStart{
-			Task: taskIDToWire(s.Task), Attempt: int32(s.Attempt), Worker: s.Worker, Incarnation: s.Incarnation, Sequence: s.Sequence,
+			Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt), Worker: s.Worker, Incarnation: s.Incarnation, Sequence: s.Sequence,
 		})
 	}
 	if c.Wave != nil {
@@ -71,7 +72,7 @@
 	w := &peer.BatchConfiguration{Version: c.Version, Text: c.Text}
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &peer.BatchQueue{
-			Host: q.Host, Prefix: q.Prefix, Pool: q.Pool, Priority: int32(q.Priority), MaxAttempts: int32(q.MaxAttempts),
+			Host: q.Host, Prefix: q.Prefix, Pool: q.Pool, Priority: intToWire(q.Priority), MaxAttempts: intToWire(q.MaxAttempts),
 			SlackFactor: q.SlackFactor, TargetLatencyMs: q.TargetLatencyMs, TimeoutMs: q.TimeoutMs, Advised: q.RequiresPermit,
 		})
 	}
@@ -99,20 +100,20 @@
 
 func batchJobToWire(j *batch.Job) *peer.BatchJob {
 	w := &peer.BatchJob{
-		Id: j.ID, Host: j.Queue.Host, Prefix: j.Queue.Prefix, Pool: j.Pool, Text: j.Text, Times: int32(j.RunCount),
-		FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, MaxAttempts: int32(j.MaxAttempts),
+		Id: j.ID, Host: j.Queue.Host, Prefix: j.Queue.Prefix, Pool: j.Pool, Text: j.Text, Times: intToWire(j.RunCount),
+		FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, MaxAttempts: intToWire(j.MaxAttempts),
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		step := &peer.BatchStep{
-			Count: int32(s.Count), CpuMilli: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
+			Count: intToWire(s.Count), CpuMilli: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
 			EstimateMs: s.EstimateMs, Checkpointing: s.Checkpointing, Gang: s.Gang, SameRack: s.SameRack,
-			RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, PerWorker: int32(s.MaxPerWorker), Speculative: s.Speculative,
+			RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, PerWorker: intToWire(s.MaxPerWorker), Speculative: s.Speculative,
 			LongRunning: s.LongRunning, Image: s.Image, TailTargetMs: s.TailLatencyTargetMs, Fills: s.BestEffort,
-			AllowedMisses: int32(s.MaxUnavailable),
+			AllowedMisses: intToWire(s.MaxUnavailable),
 		}
 		for _, a := range s.After {
-			step.After = append(step.After, int32(a))
+			step.After = append(step.After, intToWire(a))
 		}
 		w.Steps = append(w.Steps, step)
 	}
@@ -143,7 +144,7 @@
 }
 
 func taskIDToWire(t batch.TaskID) *peer.BatchTask {
-	return &peer.BatchTask{Job: t.Job, Occurrence: int32(t.Occurrence), Step: int32(t.Step), Index: int32(t.Index)}
+	return &peer.BatchTask{Job: t.Job, Occurrence: intToWire(t.Occurrence), Step: intToWire(t.Step), Index: intToWire(t.Index)}
 }
 
 func taskIDFromWire(w *peer.BatchTask) batch.TaskID {
@@ -154,7 +155,7 @@
 
 func batchWaveToWire(w *batch.Wave) *peer.BatchWave {
 	return &peer.BatchWave{
-		Id: w.ID, Vms: w.VMs, DurationMs: w.DurationMs, MostAtOnce: int32(w.MaxConcurrent),
+		Id: w.ID, Vms: w.VMs, DurationMs: w.DurationMs, MostAtOnce: intToWire(w.MaxConcurrent),
 		AcceptedMs: w.AcceptedMs, Begun: w.Begun,
 	}
 }
@@ -186,16 +187,16 @@
 		j := s.Jobs[id]
 		job := &peer.BatchJobState{Job: batchJobToWire(&j.Spec), Phase: uint32(j.Phase), EndedMs: j.EndedMs}
 		for _, f := range j.GangFailures {
-			job.GangFailures = append(job.GangFailures, int32(f))
+			job.GangFailures = append(job.GangFailures, intToWire(f))
 		}
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
-				Attempt: int32(t.LastAttempt), Failures: int32(t.Failures), Done: t.Done, Begun: t.Started, Checkpoint: t.Checkpoint,
+				Attempt: intToWire(t.LastAttempt), Failures: intToWire(t.Failures), Done: t.Done, Begun: t.Started, Checkpoint: t.Checkpoint,
 			}
 			for _, r := range t.Attempts {
 				task.Runs = append(task.Runs, &peer.BatchRun{
-					Attempt: int32(r.Number), Worker: r.Worker, Incarnation: r.Incarnation, Sequence: r.Sequence,
+					Attempt: intToWire(r.Number), Worker: r.Worker, Incarnation: r.Incarnation, Sequence: r.Sequence,
 				})
 			}
 			job.Tasks = append(job.Tasks, task)
@@ -243,3 +244,8 @@
 	}
 	return s
 }
+
+// intToWire encodes a number in 32 bits; one that doesn't fit becomes the nearest that does.
+func intToWire(n int) int32 {
+	return int32(min(max(n, math.MinInt32), math.MaxInt32))
+}
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -73,12 +73,12 @@
 	}
 	for _, r := range h.Running {
 		w.Running = append(w.Running, &peer.LinkRunning{
-			Task: taskIDToWire(r.Task), Attempt: int32(r.Attempt), Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Load: r.Load,
+			Task: taskIDToWire(r.Task), Attempt: intToWire(r.Attempt), Checkpoint: r.Checkpoint, Percent: intToWire(r.Percent), Load: r.Load,
 		})
 	}
 	for _, e := range h.Ended {
 		w.Ended = append(w.Ended, &peer.LinkEnded{
-			Number: e.Number, Task: taskIDToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint,
+			Number: e.Number, Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint,
 		})
 	}
 	return w
@@ -118,15 +118,15 @@
 	}
 	for _, s := range o.Start {
 		w.Orders.Start = append(w.Orders.Start, &peer.LinkStart{
-			Task: taskIDToWire(s.Task), Attempt: int32(s.Attempt), Text: s.Text, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt), Text: s.Text, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
 	}
 	for _, s := range o.Stop {
-		w.Orders.Stop = append(w.Orders.Stop, &peer.LinkStop{Task: taskIDToWire(s.Task), Attempt: int32(s.Attempt)})
+		w.Orders.Stop = append(w.Orders.Stop, &peer.LinkStop{Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt)})
 	}
 	for _, p := range o.Pace {
 		w.Orders.Pace = append(w.Orders.Pace, &peer.LinkPace{
-			Task: taskIDToWire(p.Task), Attempt: int32(p.Attempt), Percent: int32(p.Percent),
+			Task: taskIDToWire(p.Task), Attempt: intToWire(p.Attempt), Percent: intToWire(p.Percent),
 		})
 	}
 	return w
