Let a call that can't be encoded fail alone

Cause: a frame that could not be encoded ended the connection to the other process, and with it every call in progress there: heartbeats of workers, which aren't retried, and messages of the log. A caller's GET of a path with a byte that isn't UTF-8 (/q/%ff) did that at each process that doesn't lead; the call itself got no answer until its deadline (in the test "the other process didn't answer" after 30 s) and was retried until then. Change: such a frame is logged, its call fails with ErrNotEncoded, and the connection stays; site answers such a call as invalid.

--- a/internal/app/site/local.go
+++ b/internal/app/site/local.go
@@ -50,6 +50,9 @@
 	if errors.Is(err, link.ErrNotSent) {
 		return batch.Reply{}, errors.Mark(err, proxy.ErrNotSent)
 	}
+	if errors.Is(err, link.ErrNotEncoded) {
+		return batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()}, nil
+	}
 	if err != nil {
 		return batch.Reply{}, err
 	}
--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -19,6 +19,8 @@
 	ErrNotSent = errors.New("the other process can't be reached")
 	// ErrNoAnswer reports that a request may have been sent and that no response came.
 	ErrNoAnswer = errors.New("the other process didn't answer")
+	// ErrNotEncoded reports that a request can't be encoded, so that no attempt to send it can succeed.
+	ErrNotEncoded = errors.New("the request can't be encoded")
 )
 
 const (
@@ -176,23 +178,15 @@
 	for {
 		buffer = buffer[:0]
 		for hasMore := true; hasMore; {
-			var err error
-			if buffer, err = appendFrame(buffer, c.frame); err != nil {
-				return err
-			}
-			p.markSent(c)
+			buffer = p.encode(buffer, c)
 			select {
 			case c = <-p.queue:
 			default:
 				hasMore = false
 			}
 		}
-		if err := conn.SetWriteDeadline(p.clock.Now().Add(writeTimeout)); err != nil {
-			return errors.Wrap(err, "set write deadline")
-		}
-		p.setReadDeadline(conn)
-		if _, err := conn.Write(buffer); err != nil {
-			return errors.Wrap(err, "write frames")
+		if err := p.flush(conn, buffer); err != nil {
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -202,6 +196,33 @@
 	}
 }
 
+// encode appends a queued frame to the buffer. One that can't be encoded is logged and fails alone.
+func (p *peerConn) encode(buffer []byte, c *pendingCall) []byte {
+	longer, err := appendFrame(buffer, c.frame)
+	if err != nil {
+		p.logger.Warn("frame_not_encoded", zap.String("address", p.address), zap.Error(err))
+		if c.response != nil {
+			c.response <- result{err: errors.Wrap(ErrNotEncoded, err.Error())}
+		}
+		return buffer
+	}
+	p.markSent(c)
+	return longer
+}
+
+// flush writes the encoded frames, if there are any.
+func (p *peerConn) flush(conn net.Conn, buffer []byte) error {
+	if len(buffer) == 0 {
+		return nil
+	}
+	if err := conn.SetWriteDeadline(p.clock.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	p.setReadDeadline(conn)
+	_, err := conn.Write(buffer)
+	return errors.Wrap(err, "write frames")
+}
+
 // markSent records that a request is being sent, so that a broken connection fails it with ErrNoAnswer.
 func (p *peerConn) markSent(c *pendingCall) {
 	if c.response == nil {
--- /dev/null
+++ b/internal/wire/link/script_test.go
@@ -0,0 +1,109 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/wire/link"
+	"cowslipstack/internal/wire/peer"
+)
+
+// callTimeout bounds each call of a script; it allows for a busy machine.
+const callTimeout = 30 * time.Second
+
+// handler answers a call with its path; it holds back the answers of paths that begin with "held" until the script
+// releases them.
+type handler struct {
+	received chan string
+	release  chan struct{}
+}
+
+func (h *handler) Answer(ctx context.Context, f *peer.Link) *peer.Link {
+	path := f.GetRequest().GetState().GetPath()
+	if strings.HasPrefix(path, "held") {
+		h.received <- path
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return frameOf(path)
+}
+
+func (h *handler) Deliver(context.Context, *peer.Link) *peer.Link { return nil }
+
+func frameOf(path string) *peer.Link {
+	return &peer.Link{Body: &peer.Link_Request{Request: &peer.LinkCall{State: &peer.LinkLookup{Path: path}}}}
+}
+
+// TestScripts makes the calls of the scripts in testdata to a server; "hold" begins a call that "release" answers.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		h := &handler{received: make(chan string), release: make(chan struct{})}
+		connections, address := start(t, h)
+		call := func(text string) string {
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			answer, err := connections.Call(ctx, address, frameOf(text))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			return "answered " + answer.GetRequest().GetState().GetPath() + "\n"
+		}
+		held := make(chan string, 1)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "hold":
+				go func() { held <- call("held") }()
+				return "received " + <-h.received + "\n"
+			case "release":
+				close(h.release)
+				return <-held
+			case "call":
+				return call(d.Input)
+			case "call-bytes":
+				return call("\xff")
+			case "call-large":
+				return call(strings.Repeat("x", 9<<20))
+			default:
+				t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+// start starts a server, and connections that call it; both end with the test.
+func start(t *testing.T, h link.Handler) (*link.Connections, string) {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// On this clock no deadline of a connection passes while the script runs.
+	ahead := clock.NewManual(time.Now().Add(time.Hour))
+	server := &link.Server{Listener: listener, Handler: h, Clock: ahead, Logger: zap.NewNop()}
+	connections := link.NewConnections(ahead, zap.NewNop(), func(*peer.Link) {})
+	ctx, stop := context.WithCancel(context.Background())
+	ends := make(chan error, 2)
+	go func() { ends <- server.Run(ctx) }()
+	go func() { ends <- connections.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		for range cap(ends) {
+			if err := <-ends; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return connections, listener.Addr().String()
+}
