Keep a VM whose row of the list can't be read

Cause: a row of the provider's VM list that could not be decoded was left out, and the VM then counted as gone: it was removed, its order state was lost, and a wave recorded it as begun (vm_not_listed), so that the wave was said to be complete though this VM's maintenance had not begun. A row without a readable name stands for a VM that is missing, unless as many such rows were there when the VM was last listed: so another writer's row that stays hides no VM that is gone. The row is logged once for each VM (vm_row_unread, at most 256 VMs). The answers of the scripts' VM list moved to a file of their own, unchanged but for the unread rows.

--- /dev/null
+++ b/internal/ctrl/sched/answers_test.go
@@ -0,0 +1,45 @@
+package sched_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipstack/internal/ctrl/sched"
+	"cowslipstack/internal/model/batch"
+)
+
+// answerLists answers the outstanding reads of the VM list; each line names a VM, its pool and its worker, or "-"
+// for none. A line such as "unread m2" is a row that can't be read, "unread" one without a readable name.
+func (h *harness) answerLists(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	r := sched.OrderResult{Code: sched.OrderDone}
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		if fields[0] == "unread" {
+			r.Unread = append(r.Unread, sched.UnreadVM{Name: strings.Join(fields[1:], ""), Cause: "odd"})
+			continue
+		}
+		v := sched.VM{Name: fields[0], Pool: fields[1], State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000}}
+		if fields[2] != "-" {
+			v.Worker = fields[2]
+		}
+		r.VMs = append(r.VMs, v)
+	}
+	r.NextPage = stringArg(d, "next", "")
+	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
+}
+
+// answerListsWithMany answers the outstanding reads of the VM list with VMs of the spare pool that have no worker.
+func (h *harness) answerListsWithMany(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	r := sched.OrderResult{Code: sched.OrderDone}
+	for i := range intArg(t, d, "vms", 0) {
+		r.VMs = append(r.VMs, sched.VM{
+			Name: fmt.Sprintf("m%03d", i), Pool: "spare", State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000},
+		})
+	}
+	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
+}
--- a/internal/ctrl/sched/fleet.go
+++ b/internal/ctrl/sched/fleet.go
@@ -41,8 +41,12 @@
 	// maybeDownUntilMs holds the VMs that a former leader ordered recently, and the uptime until which they may be
 	// down for it.
 	maybeDownUntilMs map[string]int64
-	// listed are the VMs found so far by the list request in progress.
-	listed    map[string]bool
+	// reading is what the list request in progress has found so far, and lastRead what the last complete one found.
+	reading, lastRead listFindings
+	// unnamedRows holds, by VM, how many rows without a readable name the last list had that contained the VM.
+	unnamedRows map[string]int
+	// reported holds the unread rows that were logged, by VM.
+	reported  map[string]bool
 	plannedMs int64
 	// surplusSinceMs holds, by pool, the uptime at which it last had no surplus VM.
 	surplusSinceMs map[string]int64
@@ -58,7 +62,7 @@
 	return fleetView{
 		vms: map[string]*vm{}, byWorker: map[string]string{}, surplusSinceMs: map[string]int64{},
 		downUntilMs: map[uint64]map[string]int64{}, orderNotBeforeMs: map[string]int64{},
-		maybeDownUntilMs: map[string]int64{},
+		maybeDownUntilMs: map[string]int64{}, unnamedRows: map[string]int{}, reported: map[string]bool{},
 	}
 }
 
@@ -78,7 +82,7 @@
 func (s *Scheduler) manageFleet(now int64) {
 	f := &s.fleet
 	if !f.listing && (now-f.listRequestedMs >= listIntervalMs || f.listWanted && now-f.listRequestedMs >= minListIntervalMs) {
-		f.listing, f.listWanted, f.listRequestedMs, f.listed = true, false, now, map[string]bool{}
+		f.listing, f.listWanted, f.listRequestedMs, f.reading = true, false, now, newListFindings()
 		s.readListPage("", now)
 	}
 	if now-f.plannedMs < planIntervalMs || !f.listComplete {
--- a/internal/ctrl/sched/order.go
+++ b/internal/ctrl/sched/order.go
@@ -66,6 +66,8 @@
 	// VMs are a page of the list, and NextPage names the next page; empty after the last.
 	VMs      []VM
 	NextPage string
+	// Unread are the rows of the page that can't be read.
+	Unread []UnreadVM
 	// Tickets holds the tickets of the workers that may run the step, and ValidMs how long they are valid, in
 	// milliseconds.
 	Tickets map[string]string
@@ -90,6 +92,14 @@
 	Labels []string
 }
 
+// UnreadVM is a row of the platform's list that can't be read.
+type UnreadVM struct {
+	// Name is the platform's name of the VM; empty if the row has none that can be read.
+	Name string
+	// Cause tells what can't be read.
+	Cause string
+}
+
 // VMState is the state of a VM; the zero value means unknown.
 type VMState int
 
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -313,35 +313,6 @@
 	}
 }
 
-// answerLists answers the outstanding reads of the VM list; each line names a VM, its pool and its worker, or "-"
-// for none.
-func (h *harness) answerLists(t *testing.T, d *datadriven.TestData) {
-	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone}
-	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
-		fields := strings.Fields(line)
-		v := sched.VM{Name: fields[0], Pool: fields[1], State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000}}
-		if fields[2] != "-" {
-			v.Worker = fields[2]
-		}
-		r.VMs = append(r.VMs, v)
-	}
-	r.NextPage = stringArg(d, "next", "")
-	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
-}
-
-// answerListsWithMany answers the outstanding reads of the VM list with VMs of the spare pool that have no worker.
-func (h *harness) answerListsWithMany(t *testing.T, d *datadriven.TestData) {
-	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone}
-	for i := range intArg(t, d, "vms", 0) {
-		r.VMs = append(r.VMs, sched.VM{
-			Name: fmt.Sprintf("m%03d", i), Pool: "spare", State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000},
-		})
-	}
-	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
-}
-
 // answerOrder answers the outstanding order for a VM, or the outstanding request for permits.
 func (h *harness) answerOrder(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -4,6 +4,21 @@
 	"go.uber.org/zap"
 )
 
+// listFindings are the contents of one read of the VM list.
+type listFindings struct {
+	// listed are the VMs with a row that can be read, unread those with only a row that can't.
+	listed, unread map[string]bool
+	// unnamed is the number of rows without a readable name.
+	unnamed int
+}
+
+func newListFindings() listFindings {
+	return listFindings{listed: map[string]bool{}, unread: map[string]bool{}}
+}
+
+// maxReportedRows bounds the VMs whose unread rows are logged.
+const maxReportedRows = 256
+
 // readListPage requests a page of the VM list; asked is the uptime at which the first page was requested.
 func (s *Scheduler) readListPage(page string, asked int64) {
 	term := s.term
@@ -19,6 +34,9 @@
 		for _, v := range r.VMs {
 			s.applyListed(v, asked)
 		}
+		for _, u := range r.Unread {
+			s.noteUnread(u)
+		}
 		if r.NextPage != "" {
 			s.readListPage(r.NextPage, asked)
 			return
@@ -33,7 +51,8 @@
 // applyListed updates one VM from a list that was requested at uptime asked.
 func (s *Scheduler) applyListed(v VM, asked int64) {
 	f := &s.fleet
-	f.listed[v.Name] = true
+	f.reading.listed[v.Name] = true
+	delete(f.reported, v.Name)
 	known := f.vms[v.Name]
 	if known == nil {
 		known = &vm{retryAtMs: f.orderNotBeforeMs[v.Name]}
@@ -71,18 +90,42 @@
 	}
 }
 
+// noteUnread notes a row that can't be read; it is logged once for each VM.
+func (s *Scheduler) noteUnread(u UnreadVM) {
+	f := &s.fleet
+	if u.Name == "" {
+		f.reading.unnamed++
+	} else {
+		f.reading.unread[u.Name] = true
+	}
+	if !f.reported[u.Name] && len(f.reported) < maxReportedRows {
+		f.reported[u.Name] = true
+		s.options.Logger.Warn("vm_row_unread", zap.String("vm", u.Name), zap.String("cause", u.Cause))
+	}
+}
+
 // finishList removes VMs that are no longer listed.
 func (s *Scheduler) finishList() {
 	f := &s.fleet
 	f.listing, f.listComplete = false, true
+	f.lastRead, f.reading = f.reading, newListFindings()
+	for name := range f.lastRead.listed {
+		f.unnamedRows[name] = f.lastRead.unnamed
+	}
 	for name, v := range f.vms {
-		if !f.listed[name] && !v.orderPending {
+		if !f.lastRead.listed[name] && !v.orderPending && !f.mayBeUnread(name) {
 			delete(f.byWorker, v.Worker)
 			delete(f.vms, name)
 		}
 	}
 }
 
+// mayBeUnread reports whether the last list may have had the row of a VM without its being readable: the row bears the
+// VM's name, or there are more rows without a name than when the VM was last listed.
+func (f *fleetView) mayBeUnread(name string) bool {
+	return f.lastRead.unread[name] || f.lastRead.unnamed > f.unnamedRows[name]
+}
+
 // awaitVerification notes that an order was answered as done. An earlier order whose answer was lost may have done
 // it, so that the tasks there now still run; the next VM list shows which is the case.
 func (s *Scheduler) awaitVerification(v *vm) {
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -132,7 +132,8 @@
 }
 
 // remainingVMs returns the VMs that a wave has still to take, those that cost least first: empty ones, then those
-// without long-running tasks, then by load. VMs that no longer exist are recorded as begun.
+// without long-running tasks, then by load. VMs that no longer exist are recorded as begun;
+// one whose row can't be read still exists.
 func (s *Scheduler) remainingVMs(w *batch.Wave) []candidate {
 	var left []candidate
 	for _, name := range w.VMs {
@@ -141,7 +142,7 @@
 		}
 		v := s.fleet.vms[name]
 		if v == nil {
-			if !s.fleet.listing && s.fleet.listRequestedMs > s.activeSinceMs {
+			if !s.fleet.listing && s.fleet.listRequestedMs > s.activeSinceMs && !s.fleet.mayBeUnread(name) {
 				s.recordMaintenanceStart(w, name, "vm_not_listed")
 			}
 			continue
