Take a VM with an impossible capacity as unread

Cause: a pool is sized by the largest capacity among its VMs. Change: a VM whose capacity is below 0 or above 10^9 of a resource counts as unread; the bound is that of a step's needs. Test: sched TestScripts/vm-capacity-out-of-range failed before (no order was made; now two VMs are moved).

--- a/internal/ctrl/sched/answers_test.go
+++ b/internal/ctrl/sched/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -12,7 +13,7 @@
 )
 
 // answerLists answers the outstanding reads of the VM list; each line names a VM, its pool and its worker, or "-"
-// for none. A line such as "unread m2" is a row that can't be read, "unread" one without a readable name.
+// for none, and may give its CPU. A line such as "unread m2" is a row that can't be read, "unread" one without a readable name.
 func (h *harness) answerLists(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
 	r := sched.OrderResult{Code: sched.OrderDone}
@@ -26,6 +27,9 @@
 		if fields[2] != "-" {
 			v.Worker = fields[2]
 		}
+		if len(fields) > 3 {
+			v.Capacity.CPUMilli, _ = strconv.ParseInt(fields[3], 10, 64)
+		}
 		r.VMs = append(r.VMs, v)
 	}
 	r.NextPage = stringArg(d, "next", "")
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -31,12 +31,7 @@
 			s.fleet.listing = false
 			return
 		}
-		for _, v := range r.VMs {
-			s.applyListed(v, asked)
-		}
-		for _, u := range r.Unread {
-			s.noteUnread(u)
-		}
+		s.applyPage(&r, asked)
 		if r.NextPage != "" {
 			s.readListPage(r.NextPage, asked)
 			return
@@ -48,6 +43,21 @@
 	}
 }
 
+// applyPage applies a page of a list that was requested at uptime asked. A row with a capacity that no VM can have counts
+// as unread.
+func (s *Scheduler) applyPage(r *OrderResult, asked int64) {
+	for _, v := range r.VMs {
+		if !v.Capacity.InRange() {
+			s.noteUnread(UnreadVM{Name: v.Name, Cause: "the capacity is out of range"})
+			continue
+		}
+		s.applyListed(v, asked)
+	}
+	for _, u := range r.Unread {
+		s.noteUnread(u)
+	}
+}
+
 // applyListed updates one VM from a list that was requested at uptime asked.
 func (s *Scheduler) applyListed(v VM, asked int64) {
 	f := &s.fleet
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -98,6 +98,11 @@
 	return need.CPUMilli <= c.CPUMilli && need.MemoryMB <= c.MemoryMB && need.Accelerators <= c.Accelerators
 }
 
+// InRange reports whether each amount is one that a VM can have or a task can need.
+func (c Resources) InRange() bool {
+	return min(c.CPUMilli, c.MemoryMB, c.Accelerators) >= 0 && max(c.CPUMilli, c.MemoryMB, c.Accelerators) <= maxAmount
+}
+
 // Sub returns c minus need; dimensions may become negative.
 func (c Resources) Sub(need Resources) Resources {
 	return Resources{
@@ -147,8 +152,8 @@
 	maxTextBytes = 4000
 	// maxTasks bounds the tasks of one job over all occurrences.
 	maxTasks = 20000
-	// maxNeed bounds each amount that one task needs, far above any VM: sums over all jobs stay within 64 bits.
-	maxNeed = 1_000_000_000
+	// maxAmount bounds an amount of a resource, far above any VM: sums over all jobs stay within 64 bits.
+	maxAmount = 1_000_000_000
 	// maxSpanMs bounds times and durations, in milliseconds: the year 9999.
 	maxSpanMs = 253_402_300_799_999
 )
@@ -219,12 +224,11 @@
 
 // check returns an error that says why a step can't be accepted as the one with an index, or nil.
 func (s *Step) check(index int) error {
-	need := s.Need
-	if s.Count < 1 || min(need.CPUMilli, need.MemoryMB, need.Accelerators) < 0 {
-		return errors.Newf("step %d has a count below 1 or a need below 0", index)
+	if s.Count < 1 || !s.Need.InRange() {
+		return errors.Newf("step %d has a count below 1 or a need outside of 0 to %d", index, maxAmount)
 	}
-	if max(need.CPUMilli, need.MemoryMB, need.Accelerators) > maxNeed || s.EstimateMs > maxSpanMs {
-		return errors.Newf("step %d needs more than %d of a resource or more than %d ms", index, maxNeed, int64(maxSpanMs))
+	if s.EstimateMs > maxSpanMs {
+		return errors.Newf("step %d has an estimate of %d ms; %d are allowed", index, s.EstimateMs, int64(maxSpanMs))
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= index {
