End a read of the VM list whose pages form a circle

Cause: a page that names a page read before as its next one was followed again and again: the read never ended, so no VM that is gone was ever removed, and each answer cost another read of the platform's rate at once. Change: such a list is unread (vm_list_unread) and read again after the usual interval. Test: sched TestScripts/vm-list-pages-in-a-circle failed before (1 read under way where 0 is expected, and a list of VMs that stayed 1000 ms old).

--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -10,10 +10,12 @@
 	listed, unread map[string]bool
 	// unnamed is the number of rows without a readable name.
 	unnamed int
+	// pages are the pages that were requested.
+	pages map[string]bool
 }
 
 func newListFindings() listFindings {
-	return listFindings{listed: map[string]bool{}, unread: map[string]bool{}}
+	return listFindings{listed: map[string]bool{}, unread: map[string]bool{}, pages: map[string]bool{}}
 }
 
 // maxReportedRows bounds the VMs whose unread rows are logged.
@@ -22,10 +24,14 @@
 // readListPage requests a page of the VM list; asked is the uptime at which the first page was requested.
 func (s *Scheduler) readListPage(page string, asked int64) {
 	term := s.term
+	s.fleet.reading.pages[page] = true
 	sent := s.options.SendOrder(Order{Kind: OrderList, Page: page, Term: term, Done: func(r OrderResult) {
 		if s.term != term || !s.active {
 			return
 		}
+		if r.Code == OrderDone && r.NextPage != "" && s.fleet.reading.pages[r.NextPage] {
+			r.Code, r.Detail = OrderUnknown, "the next page was read before"
+		}
 		if r.Code != OrderDone {
 			s.options.Logger.Info("vm_list_unread", zap.Stringer("code", r.Code), zap.String("detail", r.Detail))
 			s.fleet.listing = false
