Refuse heartbeats with numbers that no worker sends

Cause: a heartbeat of another writer that bears a worker's identity or address, with born or years ahead, counted as a restart of that worker; one with such a seq made the worker's own heartbeats outdated. A leave with such a born ended what the worker ran. Change: a heartbeat is refused as invalid (call_not_served names the worker and the cause) if its capacity is out of range, its incarnation is no time up to the year 9999, or its sequence leaps by over 2^40.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -10,6 +10,10 @@
 
 // handleHeartbeat applies a worker's report and replies with orders once the changes behind them are committed.
 func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, reply func(batch.Reply)) {
+	if err := s.checkHeartbeat(h); err != nil {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
+		return
+	}
 	w := s.workerOf(h.Worker)
 	now := s.now()
 	if !s.acceptHeartbeat(w, h, now) {
@@ -68,8 +72,7 @@
 			zap.Uint64("sequence", h.Sequence))
 		return false
 	}
-	other := s.workers[s.workerByAddress[h.Address]]
-	if other != nil && other != w && other.address == h.Address && other.incarnation < h.Incarnation {
+	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
 		s.loseAttempts(other, other.incarnation, "address_taken_over")
@@ -280,6 +283,10 @@
 // handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored.
 func (s *Scheduler) handleDeregistration(l *batch.Deregistration, reply func(batch.Reply)) {
 	w := s.workers[l.Worker]
+	if supersedes(l.Incarnation, w) && s.farAhead(l.Incarnation) {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: "the incarnation is far ahead of the clock, and another is known"})
+		return
+	}
 	if w != nil && (l.Incarnation == 0 || l.Incarnation >= w.incarnation) {
 		w.left = true
 		s.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
