Ignore end reports with numbers that no worker reaches

Cause: the leader acknowledges the highest number among the ends of a heartbeat. One row with the number set that for good: the worker forgets all ends up to it and the leader takes none of them. Change: ends above 2^32 are left out before anything else looks at them, and logged once for each incarnation of the worker (end_report_ignored).

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -21,6 +21,7 @@
 		reply(batch.Reply{Code: batch.CodeOK})
 		return
 	}
+	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
 	orders := batch.Orders{Stop: stops, Pace: s.pace(w), NextHeartbeatMs: s.nextHeartbeatMs(w, now)}
--- a/internal/ctrl/sched/plausible.go
+++ b/internal/ctrl/sched/plausible.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
 )
@@ -13,6 +16,8 @@
 	maxClockAheadMs = 24 * 60 * 60 * milli
 	// maxSequenceStep is above the step between any two heartbeats of one incarnation.
 	maxSequenceStep = 1 << 40
+	// maxEndNumber is above the number of ends in any incarnation.
+	maxEndNumber = 1 << 32
 )
 
 // checkHeartbeat returns an error if a heartbeat has a number that no worker sends. Such a heartbeat of another writer
@@ -51,3 +56,19 @@
 	}
 	return w
 }
+
+// dropImpossibleEnds removes the end reports with a number that no worker reaches, since acknowledging one would make the
+// worker forget all later ends. They are logged once for each incarnation.
+func (s *Scheduler) dropImpossibleEnds(w *worker, h *batch.Heartbeat) {
+	h.Ended = slices.DeleteFunc(h.Ended, func(n batch.EndReport) bool {
+		if n.Number <= maxEndNumber {
+			return false
+		}
+		if !w.endsDropped {
+			w.endsDropped = true
+			s.options.Logger.Warn("end_report_ignored", zap.String("worker", w.id), zap.Uint64("number", n.Number),
+				zap.String("job", n.Task.Job), zap.Int("step", n.Task.Step), zap.Int("index", n.Task.Index))
+		}
+		return true
+	})
+}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -28,6 +28,8 @@
 	free batch.Resources
 	// acknowledged is the number of this incarnation's last end that is recorded.
 	acknowledged uint64
+	// endsDropped is set once an impossible end report of this incarnation was logged.
+	endsDropped bool
 	// running are the attempts that the last heartbeat listed.
 	running map[batch.TaskID]*attempt
 	// starting is the number of starts that are proposed and not yet applied.
