Keep an attempt whose running row can't be read

Cause: a row of a heartbeat's list of what runs was left out as a whole if any of its cells could not be read, and an attempt that was not listed counted as never begun. Seen in a run of the scheduler: a worker with room for one task was told to start a second one while the first ran, and the first task was started once more (two runs at a time). A heartbeat says how many rows of each list could not be read. While it has more such running rows than when all attempts were listed, a missing attempt may be one of them: it goes on, and holds its resources. Test: sched TestScripts/running-row-unread-is-not-gone and the new case of platform TestScripts/workers failed before.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -21,6 +21,7 @@
 		reply(batch.Reply{Code: batch.CodeOK})
 		return
 	}
+	s.noteUnreadRows(w, h)
 	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
@@ -221,18 +222,19 @@
 }
 
 // endMissing ends attempts that were ordered before this heartbeat was sent and that the worker lists neither as
-// running nor as ended.
+// running nor as ended. If the heartbeat has more rows that can't be read than before, the attempts may be among them:
+// they go on, and hold their resources.
 func (s *Scheduler) endMissing(w *worker, h *batch.Heartbeat) {
+	mayBeUnread, found := h.UnreadRunning > w.unreadRunning, false
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		_, t := s.findTask(id)
+		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
-			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence {
-				continue
-			}
-			if a := w.running[id]; a != nil && a.number == r.Number {
+			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence || lists(w, h, id, r.Number) {
 				continue
 			}
-			if slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == r.Number }) {
+			found = true
+			if mayBeUnread {
+				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 				continue
 			}
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
@@ -241,6 +243,17 @@
 			s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
 		}
 	}
+	if !mayBeUnread || !found {
+		w.unreadRunning = h.UnreadRunning
+	}
+}
+
+// lists reports whether a heartbeat lists an attempt as running or as ended.
+func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
+	if a := w.running[id]; a != nil && a.number == number {
+		return true
+	}
+	return slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == number })
 }
 
 // completeOrders fills in the orders from what is committed by now.
--- a/internal/ctrl/sched/plausible.go
+++ b/internal/ctrl/sched/plausible.go
@@ -57,6 +57,15 @@
 	return w
 }
 
+// noteUnreadRows logs how many rows of a worker's heartbeats can't be read, whenever that number changes.
+func (s *Scheduler) noteUnreadRows(w *worker, h *batch.Heartbeat) {
+	if rows := h.UnreadRunning + h.UnreadEnded; rows != w.unreadRows {
+		w.unreadRows = rows
+		s.options.Logger.Warn("heartbeat_rows_unread", zap.String("worker", w.id), zap.Int("running", h.UnreadRunning),
+			zap.Int("ended", h.UnreadEnded))
+	}
+}
+
 // dropImpossibleEnds removes the end reports with a number that no worker reaches, since acknowledging one would make the
 // worker forget all later ends. They are logged once for each incarnation.
 func (s *Scheduler) dropImpossibleEnds(w *worker, h *batch.Heartbeat) {
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -421,6 +421,8 @@
 		fields := strings.Fields(line)
 		switch {
 		case len(fields) == 0:
+		case fields[0] == "unread":
+			report.UnreadRunning++
 		case fields[0] == "running":
 			id, attempt := parseTask(t, fields[1])
 			r := batch.Running{Task: id, Attempt: attempt, Percent: 50}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -28,6 +28,9 @@
 	free batch.Resources
 	// acknowledged is the number of this incarnation's last end that is recorded.
 	acknowledged uint64
+	// unreadRows is the number of rows that could not be read in the last heartbeat. unreadRunning is that of running rows
+	// in the last heartbeat in which none of them could be an attempt that was missing.
+	unreadRows, unreadRunning int
 	// endsDropped is set once an impossible end report of this incarnation was logged.
 	endsDropped bool
 	// running are the attempts that the last heartbeat listed.
--- a/internal/model/batch/worker.go
+++ b/internal/model/batch/worker.go
@@ -26,6 +26,8 @@
 	Running []Running
 	// Ended are the attempts that ended on the worker, until the leader acknowledges them.
 	Ended []EndReport
+	// UnreadRunning and UnreadEnded are the numbers of rows of the two lists that could not be read.
+	UnreadRunning, UnreadEnded int
 }
 
 // Running is the progress of one attempt that runs on a worker.
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -70,6 +70,7 @@
 		Worker: h.Worker, Incarnation: h.Incarnation, Sequence: h.Sequence, Pool: h.Pool, Address: h.Address,
 		DataCentre: h.DataCentre, Draining: h.Draining, RemainingMs: h.RemainingMs, Labels: h.Labels,
 		CpuMilli: h.Capacity.CPUMilli, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
+		UnreadRunning: int64(h.UnreadRunning), UnreadEnded: int64(h.UnreadEnded),
 	}
 	for _, r := range h.Running {
 		w.Running = append(w.Running, &peer.LinkRunning{
@@ -88,7 +89,8 @@
 	h := &batch.Heartbeat{
 		Worker: w.GetWorker(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(), Pool: w.GetPool(),
 		Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Draining: w.GetDraining(), RemainingMs: w.GetRemainingMs(),
-		Labels:   w.GetLabels(),
+		Labels:        w.GetLabels(),
+		UnreadRunning: int(w.GetUnreadRunning()), UnreadEnded: int(w.GetUnreadEnded()),
 		Capacity: batch.Resources{CPUMilli: w.GetCpuMilli(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
 	}
 	for _, r := range w.GetRunning() {
