Take the other permits of an answer with an odd row

Cause: one row of the advice service's answer with a ticket that is no text, or nested too deeply, made the whole answer unread: no worker got a permit, and the step asked again with the same result. An answer with null for the list was read as "no worker may", which denied each for the leader's term.

--- a/internal/ctrl/sched/advice.go
+++ b/internal/ctrl/sched/advice.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"go.uber.org/zap"
+
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
@@ -83,28 +85,34 @@
 		}
 	}
 	name := fmt.Sprintf("%s.%d.%d", step.job, step.occurrence, step.step)
-	asked := now
 	term := s.term
 	sent := s.options.SendOrder(Order{Kind: OrderAdvise, Step: name, Workers: candidates, Term: term, Done: func(r OrderResult) {
 		if s.term != term {
 			return
 		}
 		delete(s.permits.requested, step)
-		if r.Code != OrderDone {
-			return
+		if r.Code != OrderDone || r.Detail != "" {
+			s.options.Logger.Info("permits_unread", zap.String("step", name), zap.Stringer("code", r.Code), zap.String("detail", r.Detail))
 		}
-		if len(s.permits.granted)+len(s.permits.denied) > maxPermits {
-			s.permits = newPermits()
+		if r.Code == OrderDone {
+			s.applyPermits(step, incarnations, &r, now)
 		}
-		for _, id := range candidates {
-			key := permitKey{step: step, worker: id, incarnation: incarnations[id]}
-			if t, ok := r.Tickets[id]; ok {
-				s.permits.granted[key] = permit{ticket: t, validMs: asked + r.ValidMs}
-			} else {
-				s.permits.denied[key] = true
-			}
-		}
-		s.refreshJob(step.job)
 	}})
 	s.permits.requested[step] = sent
 }
+
+// applyPermits records which of the incarnations of some workers, asked for at uptime asked, may run a step.
+func (s *Scheduler) applyPermits(step stepKey, incarnations map[string]int64, r *OrderResult, asked int64) {
+	if len(s.permits.granted)+len(s.permits.denied) > maxPermits {
+		s.permits = newPermits()
+	}
+	for id, incarnation := range incarnations {
+		key := permitKey{step: step, worker: id, incarnation: incarnation}
+		if t, ok := r.Tickets[id]; ok {
+			s.permits.granted[key] = permit{ticket: t, validMs: asked + r.ValidMs}
+		} else {
+			s.permits.denied[key] = true
+		}
+	}
+	s.refreshJob(step.job)
+}
