Refuse endpoints whose address can't be called

Cause: of an announced address only the form host:port was checked. Ports 70000, 0, -1, http and none, and an empty host, were accepted with 200; the endpoint spread to the other entries and each offered it requests that could only fail. Change: an announcement needs a host and a port of 1 to 65535, else 400 with the address and the reason.

--- a/internal/edge/discov/fuzz_test.go
+++ b/internal/edge/discov/fuzz_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,7 +41,11 @@
 			t.Fatalf("status %d, %d endpoints announced", w.Code, len(a.announced))
 		}
 		for _, e := range a.announced {
-			if _, _, err := net.SplitHostPort(e.Address); err != nil || e.Service == "" || e.Name == "" || e.VM == "" || e.Slots < 1 || e.Sequence < 1 {
+			host, port, err := net.SplitHostPort(e.Address)
+			if number, _ := strconv.Atoi(port); number < 1 || number > 65535 {
+				t.Fatalf("accepted the port %q", port)
+			}
+			if err != nil || host == "" || e.Service == "" || e.Name == "" || e.VM == "" || e.Slots < 1 || e.Sequence < 1 {
 				t.Fatalf("accepted: %+v", e)
 			}
 		}
--- a/internal/edge/discov/handler.go
+++ b/internal/edge/discov/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,7 +107,7 @@
 	if a.Service == "" || a.Endpoint == "" || a.VM == "" {
 		return errors.New("announcement: service, endpoint and vm are needed")
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
+	if err := checkAddress(a.Address); err != nil {
 		return errors.Wrap(err, "announcement: address")
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
@@ -117,3 +118,15 @@
 	}
 	return nil
 }
+
+// checkAddress returns an error if an address can't be called.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); host == "" || err != nil || number == 0 {
+		return errors.Newf("%q has no host, or its port is none of 1 to 65535", address)
+	}
+	return nil
+}
