Leave out a seed that is no address and use the others

Cause: one seed without a port made reading the seeds fail as a whole. At the start the process ended with code 1, at each start again ("cowslipd: seed "127.0.0.1": address 127.0.0.1: missing port in address"); when the settings changed, the new seeds and service addresses were refused all together (and the former ones held, as they do for a file that can't be read). Change: such a seed is logged (seed_left_out) and left out; only if no seed is left the settings are refused.

--- /dev/null
+++ b/internal/app/site/export_test.go
@@ -0,0 +1,4 @@
+package site
+
+// SeedAddresses is seedAddresses, for its script.
+var SeedAddresses = seedAddresses
--- a/internal/app/site/gossip.go
+++ b/internal/app/site/gossip.go
@@ -40,22 +40,27 @@
 	logger     *zap.Logger
 }
 
-// seedAddresses converts the seeds' control addresses to peer addresses; the peer port is the same on all hosts.
-func seedAddresses(controlAddresses []string, port int) ([]string, error) {
+// seedAddresses converts the seeds' control addresses to peer addresses; the peer port is the same on all hosts. Seeds
+// that can't be read are logged and left out; without any other it fails.
+func seedAddresses(controlAddresses []string, port int, logger *zap.Logger) ([]string, error) {
 	var all []string
 	for _, c := range controlAddresses {
 		host, _, err := net.SplitHostPort(c)
-		if err != nil {
-			return nil, errors.Wrapf(err, "seed %q", c)
+		if err != nil || host == "" {
+			logger.Error("seed_left_out", zap.String("seed", c), zap.Error(err))
+			continue
 		}
 		all = append(all, net.JoinHostPort(host, strconv.Itoa(port)))
 	}
+	if len(all) == 0 {
+		return nil, errors.Newf("none of the seeds %q is an address", controlAddresses)
+	}
 	return all, nil
 }
 
 // setSeeds replaces the seeds with those of the settings; on an error the old ones stay.
 func (g *gossiper) setSeeds(settings conf.Site) error {
-	all, err := seedAddresses(settings.Seeds, settings.Listen.PeerPort)
+	all, err := seedAddresses(settings.Seeds, settings.Listen.PeerPort, g.logger)
 	if err != nil {
 		return err
 	}
