--- a/internal/wire/link/script_test.go
+++ b/internal/wire/link/script_test.go
@@ -49,7 +49,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := &handler{received: make(chan string), release: make(chan struct{})}
 		connections, address := start(t, h)
-		call := func(text string) string {
+		callAt := func(address, text string) string {
 			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
 			defer cancel()
 			answer, err := connections.Call(ctx, address, frameOf(text))
@@ -58,6 +58,7 @@
 			}
 			return "answered " + answer.GetRequest().GetState().GetPath() + "\n"
 		}
+		call := func(text string) string { return callAt(address, text) }
 		held := make(chan string, 1)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
@@ -71,6 +72,12 @@
 				return call(d.Input)
 			case "call-bytes":
 				return call("\xff")
+			case "call-addresses":
+				out := ""
+				for _, odd := range strings.Split(d.Input, "\n") {
+					out += odd + ": " + callAt(odd, "text")
+				}
+				return out
 			case "call-large":
 				return call(strings.Repeat("x", 9<<20))
 			default:
