Write the last log lines once

Cause: a writer that ended wrote the lines of its last write again before those that still waited. Change: the buffer is emptied first. Test: logs TestScripts/last_line_is_written_once failed before. Result: go test -race of base passed.

--- a/internal/base/logs/async.go
+++ b/internal/base/logs/async.go
@@ -58,6 +58,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			buffer = buffer[:0]
 			for len(w.lines) > 0 {
 				buffer = append(buffer, <-w.lines...)
 			}
