Bound the texts and lines of the log

Cause: a log line held its texts in full, and up to 4,096 lines wait to be written. Change: a text of a line is cut at 8 KiB, and a line over 64 KiB, as with a long list, is dropped and counted. That a process is ended by it was not run.

--- a/internal/base/logs/async.go
+++ b/internal/base/logs/async.go
@@ -39,8 +39,15 @@
 	return zap.New(newLimitedCore(zapcore.NewCore(zapcore.NewJSONEncoder(config), w, minLevel))), w, nil
 }
 
-// Write queues a copy of one line; it drops the line if the queue is full. It never fails.
+// maxLineBytes bounds a log line; a longer one is dropped and counted.
+const maxLineBytes = 64 << 10
+
+// Write queues a copy of one line; it drops the line if it is too long or the queue is full. It never fails.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	if len(line) > maxLineBytes {
+		linesDropped.Inc()
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/base/logs/limit.go
+++ b/internal/base/logs/limit.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"strings"
 	"sync"
 
 	"go.uber.org/zap"
@@ -25,7 +26,7 @@
 }
 
 // limitedCore bounds the rate of each event name. The first line after some were left out has their number in the field
-// left_out. Errors are written as their text alone.
+// left_out. Errors are written as their text alone, and long texts are cut.
 type limitedCore struct {
 	zapcore.Core
 	counts *eventCounts
@@ -37,7 +38,7 @@
 
 // With returns a core that adds fields to each entry and shares the bounds of this one.
 func (l limitedCore) With(fields []zapcore.Field) zapcore.Core {
-	return limitedCore{Core: l.Core.With(errorsAsText(fields)), counts: l.counts}
+	return limitedCore{Core: l.Core.With(boundedTexts(fields)), counts: l.counts}
 }
 
 // Check adds this core if the entry's level is enabled.
@@ -50,7 +51,7 @@
 
 // Write writes an entry, or leaves it out if there were too many of its event name in this second.
 func (l limitedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	fields = errorsAsText(fields)
+	fields = boundedTexts(fields)
 	if entry.Level < zapcore.WarnLevel {
 		leftOut, ok := l.counts.allow(entry.Message, entry.Time.Unix())
 		if !ok {
@@ -86,11 +87,19 @@
 	return leftOut, true
 }
 
-// errorsAsText replaces errors in fields by their text, since a stack trace for each error would fill the log.
-func errorsAsText(fields []zapcore.Field) []zapcore.Field {
+// maxTextBytes bounds a text in a log line; a stack trace fits.
+const maxTextBytes = 8 << 10
+
+// boundedTexts replaces errors in fields by their text, since a stack trace for each error would fill the log, and cuts
+// long texts at the end of a character.
+func boundedTexts(fields []zapcore.Field) []zapcore.Field {
 	for i := range fields {
-		if err, ok := fields[i].Interface.(error); ok && fields[i].Type == zapcore.ErrorType {
-			fields[i] = zap.String(fields[i].Key, err.Error())
+		f := &fields[i]
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			*f = zap.String(f.Key, err.Error())
+		}
+		if f.Type == zapcore.StringType && len(f.String) > maxTextBytes {
+			f.String = strings.ToValidUTF8(f.String[:maxTextBytes], "")
 		}
 	}
 	return fields
