Bound what is remembered of VMs with unread rows

Cause: the names of unread rows (256 of them, each of up to 4 MiB) and of all VMs that were ever listed stayed in the leader's memory. Change: a name of over 256 bytes counts as none; from 8,192 VMs on those that aren't listed any more are forgotten, after which a row without a name may be theirs. Test: the new case of sched TestScripts/vm-unread-without-name failed before; the bound of 8,192 has no test.

--- a/internal/ctrl/sched/answers_test.go
+++ b/internal/ctrl/sched/answers_test.go
@@ -20,7 +20,7 @@
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		fields := strings.Fields(line)
 		if fields[0] == "unread" {
-			r.Unread = append(r.Unread, sched.UnreadVM{Name: strings.Join(fields[1:], ""), Cause: "odd"})
+			r.Unread = append(r.Unread, sched.UnreadVM{Name: strings.ReplaceAll(strings.Join(fields[1:], ""), "LONG", strings.Repeat("x", 300)), Cause: "odd"})
 			continue
 		}
 		v := sched.VM{Name: fields[0], Pool: fields[1], State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000}}
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+
 	"go.uber.org/zap"
 )
 
@@ -18,8 +20,13 @@
 	return listFindings{listed: map[string]bool{}, unread: map[string]bool{}, pages: map[string]bool{}}
 }
 
-// maxReportedRows bounds the VMs whose unread rows are logged.
-const maxReportedRows = 256
+const (
+	// maxReportedRows bounds the VMs whose unread rows are logged, and maxNameBytes the names of VMs with such rows.
+	maxReportedRows = 256
+	maxNameBytes    = 256
+	// maxRememberedVMs is the number of VMs from which those that aren't listed any more are forgotten.
+	maxRememberedVMs = 8192
+)
 
 // readListPage requests a page of the VM list; asked is the uptime at which the first page was requested.
 func (s *Scheduler) readListPage(page string, asked int64) {
@@ -109,6 +116,9 @@
 // noteUnread notes a row that can't be read; it is logged once for each VM.
 func (s *Scheduler) noteUnread(u UnreadVM) {
 	f := &s.fleet
+	if len(u.Name) > maxNameBytes {
+		u.Name = ""
+	}
 	if u.Name == "" {
 		f.reading.unnamed++
 	} else {
@@ -128,6 +138,9 @@
 	for name := range f.lastRead.listed {
 		f.unnamedRows[name] = f.lastRead.unnamed
 	}
+	if len(f.unnamedRows) > maxRememberedVMs {
+		maps.DeleteFunc(f.unnamedRows, func(name string, _ int) bool { return !f.lastRead.listed[name] })
+	}
 	for name, v := range f.vms {
 		if !f.lastRead.listed[name] && !v.orderPending && !f.mayBeUnread(name) {
 			delete(f.byWorker, v.Worker)
