Complete a wave that names a VM twice

Cause: a wave counted the VMs that it names and those that had begun; a VM named twice begins once, so the wave never was complete. Change: repetitions are dropped when the wave is taken. Test: sched TestScripts/wave-names-a-vm-twice failed before. Result: go test -race of sched passed.

--- a/internal/ctrl/sched/wavecall.go
+++ b/internal/ctrl/sched/wavecall.go
@@ -13,6 +13,7 @@
 		return
 	}
 	wave := *w
+	wave.VMs = uniqueNames(w.VMs)
 	wave.AcceptedMs = s.wallMs()
 	wave.Begun = nil
 	if s.options.Log.Batch().Wave(w.ID) == nil && s.proposals.pending.Wave == nil {
@@ -30,3 +31,16 @@
 	}
 	return batch.Reply{Code: batch.CodeOK, Complete: len(w.Begun) >= len(w.VMs)}
 }
+
+// uniqueNames returns names in their order without repetitions.
+func uniqueNames(names []string) []string {
+	seen := make(map[string]bool, len(names))
+	var unique []string
+	for _, name := range names {
+		if !seen[name] {
+			seen[name] = true
+			unique = append(unique, name)
+		}
+	}
+	return unique
+}
