Refuse jobs whose estimated work overflows

Cause: the work of a job was summed in 64 bits from its tasks, their need and their estimate, each within its bound: 20,000 tasks of 10^9 millicores for 253,402,300,799,999 ms were accepted, and the sum differs between processors (arm64: the largest number; amd64: the smallest). When such a job ends, that figure enters the mean by which all jobs of its queue are ordered; this was read in the code, not run. Change: the work of a job has a bound (10^21 milli-core-ms, which is 32 million core-years).

--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -156,6 +156,9 @@
 	maxAmount = 1_000_000_000
 	// maxSpanMs bounds times and durations, in milliseconds: the year 9999.
 	maxSpanMs = 253_402_300_799_999
+	// maxWork bounds the estimated work of a job, in thousandths of a core times milliseconds; in core-milliseconds, and
+	// five times as much, it fits in 64 bits.
+	maxWork = 1e21
 )
 
 // ValidID reports whether id has the form of a job's identity: 16 hexadecimal digits in either case.
@@ -198,6 +201,9 @@
 	if err := j.checkTimes(); err != nil {
 		return err
 	}
+	if work := j.estimatedWork(); work > maxWork {
+		return errors.Newf("the job's estimated work is %g milli-core-ms; %g are allowed", work, float64(maxWork))
+	}
 	tasksLeft := maxTasks / j.Occurrences()
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
@@ -211,6 +217,16 @@
 	return nil
 }
 
+// estimatedWork returns the processor time that all tasks need, in thousandths of a core times milliseconds.
+func (j *Job) estimatedWork() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		work += float64(s.Count) * float64(s.EstimateMs) * float64(s.Need.CPUMilli)
+	}
+	return work * float64(j.Occurrences())
+}
+
 // checkTimes returns an error if an occurrence would be due outside the range of times.
 func (j *Job) checkTimes() error {
 	if j.RunCount <= 0 {
