--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -22,6 +22,11 @@
 			m.endJob(j, batch.PhaseCancelled, nowMs)
 		}
 	}
+	for _, id := range c.BegunJobs {
+		if j := m.jobs[id]; j != nil {
+			m.markBegun(j)
+		}
+	}
 	for i := range c.Ends {
 		m.endAttempt(&c.Ends[i], nowMs)
 	}
@@ -70,23 +75,29 @@
 
 func (m *StateMachine) startAttempt(start *batch.AttemptStart) {
 	j, t := m.FindTask(start.Task)
-	if t == nil || j.Phase.IsTerminal() {
+	if t == nil || t.Done || j.Phase.IsTerminal() {
+		// The task ended in this command or before: a copy is not needed any more.
 		return
 	}
-	if !check.That(!t.Done && start.Attempt > t.LastAttempt, "attempts_only_rise",
-		zap.String("job", start.Task.Job), zap.Int("attempt", start.Attempt), zap.Int("held", t.LastAttempt), zap.Bool("done", t.Done)) {
+	if !check.That(start.Attempt > t.LastAttempt, "attempts_only_rise",
+		zap.String("job", start.Task.Job), zap.Int("attempt", start.Attempt), zap.Int("held", t.LastAttempt)) {
 		return
 	}
-	t.LastAttempt, t.Started = start.Attempt, true
+	t.LastAttempt = start.Attempt
 	t.Attempts = append(t.Attempts, Attempt{
 		Number: start.Attempt, Worker: start.Worker, Incarnation: start.Incarnation, Sequence: start.Sequence,
 	})
 	j.LiveAttempts++
+	m.indexAttempt(start.Worker, start.Task)
+	m.markChanged(start.Task.Job)
+}
+
+// markBegun notes that a worker has begun a task of a job.
+func (m *StateMachine) markBegun(j *Job) {
 	if j.Phase == batch.PhaseQueued {
 		j.Phase = batch.PhaseRunning
+		m.markChanged(j.Spec.ID)
 	}
-	m.indexAttempt(start.Worker, start.Task)
-	m.markChanged(start.Task.Job)
 }
 
 // endAttempt removes an attempt and applies its outcome to its task.
@@ -114,6 +125,9 @@
 		m.keepCheckpoint(j, end)
 	}
 	step := &j.Spec.Steps[end.Task.Step]
+	if end.Kind.ShowsBegun(step.Gang) {
+		m.markBegun(j)
+	}
 	switch {
 	case step.LongRunning:
 	case end.Kind == batch.EndDone:
@@ -175,10 +189,8 @@
 
 // MaxAttempts returns the number of failures of one task or gang that fails its job.
 func (m *StateMachine) MaxAttempts(j *Job) int {
-	for i := range m.state.Configuration.Queues {
-		if q := &m.state.Configuration.Queues[i]; q.Key() == j.Spec.Queue {
-			return max(1, q.MaxAttempts)
-		}
+	if q := m.state.Configuration.Queue(j.Spec.Queue); q != nil {
+		return max(1, q.MaxAttempts)
 	}
 	// The queue was removed: its jobs continue with the limit that was in force when they were submitted.
 	return max(1, j.Spec.MaxAttempts)
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -8,8 +8,9 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// handleHeartbeat applies a worker's report and replies with orders once the changes behind them are committed.
-func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, reply func(batch.Reply)) {
+// handleHeartbeat applies a worker's report that arrived at an uptime in milliseconds, and replies with orders once the
+// changes behind them are committed.
+func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, arrivedMs int64, reply func(batch.Reply)) {
 	if err := s.checkHeartbeat(h); err != nil {
 		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
 		return
@@ -30,7 +31,6 @@
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
 	lease := withClockDrift(s.workerLeaseMs())
-	received := now
 	if len(orders.Start) > 0 {
 		w.leaseEndMs = max(w.leaseEndMs, now+lease)
 	}
@@ -45,7 +45,7 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-received > maxReplyDelayMs {
+			if s.now()-arrivedMs > maxReplyDelayMs {
 				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed.
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
@@ -179,6 +179,7 @@
 		}
 		step := &j.Spec.Steps[r.Task.Step]
 		w.free = w.free.Sub(step.ReservedResources())
+		s.noteBegun(j, t, r)
 		if t.FindAttempt(r.Attempt) == nil {
 			s.abandonedUntilMs[r.Task] = now + abandonedHoldMs
 		}
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/plan/order"
@@ -13,9 +15,13 @@
 	// pool is the pool that runs it; queued is set while the job stands in the pool's order.
 	pool   string
 	queued bool
-	item   order.Item
+	// waiting is set until a worker has begun a task of the job.
+	waiting bool
+	item    order.Item
 	// ready are the tasks that could start now, except those of gangs.
 	ready []batch.TaskID
+	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
+	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
 	copyable []batch.TaskID
 	// readyResources and runningResources are what ready and started tasks reserve, nextResources what the tasks of
@@ -38,6 +44,8 @@
 	// end.
 	order    []*activeJob
 	sortedMs int64
+	// leastNeed is a lower bound of what a ready task of these jobs reserves, in each dimension.
+	leastNeed batch.Resources
 	// demand is the number of ready tasks, and copyable the number of tasks of which a speculative copy may run.
 	demand, copyable int
 }
@@ -56,11 +64,8 @@
 
 // poolOf returns the pool that runs a job's tasks under the current configuration.
 func (s *Scheduler) poolOf(j *jobs.Job) string {
-	c := s.currentConfiguration()
-	for i := range c.Queues {
-		if c.Queues[i].Key() == j.Spec.Queue {
-			return c.Queues[i].Pool
-		}
+	if q := s.currentConfiguration().Queue(j.Spec.Queue); q != nil {
+		return q.Pool
 	}
 	return j.Spec.Pool
 }
@@ -69,11 +74,16 @@
 func (s *Scheduler) refreshJob(id string) {
 	j := s.options.Log.Batch().Job(id)
 	old := s.jobs[id]
+	if old != nil && old.waiting && j != nil {
+		s.observeBegun(old)
+	}
 	if j == nil || j.Phase.IsTerminal() {
 		if old != nil {
 			s.learnWork(old)
 			s.removeJob(old)
 			delete(s.jobs, id)
+			delete(s.gangJobs, id)
+			delete(s.scheduledJobs, id)
 			// The pool's order may still contain it, so its ready tasks are cleared.
 			old.ready = nil
 		}
@@ -98,6 +108,20 @@
 		s.queueOf(pool).copyable += len(updated.copyable)
 	}
 	s.enqueue(s.jobs[id])
+	s.trackJob(s.jobs[id])
+}
+
+// trackJob notes whether a job has gangs to plan, or an occurrence that is still to become due.
+func (s *Scheduler) trackJob(job *activeJob) {
+	id := job.state.Spec.ID
+	if slices.ContainsFunc(job.state.Spec.Steps, func(step batch.Step) bool { return step.Gang }) {
+		s.gangJobs[id] = job
+	}
+	if job.nextDueMs > 0 {
+		s.scheduledJobs[id] = job
+	} else {
+		delete(s.scheduledJobs, id)
+	}
 }
 
 // removeJob removes a job from its pool's queue.
@@ -108,18 +132,32 @@
 	q.copyable -= len(job.copyable)
 }
 
-// enqueue appends a job with ready tasks to its pool's order; the next sort moves it to its place.
+// enqueue appends a job with ready tasks to its pool's order, unless it stands there; the next sort moves it to its
+// place.
 func (s *Scheduler) enqueue(job *activeJob) {
-	if len(job.ready) > 0 && !job.queued {
+	if len(job.ready) == 0 {
+		return
+	}
+	q := s.queueOf(job.pool)
+	if !job.queued {
 		job.queued = true
-		q := s.queueOf(job.pool)
 		q.order = append(q.order, job)
 	}
+	q.noteNeed(job)
+}
+
+// noteNeed lowers the least need to that of a job in the order.
+func (q *poolQueue) noteNeed(job *activeJob) {
+	if len(q.order) == 1 {
+		q.leastNeed = job.leastNeed
+		return
+	}
+	q.leastNeed = q.leastNeed.Min(job.leastNeed)
 }
 
 // describeJob computes which tasks of a job could start, and its scheduling inputs.
 func (s *Scheduler) describeJob(j *jobs.Job) *activeJob {
-	job := &activeJob{state: j, item: order.Item{ID: j.Spec.ID}}
+	job := &activeJob{state: j, waiting: j.Phase == batch.PhaseQueued, item: order.Item{ID: j.Spec.ID}}
 	scale := s.estimates.scaleOf(j.Spec.Queue)
 	var chains []float64
 	for occurrence := range j.Spec.Occurrences() {
@@ -180,12 +218,21 @@
 		}
 		job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
 		if !step.Gang {
-			job.ready = append(job.ready, id)
+			job.addReady(id, step.ReservedResources())
 		}
 	}
 	return dependenciesMs + taskMs
 }
 
+// addReady adds a task that could start and what it reserves.
+func (job *activeJob) addReady(id batch.TaskID, need batch.Resources) {
+	if len(job.ready) == 0 {
+		job.leastNeed = need
+	}
+	job.leastNeed = job.leastNeed.Min(need)
+	job.ready = append(job.ready, id)
+}
+
 // resourcesOf returns the resources that a number of a step's tasks reserve.
 func resourcesOf(step *batch.Step, count int) pools.Resources {
 	reserved := step.ReservedResources()
@@ -223,14 +270,9 @@
 
 // setOrderInputs computes a job's SLO and the inputs that order it among other jobs.
 func (s *Scheduler) setOrderInputs(job *activeJob) {
-	c := s.currentConfiguration()
 	slackFactor, targetMs := 1.0, int64(0)
-	for i := range c.Queues {
-		if q := &c.Queues[i]; q.Key() == job.state.Spec.Queue {
-			slackFactor, targetMs = q.SlackFactor, q.TargetLatencyMs
-			job.item.Priority = q.Priority
-			break
-		}
+	if q := s.currentConfiguration().Queue(job.state.Spec.Queue); q != nil {
+		slackFactor, targetMs, job.item.Priority = q.SlackFactor, q.TargetLatencyMs, q.Priority
 	}
 	var totalEstimateMs int64
 	for i := range job.state.Spec.Steps {
@@ -249,12 +291,14 @@
 	}
 	clear(q.order)
 	q.order, q.sortedMs = q.order[:0], now
+	wallMs := s.wallMs()
 	for _, job := range q.jobs {
 		if job.queued = len(job.ready) > 0; !job.queued {
 			continue
 		}
-		job.item.SlackMs = job.state.Spec.AcceptedMs + job.objectiveMs - job.criticalPathMs - s.wallMs()
+		job.item.SlackMs = job.state.Spec.AcceptedMs + job.objectiveMs - job.criticalPathMs - wallMs
 		q.order = append(q.order, job)
+		q.noteNeed(job)
 	}
 	order.Sort(q.order, func(job *activeJob) *order.Item { return &job.item })
 	return q.order
@@ -263,8 +307,8 @@
 // openDueOccurrences refreshes jobs with an occurrence that has become due.
 func (s *Scheduler) openDueOccurrences() {
 	now := s.wallMs()
-	for id, job := range s.jobs {
-		if job.nextDueMs > 0 && now >= job.nextDueMs-earlyStartMs {
+	for id, job := range s.scheduledJobs {
+		if now >= job.nextDueMs-earlyStartMs {
 			s.refreshJob(id)
 		}
 	}
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"maps"
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -84,6 +87,8 @@
 	workerByAddress map[string]string
 	queues          map[string]*poolQueue
 	jobs            map[string]*activeJob
+	// gangJobs are the jobs with gangs, and scheduledJobs those with an occurrence that is still to become due.
+	gangJobs, scheduledJobs map[string]*activeJob
 	// starting holds the tasks whose start is proposed and not yet applied.
 	starting map[batch.TaskID]bool
 	// startingWorker holds the workers of these tasks.
@@ -92,6 +97,10 @@
 	fleet          fleetView
 	permits        permits
 	estimates      estimates
+	// viewVersion is the version of the configuration by which the view of all jobs was last refreshed.
+	viewVersion uint64
+	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
+	waitingCountedMs int64
 }
 
 // New returns a scheduler that is inactive until its process leads.
@@ -102,9 +111,11 @@
 }
 
 func (s *Scheduler) reset() {
+	s.clearWaitingGauges()
 	s.active, s.formerStopsUntilMs = false, 0
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
+	s.gangJobs, s.scheduledJobs = map[string]*activeJob{}, map[string]*activeJob{}
 	s.stopping, s.abandonedUntilMs = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits = newFleetView(), newPermits()
@@ -163,6 +174,7 @@
 		}
 	}
 	machine.TakeChanged()
+	s.viewVersion = machine.State().Configuration.Version
 	for id := range machine.Jobs() {
 		s.refreshJob(id)
 	}
@@ -195,9 +207,15 @@
 	}
 }
 
-// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed.
+// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed: all jobs after a
+// change of the configuration, which may name other pools and priorities.
 func (s *Scheduler) refreshChangedJobs() {
-	for _, id := range s.options.Log.Batch().TakeChanged() {
+	changed := s.options.Log.Batch().TakeChanged()
+	if version := s.currentConfiguration().Version; version != s.viewVersion {
+		s.viewVersion = version
+		changed = slices.AppendSeq(changed, maps.Keys(s.jobs))
+	}
+	for _, id := range changed {
 		s.refreshJob(id)
 	}
 }
@@ -217,6 +235,7 @@
 	s.openDueOccurrences()
 	s.planGangs(now)
 	s.manageFleet(now)
+	s.observeWaitingJobs(now)
 	s.flush()
 }
 
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -11,7 +11,7 @@
 )
 
 func batchChangeToWire(c *batch.Change) *peer.BatchChange {
-	w := &peer.BatchChange{Cancels: c.CancelledJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader)}
+	w := &peer.BatchChange{Cancels: c.CancelledJobs, Begun: c.BegunJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader)}
 	if c.Configuration != nil {
 		w.Configuration = ConfigurationToWire(c.Configuration)
 	}
@@ -38,7 +38,9 @@
 }
 
 func batchChangeFromWire(w *peer.BatchChange) *batch.Change {
-	c := &batch.Change{CancelledJobs: w.GetCancels(), OrderedVMs: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader())}
+	c := &batch.Change{
+		CancelledJobs: w.GetCancels(), BegunJobs: w.GetBegun(), OrderedVMs: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader()),
+	}
 	if w.GetConfiguration() != nil {
 		c.Configuration = ConfigurationFromWire(w.GetConfiguration())
 	}
@@ -192,7 +194,7 @@
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
-				Attempt: intToWire(t.LastAttempt), Failures: intToWire(t.Failures), Done: t.Done, Begun: t.Started, Checkpoint: t.Checkpoint,
+				Attempt: intToWire(t.LastAttempt), Failures: intToWire(t.Failures), Done: t.Done, Checkpoint: t.Checkpoint,
 			}
 			for _, r := range t.Attempts {
 				task.Runs = append(task.Runs, &peer.BatchRun{
@@ -227,8 +229,7 @@
 		}
 		for _, t := range job.GetTasks() {
 			task := jobs.Task{
-				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Started: t.GetBegun(),
-				Checkpoint: t.GetCheckpoint(),
+				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Checkpoint: t.GetCheckpoint(),
 			}
 			for _, r := range t.GetRuns() {
 				task.Attempts = append(task.Attempts, jobs.Attempt{
