--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -11,6 +11,10 @@
 // handleHeartbeat applies a worker's report that arrived at an uptime in milliseconds, and replies with orders once the
 // changes behind them are committed.
 func (s *Scheduler) handleHeartbeat(h *batch.Heartbeat, arrivedMs int64, reply func(batch.Reply)) {
+	if err := s.checkHeartbeat(h); err != nil {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
+		return
+	}
 	w := s.workerOf(h.Worker)
 	now := s.now()
 	if !s.acceptHeartbeat(w, h, now) {
@@ -18,6 +22,8 @@
 		reply(batch.Reply{Code: batch.CodeOK})
 		return
 	}
+	s.noteUnreadRows(w, h)
+	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
 	orders := batch.Orders{Stop: stops, Pace: s.pace(w), NextHeartbeatMs: s.nextHeartbeatMs(w, now)}
@@ -68,8 +74,7 @@
 			zap.Uint64("sequence", h.Sequence))
 		return false
 	}
-	other := s.workers[s.workerByAddress[h.Address]]
-	if other != nil && other != w && other.address == h.Address && other.incarnation < h.Incarnation {
+	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
 		s.loseAttempts(other, other.incarnation, "address_taken_over")
@@ -218,18 +223,19 @@
 }
 
 // endMissing ends attempts that were ordered before this heartbeat was sent and that the worker lists neither as
-// running nor as ended.
+// running nor as ended. If the heartbeat has more rows that can't be read than before, the attempts may be among them:
+// they go on, and hold their resources.
 func (s *Scheduler) endMissing(w *worker, h *batch.Heartbeat) {
+	mayBeUnread, found := h.UnreadRunning > w.unreadRunning, false
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		_, t := s.findTask(id)
+		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
-			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence {
+			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence || lists(w, h, id, r.Number) {
 				continue
 			}
-			if a := w.running[id]; a != nil && a.number == r.Number {
-				continue
-			}
-			if slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == r.Number }) {
+			found = true
+			if mayBeUnread {
+				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 				continue
 			}
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
@@ -238,6 +244,17 @@
 			s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
 		}
 	}
+	if !mayBeUnread || !found {
+		w.unreadRunning = h.UnreadRunning
+	}
+}
+
+// lists reports whether a heartbeat lists an attempt as running or as ended.
+func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
+	if a := w.running[id]; a != nil && a.number == number {
+		return true
+	}
+	return slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == number })
 }
 
 // completeOrders fills in the orders from what is committed by now.
@@ -281,6 +298,10 @@
 // handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored.
 func (s *Scheduler) handleDeregistration(l *batch.Deregistration, reply func(batch.Reply)) {
 	w := s.workers[l.Worker]
+	if supersedes(l.Incarnation, w) && s.farAhead(l.Incarnation) {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: "the incarnation is far ahead of the clock, and another is known"})
+		return
+	}
 	if w != nil && (l.Incarnation == 0 || l.Incarnation >= w.incarnation) {
 		w.left = true
 		s.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -327,35 +327,6 @@
 	}
 }
 
-// answerLists answers the outstanding reads of the VM list; each line names a VM, its pool and its worker, or "-"
-// for none.
-func (h *harness) answerLists(t *testing.T, d *datadriven.TestData) {
-	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone}
-	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
-		fields := strings.Fields(line)
-		v := sched.VM{Name: fields[0], Pool: fields[1], State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000}}
-		if fields[2] != "-" {
-			v.Worker = fields[2]
-		}
-		r.VMs = append(r.VMs, v)
-	}
-	r.NextPage = stringArg(d, "next", "")
-	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
-}
-
-// answerListsWithMany answers the outstanding reads of the VM list with VMs of the spare pool that have no worker.
-func (h *harness) answerListsWithMany(t *testing.T, d *datadriven.TestData) {
-	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone}
-	for i := range intArg(t, d, "vms", 0) {
-		r.VMs = append(r.VMs, sched.VM{
-			Name: fmt.Sprintf("m%03d", i), Pool: "spare", State: sched.VMUp, Capacity: batch.Resources{CPUMilli: 16000, MemoryMB: 64000},
-		})
-	}
-	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
-}
-
 // answerOrder answers the outstanding order for a VM, or the outstanding request for permits.
 func (h *harness) answerOrder(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
@@ -404,6 +375,8 @@
 		fields := strings.Fields(line)
 		switch {
 		case len(fields) == 0:
+		case fields[0] == "unread":
+			report.UnreadRunning++
 		case fields[0] == "running":
 			id, attempt := parseTask(t, fields[1])
 			r := batch.Running{Task: id, Attempt: attempt, Percent: 50}
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -110,6 +110,11 @@
 	return need.CPUMilli <= c.CPUMilli && need.MemoryMB <= c.MemoryMB && need.Accelerators <= c.Accelerators
 }
 
+// InRange reports whether each amount is one that a VM can have or a task can need.
+func (c Resources) InRange() bool {
+	return min(c.CPUMilli, c.MemoryMB, c.Accelerators) >= 0 && max(c.CPUMilli, c.MemoryMB, c.Accelerators) <= maxAmount
+}
+
 // Min returns the smaller amount of c and other in each dimension.
 func (c Resources) Min(other Resources) Resources {
 	return Resources{
@@ -167,6 +172,13 @@
 	maxTextBytes = 4000
 	// maxTasks bounds the tasks of one job over all occurrences.
 	maxTasks = 20000
+	// maxAmount bounds an amount of a resource, far above any VM: sums over all jobs stay within 64 bits.
+	maxAmount = 1_000_000_000
+	// maxSpanMs bounds times and durations, in milliseconds: the year 9999.
+	maxSpanMs = 253_402_300_799_999
+	// maxWork bounds the estimated work of a job, in thousandths of a core times milliseconds; in core-milliseconds, and
+	// five times as much, it fits in 64 bits.
+	maxWork = 1e21
 )
 
 // ValidID reports whether id has the form of a job's identity: 16 hexadecimal digits in either case.
@@ -206,21 +218,58 @@
 	if len(j.Steps) == 0 {
 		return errors.New("the job has no steps")
 	}
-	tasks := 0
+	if err := j.checkTimes(); err != nil {
+		return err
+	}
+	if work := j.estimatedWork(); work > maxWork {
+		return errors.Newf("the job's estimated work is %g milli-core-ms; %g are allowed", work, float64(maxWork))
+	}
+	tasksLeft := maxTasks / j.Occurrences()
 	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.Count < 1 || s.Need.CPUMilli < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
-			return errors.Newf("step %d has a count below 1 or a need below 0", i)
+		if err := j.Steps[i].check(i); err != nil {
+			return err
 		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return errors.Newf("step %d comes after step %d, which is no earlier one", i, a)
-			}
+		if j.Steps[i].Count > tasksLeft {
+			return errors.Newf("the job has more tasks than the %d that are allowed", maxTasks)
 		}
-		tasks += s.Count
+		tasksLeft -= j.Steps[i].Count
+	}
+	return nil
+}
+
+// estimatedWork returns the processor time that all tasks need, in thousandths of a core times milliseconds.
+func (j *Job) estimatedWork() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		work += float64(s.Count) * float64(s.EstimateMs) * float64(s.Need.CPUMilli)
 	}
-	if tasks*j.Occurrences() > maxTasks {
-		return errors.Newf("the job has %d tasks; %d are allowed", tasks*j.Occurrences(), maxTasks)
+	return work * float64(j.Occurrences())
+}
+
+// checkTimes returns an error if an occurrence would be due outside the range of times.
+func (j *Job) checkTimes() error {
+	if j.RunCount <= 0 {
+		return nil
+	}
+	if max(j.FirstDueMs, j.IntervalMs) > maxSpanMs || min(j.FirstDueMs, j.IntervalMs) < 0 {
+		return errors.Newf("the job is due at %d ms and every %d ms; 0 to %d are allowed", j.FirstDueMs, j.IntervalMs, int64(maxSpanMs))
+	}
+	return nil
+}
+
+// check returns an error that says why a step can't be accepted as the one with an index, or nil.
+func (s *Step) check(index int) error {
+	if s.Count < 1 || !s.Need.InRange() {
+		return errors.Newf("step %d has a count below 1 or a need outside of 0 to %d", index, maxAmount)
+	}
+	if s.EstimateMs > maxSpanMs {
+		return errors.Newf("step %d has an estimate of %d ms; %d are allowed", index, s.EstimateMs, int64(maxSpanMs))
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return errors.Newf("step %d comes after step %d, which is no earlier one", index, a)
+		}
 	}
 	return nil
 }
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -70,15 +70,16 @@
 		Worker: h.Worker, Incarnation: h.Incarnation, Sequence: h.Sequence, Pool: h.Pool, Address: h.Address,
 		DataCentre: h.DataCentre, Draining: h.Draining, RemainingMs: h.RemainingMs, Labels: h.Labels,
 		CpuMilli: h.Capacity.CPUMilli, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
+		UnreadRunning: int64(h.UnreadRunning), UnreadEnded: int64(h.UnreadEnded),
 	}
 	for _, r := range h.Running {
 		w.Running = append(w.Running, &peer.LinkRunning{
-			Task: taskIDToWire(r.Task), Attempt: int32(r.Attempt), Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Load: r.Load,
+			Task: taskIDToWire(r.Task), Attempt: intToWire(r.Attempt), Checkpoint: r.Checkpoint, Percent: intToWire(r.Percent), Load: r.Load,
 		})
 	}
 	for _, e := range h.Ended {
 		w.Ended = append(w.Ended, &peer.LinkEnded{
-			Number: e.Number, Task: taskIDToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint,
+			Number: e.Number, Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint,
 		})
 	}
 	return w
@@ -88,7 +89,8 @@
 	h := &batch.Heartbeat{
 		Worker: w.GetWorker(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(), Pool: w.GetPool(),
 		Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Draining: w.GetDraining(), RemainingMs: w.GetRemainingMs(),
-		Labels:   w.GetLabels(),
+		Labels:        w.GetLabels(),
+		UnreadRunning: int(w.GetUnreadRunning()), UnreadEnded: int(w.GetUnreadEnded()),
 		Capacity: batch.Resources{CPUMilli: w.GetCpuMilli(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
 	}
 	for _, r := range w.GetRunning() {
@@ -118,15 +120,15 @@
 	}
 	for _, s := range o.Start {
 		w.Orders.Start = append(w.Orders.Start, &peer.LinkStart{
-			Task: taskIDToWire(s.Task), Attempt: int32(s.Attempt), Text: s.Text, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt), Text: s.Text, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
 	}
 	for _, s := range o.Stop {
-		w.Orders.Stop = append(w.Orders.Stop, &peer.LinkStop{Task: taskIDToWire(s.Task), Attempt: int32(s.Attempt)})
+		w.Orders.Stop = append(w.Orders.Stop, &peer.LinkStop{Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt)})
 	}
 	for _, p := range o.Pace {
 		w.Orders.Pace = append(w.Orders.Pace, &peer.LinkPace{
-			Task: taskIDToWire(p.Task), Attempt: int32(p.Attempt), Percent: int32(p.Percent),
+			Task: taskIDToWire(p.Task), Attempt: intToWire(p.Attempt), Percent: intToWire(p.Percent),
 		})
 	}
 	return w
