Print the fleet's lists and the batch views through one function each

job list, vm list, pool list and wave status each read the state, chose between JSON and a table and opened the table; printFleet does so once, and the four give it their rows. The four batch views hand rows to inspectBatch in the same way, and changeFleet takes a request's identity from requestID, which stood beside it.

No behaviour changes: app/script and app/site, whose scripts read this output, pass.

--- a/internal/app/opcli/batch.go
+++ b/internal/app/opcli/batch.go
@@ -39,13 +39,13 @@
 func (b *BatchCommand) run(ctx context.Context, c *cli) error {
 	switch {
 	case b.Status != nil:
-		return c.inspectBatch(ctx, batch.TopicOverview, "", c.writeOverview)
+		return c.inspectBatch(ctx, batch.TopicOverview, "", writeOverview)
 	case b.Job != nil:
-		return c.inspectBatch(ctx, batch.TopicJob, b.Job.Job, c.writeBatchJob)
+		return c.inspectBatch(ctx, batch.TopicJob, b.Job.Job, writeBatchJob)
 	case b.Workers != nil:
-		return c.inspectBatch(ctx, batch.TopicWorkers, "", b.Workers.writeWorkers(c))
+		return c.inspectBatch(ctx, batch.TopicWorkers, "", b.Workers.writeWorkers)
 	case b.VMs != nil:
-		return c.inspectBatch(ctx, batch.TopicVMs, "", b.VMs.writeVMs(c))
+		return c.inspectBatch(ctx, batch.TopicVMs, "", b.VMs.writeVMs)
 	case b.Cancel != nil:
 		return c.cancelBatchJob(ctx, b.Cancel.Job)
 	default:
@@ -53,8 +53,8 @@
 	}
 }
 
-// inspectBatch asks the leader about a topic and passes the answer to write.
-func (c *cli) inspectBatch(ctx context.Context, topic batch.Topic, job string, write func(*peer.InspectResponse) error) error {
+// inspectBatch asks the leader about a topic and prints the answer, as JSON or as the table that write produces.
+func (c *cli) inspectBatch(ctx context.Context, topic batch.Topic, job string, write func(*tabwriter.Writer, *peer.InspectResponse)) error {
 	response, err := c.batch.Inspect(ctx, connect.NewRequest(&peer.InspectRequest{Topic: uint32(topic), Job: job}))
 	if err != nil {
 		return errors.Wrapf(err, "inspect %s", topic)
@@ -62,7 +62,7 @@
 	if c.arguments.JSON {
 		return c.writeJSON(response.Msg)
 	}
-	return write(response.Msg)
+	return c.writeTable(func(w *tabwriter.Writer) { write(w, response.Msg) })
 }
 
 func (c *cli) cancelBatchJob(ctx context.Context, job string) error {
@@ -77,70 +77,58 @@
 	return err
 }
 
-func (c *cli) writeOverview(r *peer.InspectResponse) error {
+func writeOverview(w *tabwriter.Writer, r *peer.InspectResponse) {
 	o := r.GetOverview()
-	return c.writeTable(func(w *tabwriter.Writer) {
-		fmt.Fprintf(w, "leader\t%s, term %d, for %d ms, confirmed %d ms ago\n", o.GetLeader(), o.GetTerm(), o.GetLedMs(), o.GetConfirmedMs())
-		fmt.Fprintf(w, "configuration\t%d with %d queues\n", o.GetVersion(), o.GetQueues())
-		fmt.Fprintf(w, "jobs\t%d queued, %d running, %d ended of late\n\n", o.GetQueued(), o.GetRunning(), o.GetEnded())
-		fmt.Fprintln(w, "MEMBER\tROLE\tHEARD\tCAUGHT UP")
-		for _, m := range o.GetMembers() {
-			fmt.Fprintf(w, "%s\t%s\t%t\t%t\n", m.GetName(), m.GetRole(), m.GetHeard(), m.GetCaughtUp())
-		}
-		fmt.Fprintln(w, "\nPOOL\tSTANDBY\tVMS\tWORKERS\tRUNNING\tREADY")
-		for _, p := range o.GetPools() {
-			fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%d\n", p.GetName(), p.GetStandby(), p.GetVms(), p.GetWorkers(), p.GetRunning(), p.GetReady())
-		}
-		fmt.Fprintln(w, "\nWAVE\tBEGUN\tOF\tAT ONCE\tTIME LEFT")
-		for _, v := range o.GetWaves() {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d ms\n", v.GetId(), v.GetBegun(), v.GetVms(), v.GetAtOnce(), v.GetLeftMs())
-		}
-	})
+	fmt.Fprintf(w, "leader\t%s, term %d, for %d ms, confirmed %d ms ago\n", o.GetLeader(), o.GetTerm(), o.GetLedMs(), o.GetConfirmedMs())
+	fmt.Fprintf(w, "configuration\t%d with %d queues\n", o.GetVersion(), o.GetQueues())
+	fmt.Fprintf(w, "jobs\t%d queued, %d running, %d ended of late\n\n", o.GetQueued(), o.GetRunning(), o.GetEnded())
+	fmt.Fprintln(w, "MEMBER\tROLE\tHEARD\tCAUGHT UP")
+	for _, m := range o.GetMembers() {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%t\n", m.GetName(), m.GetRole(), m.GetHeard(), m.GetCaughtUp())
+	}
+	fmt.Fprintln(w, "\nPOOL\tSTANDBY\tVMS\tWORKERS\tRUNNING\tREADY")
+	for _, p := range o.GetPools() {
+		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%d\n", p.GetName(), p.GetStandby(), p.GetVms(), p.GetWorkers(), p.GetRunning(), p.GetReady())
+	}
+	fmt.Fprintln(w, "\nWAVE\tBEGUN\tOF\tAT ONCE\tTIME LEFT")
+	for _, v := range o.GetWaves() {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d ms\n", v.GetId(), v.GetBegun(), v.GetVms(), v.GetAtOnce(), v.GetLeftMs())
+	}
 }
 
-func (c *cli) writeBatchJob(r *peer.InspectResponse) error {
+func writeBatchJob(w *tabwriter.Writer, r *peer.InspectResponse) {
 	j := r.GetJob()
-	return c.writeTable(func(w *tabwriter.Writer) {
-		fmt.Fprintf(w, "job\t%s in pool %s, %s\n", j.GetId(), j.GetPool(), batch.Phase(j.GetPhase()))
-		fmt.Fprintf(w, "taken\t%d ms ago, slack %d ms\n\n", j.GetAgeMs(), j.GetSlackMs())
-		fmt.Fprintln(w, "OCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING\tORDERED\tFAILURES\tWAITS")
-		for _, s := range j.GetSteps() {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.GetOccurrence(), s.GetStep(), s.GetTasks(), s.GetDone(), s.GetRunning(),
-				s.GetOrdered(), s.GetFailures(), s.GetWaits())
-		}
-		fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tINDEX\tATTEMPT\tWORKER\tPERCENT")
-		for _, a := range j.GetRuns() {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%d\n", a.GetTask().GetOccurrence(), a.GetTask().GetStep(), a.GetTask().GetIndex(),
-				a.GetAttempt(), a.GetWorker(), a.GetPercent())
-		}
-	})
+	fmt.Fprintf(w, "job\t%s in pool %s, %s\n", j.GetId(), j.GetPool(), batch.Phase(j.GetPhase()))
+	fmt.Fprintf(w, "taken\t%d ms ago, slack %d ms\n\n", j.GetAgeMs(), j.GetSlackMs())
+	fmt.Fprintln(w, "OCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING\tORDERED\tFAILURES\tWAITS")
+	for _, s := range j.GetSteps() {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.GetOccurrence(), s.GetStep(), s.GetTasks(), s.GetDone(), s.GetRunning(),
+			s.GetOrdered(), s.GetFailures(), s.GetWaits())
+	}
+	fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tINDEX\tATTEMPT\tWORKER\tPERCENT")
+	for _, a := range j.GetRuns() {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%d\n", a.GetTask().GetOccurrence(), a.GetTask().GetStep(), a.GetTask().GetIndex(),
+			a.GetAttempt(), a.GetWorker(), a.GetPercent())
+	}
 }
 
-// writeWorkers returns a function that prints the workers of the selected pool.
-func (b *BatchListCommand) writeWorkers(c *cli) func(*peer.InspectResponse) error {
-	return func(r *peer.InspectResponse) error {
-		return c.writeTable(func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "WORKER\tPOOL\tVM\tSTATE\tRUNNING\tFREE MILLI\tFREE MB\tHEARD\tLEASE\tPACE")
-			for _, k := range r.GetWorkers() {
-				if b.Pool == "" || b.Pool == k.GetPool() {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d ms ago\t%d ms\t%d%%\n", k.GetId(), k.GetPool(), k.GetVm(), k.GetState(),
-						k.GetRunning(), k.GetCpuMilli(), k.GetMemoryMb(), k.GetHeardMs(), k.GetLeaseMs(), k.GetShare())
-				}
-			}
-		})
+// writeWorkers prints the workers of the selected pool.
+func (b *BatchListCommand) writeWorkers(w *tabwriter.Writer, r *peer.InspectResponse) {
+	fmt.Fprintln(w, "WORKER\tPOOL\tVM\tSTATE\tRUNNING\tFREE MILLI\tFREE MB\tHEARD\tLEASE\tPACE")
+	for _, k := range r.GetWorkers() {
+		if b.Pool == "" || b.Pool == k.GetPool() {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d ms ago\t%d ms\t%d%%\n", k.GetId(), k.GetPool(), k.GetVm(), k.GetState(),
+				k.GetRunning(), k.GetCpuMilli(), k.GetMemoryMb(), k.GetHeardMs(), k.GetLeaseMs(), k.GetShare())
+		}
 	}
 }
 
-// writeVMs returns a function that prints the VMs of the selected pool.
-func (b *BatchListCommand) writeVMs(c *cli) func(*peer.InspectResponse) error {
-	return func(r *peer.InspectResponse) error {
-		return c.writeTable(func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "VM\tPOOL\tSTATE\tWORKER\tPLAN\tLISTED")
-			for _, v := range r.GetVms() {
-				if b.Pool == "" || b.Pool == v.GetPool() {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d ms ago\n", v.GetName(), v.GetPool(), v.GetState(), v.GetWorker(), v.GetPlan(), v.GetListedMs())
-				}
-			}
-		})
+// writeVMs prints the VMs of the selected pool.
+func (b *BatchListCommand) writeVMs(w *tabwriter.Writer, r *peer.InspectResponse) {
+	fmt.Fprintln(w, "VM\tPOOL\tSTATE\tWORKER\tPLAN\tLISTED")
+	for _, v := range r.GetVms() {
+		if b.Pool == "" || b.Pool == v.GetPool() {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d ms ago\n", v.GetName(), v.GetPool(), v.GetState(), v.GetWorker(), v.GetPlan(), v.GetListedMs())
+		}
 	}
 }
--- a/internal/app/opcli/fleet.go
+++ b/internal/app/opcli/fleet.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
@@ -24,10 +23,7 @@
 // changeFleet makes an operator's change of the fleet and prints the server's message, or defaultMessage if there is
 // none. Without --request it generates a request identity.
 func (c *cli) changeFleet(ctx context.Context, f ChangeFlags, command record.Command, defaultMessage string) error {
-	command.RequestID = f.Request
-	if command.RequestID == "" {
-		command.RequestID = uuid.NewString()
-	}
+	command.RequestID = requestID(f.Request)
 	response, err := c.fleet.Change(ctx, connect.NewRequest(&peer.ChangeRequest{
 		Command: codec.CommandToWire(command), DryRun: f.DryRun, Force: f.Force,
 	}))
@@ -54,6 +50,18 @@
 	return response.Msg, nil
 }
 
+// printFleet prints the state that planning works on, as JSON or as the table that write produces.
+func (c *cli) printFleet(ctx context.Context, write func(*tabwriter.Writer, *peer.ShowResponse)) error {
+	state, err := c.fleetState(ctx)
+	if err != nil {
+		return err
+	}
+	if c.arguments.JSON {
+		return c.writeJSON(state)
+	}
+	return c.writeTable(func(w *tabwriter.Writer) { write(w, state) })
+}
+
 // writeTable prints the rows that write produces, with aligned columns.
 func (c *cli) writeTable(write func(*tabwriter.Writer)) error {
 	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
--- a/internal/app/opcli/job.go
+++ b/internal/app/opcli/job.go
@@ -9,6 +9,7 @@
 
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/wire/peer"
 )
 
 // JobCommand holds the subcommands for jobs.
@@ -83,14 +84,7 @@
 }
 
 func (j *JobListCommand) run(ctx context.Context, c *cli) error {
-	state, err := c.fleetState(ctx)
-	if err != nil {
-		return err
-	}
-	if c.arguments.JSON {
-		return c.writeJSON(state)
-	}
-	return c.writeTable(func(w *tabwriter.Writer) {
+	return c.printFleet(ctx, func(w *tabwriter.Writer, state *peer.ShowResponse) {
 		fmt.Fprintln(w, "JOB\tTEAM\tPOOL\tPHASE\tVM\tATTEMPT\tCORES\tIN USE\tCAUSE")
 		for _, s := range state.GetJobs() {
 			if j.Team != "" && j.Team != s.GetTeam() {
--- a/internal/app/opcli/status.go
+++ b/internal/app/opcli/status.go
@@ -39,11 +39,11 @@
 	if err != nil {
 		return err
 	}
-	for _, write := range []func(*peer.ShowResponse) error{c.writePools, c.writeWaves} {
+	for _, write := range []func(*tabwriter.Writer, *peer.ShowResponse){writePools, writeWaves} {
 		if _, err := fmt.Fprintln(c.out); err != nil {
 			return errors.Wrap(err, "write status")
 		}
-		if err := write(state); err != nil {
+		if err := c.writeTable(func(w *tabwriter.Writer) { write(w, state) }); err != nil {
 			return err
 		}
 	}
--- a/internal/app/opcli/vm.go
+++ b/internal/app/opcli/vm.go
@@ -73,14 +73,7 @@
 }
 
 func (v *VMListCommand) run(ctx context.Context, c *cli) error {
-	state, err := c.fleetState(ctx)
-	if err != nil {
-		return err
-	}
-	if c.arguments.JSON {
-		return c.writeJSON(state)
-	}
-	return c.writeTable(func(w *tabwriter.Writer) {
+	return c.printFleet(ctx, func(w *tabwriter.Writer, state *peer.ShowResponse) {
 		fmt.Fprintln(w, "VM\tPOOL\tPHASE\tTARGET\tWORK\tEPOCH\tVERSION\tDATA CENTRE\tRACK\tCAUSE")
 		for _, m := range state.GetVms() {
 			if v.Pool != "" && v.Pool != m.GetPool() {
@@ -98,30 +91,21 @@
 }
 
 func (p *PoolCommand) run(ctx context.Context, c *cli) error {
-	state, err := c.fleetState(ctx)
-	if err != nil {
-		return err
-	}
-	if c.arguments.JSON {
-		return c.writeJSON(state)
-	}
-	return c.writePools(state)
+	return c.printFleet(ctx, writePools)
 }
 
 // writePools prints the pools with their demand, and the budgets of the services on them.
-func (c *cli) writePools(state *peer.ShowResponse) error {
-	return c.writeTable(func(w *tabwriter.Writer) {
-		fmt.Fprintln(w, "POOL\tSPARE\tSIZE\tACTIVE\tNEED\tMEAN\tPEAK")
-		for _, s := range state.GetPools() {
-			fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%.2f\t%.2f\n", s.GetName(), s.GetSpare(), s.GetSize(), s.GetActive(),
-				s.GetNeed(), float64(s.GetMeanMilli())/milliPerUnit, float64(s.GetPeakMilli())/milliPerUnit)
-		}
-		fmt.Fprintln(w, "\nSERVICE\tPOOL\tALLOWED\tSEEN\tRESERVED\tLEFT")
-		for _, b := range state.GetBudgets() {
-			fmt.Fprintf(w, "%s\t%s\t%d s\t%d s\t%d s\t%d s\n", b.GetService(), b.GetPool(), b.GetAllowedMs()/milliPerUnit,
-				b.GetSeenMs()/milliPerUnit, b.GetReservedMs()/milliPerUnit, b.GetLeftMs()/milliPerUnit)
-		}
-	})
+func writePools(w *tabwriter.Writer, state *peer.ShowResponse) {
+	fmt.Fprintln(w, "POOL\tSPARE\tSIZE\tACTIVE\tNEED\tMEAN\tPEAK")
+	for _, s := range state.GetPools() {
+		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%.2f\t%.2f\n", s.GetName(), s.GetSpare(), s.GetSize(), s.GetActive(),
+			s.GetNeed(), float64(s.GetMeanMilli())/milliPerUnit, float64(s.GetPeakMilli())/milliPerUnit)
+	}
+	fmt.Fprintln(w, "\nSERVICE\tPOOL\tALLOWED\tSEEN\tRESERVED\tLEFT")
+	for _, b := range state.GetBudgets() {
+		fmt.Fprintf(w, "%s\t%s\t%d s\t%d s\t%d s\t%d s\n", b.GetService(), b.GetPool(), b.GetAllowedMs()/milliPerUnit,
+			b.GetSeenMs()/milliPerUnit, b.GetReservedMs()/milliPerUnit, b.GetLeftMs()/milliPerUnit)
+	}
 }
 
 // milliPerUnit converts milliseconds to seconds and thousandths of a VM to VMs.
--- a/internal/app/opcli/wave.go
+++ b/internal/app/opcli/wave.go
@@ -51,7 +51,7 @@
 	case v.Cancel != nil:
 		return v.Cancel.run(ctx, c, record.WaveCancel)
 	case v.Status != nil:
-		return c.listWaves(ctx)
+		return c.printFleet(ctx, writeWaves)
 	default:
 		return &usageError{err: errors.New("wave needs a command; see cowslip wave --help")}
 	}
@@ -63,24 +63,11 @@
 	}}, step.String()+" "+v.Name)
 }
 
-func (c *cli) listWaves(ctx context.Context) error {
-	state, err := c.fleetState(ctx)
-	if err != nil {
-		return err
-	}
-	if c.arguments.JSON {
-		return c.writeJSON(state)
-	}
-	return c.writeWaves(state)
-}
-
 // writeWaves prints the waves with their phase and progress.
-func (c *cli) writeWaves(state *peer.ShowResponse) error {
-	return c.writeTable(func(w *tabwriter.Writer) {
-		fmt.Fprintln(w, "WAVE\tURGENT\tPHASE\tRETURNED\tPROVEN\tFAILED\tCAUSE")
-		for _, v := range state.GetWaves() {
-			fmt.Fprintf(w, "%s\t%t\t%s\t%d\t%d\t%d\t%s\n", v.GetName(), v.GetUrgent(), fleet.WavePhase(v.GetPhase()),
-				v.GetReturned(), v.GetProven(), v.GetFailed(), v.GetCause())
-		}
-	})
+func writeWaves(w *tabwriter.Writer, state *peer.ShowResponse) {
+	fmt.Fprintln(w, "WAVE\tURGENT\tPHASE\tRETURNED\tPROVEN\tFAILED\tCAUSE")
+	for _, v := range state.GetWaves() {
+		fmt.Fprintf(w, "%s\t%t\t%s\t%d\t%d\t%d\t%s\n", v.GetName(), v.GetUrgent(), fleet.WavePhase(v.GetPhase()),
+			v.GetReturned(), v.GetProven(), v.GetFailed(), v.GetCause())
+	}
 }
