Keep how cowslip prints in one file

The settings of its tables stood in eight places, and the functions that print tables and JSON beside the commands status and explain. print.go holds them.

No behaviour changes: app/script passes.

--- a/internal/app/opcli/fleet.go
+++ b/internal/app/opcli/fleet.go
@@ -62,13 +62,6 @@
 	return c.writeTable(func(w *tabwriter.Writer) { write(w, state) })
 }
 
-// writeTable prints the rows that write produces, with aligned columns.
-func (c *cli) writeTable(write func(*tabwriter.Writer)) error {
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
-	write(w)
-	return errors.Wrap(w.Flush(), "write table")
-}
-
 // ExplainCommand prints the inputs and the rule of a decision.
 type ExplainCommand struct {
 	Kind string `arg:"positional,required" help:"vm, job, wave or spare"`
--- a/internal/app/opcli/history.go
+++ b/internal/app/opcli/history.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
@@ -55,7 +54,7 @@
 	if c.arguments.JSON {
 		return c.writeJSON(response.Msg)
 	}
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(c.out)
 	fmt.Fprintln(w, "REVISION\tACCEPTED\tDIGEST\tREQUEST\tTEXT KEPT")
 	for _, r := range response.Msg.GetRevisions() {
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%t\n", r.GetRevision(), formatTime(r.GetTimeMs()), shortDigest(r.GetDigest()), r.GetRequestId(), r.GetTextKept())
@@ -96,7 +95,7 @@
 }
 
 func (c *cli) writeEnvStatus(m *peer.ForceResponse) error {
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(c.out)
 	fmt.Fprintf(w, "revision\t%d\ndigest\t%s\n\n", m.GetRevision(), m.GetDigest())
 	fmt.Fprintln(w, "ENTRY\tREVISION\tLEASE\tRENEWED")
 	for _, e := range m.GetEntries() {
--- a/internal/app/opcli/replica.go
+++ b/internal/app/opcli/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
@@ -98,7 +97,7 @@
 	if c.arguments.JSON {
 		return c.writeJSON(l)
 	}
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(c.out)
 	fmt.Fprintln(w, "REPLICA\tIDENTITY\tROLE\tSYNCED\tSTATE")
 	for _, m := range l.GetMembers() {
 		fmt.Fprintf(w, "%s\t%016x\t%s\t%d\t%s\n", m.GetMember().GetName(), m.GetMember().GetId(), roleOf(m), m.GetSynced(), stateOf(m))
--- a/internal/app/opcli/state.go
+++ b/internal/app/opcli/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(c.out)
 	fmt.Fprintf(w, "replica\t%s\nidentity\t%016x\n", f.Identity.Name, uint64(f.Identity.ID))
 	fmt.Fprintf(w, "term\t%d\nvote\t%016x\n", f.Hard.Term, uint64(f.Hard.Vote))
 	fmt.Fprintf(w, "snapshot\tindex %d, term %d, %d bytes\n", f.Snapshot.Index, f.Snapshot.Term, len(f.Snapshot.Data))
--- a/internal/app/opcli/status.go
+++ b/internal/app/opcli/status.go
@@ -7,8 +7,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"cowslipstack/internal/wire/peer"
 )
@@ -16,9 +14,6 @@
 // StatusCommand prints the state of the fleet.
 type StatusCommand struct{}
 
-// columnPadding is the number of spaces between the columns of a table.
-const columnPadding = 2
-
 func (c *cli) status(ctx context.Context) error {
 	response, err := c.operator.Status(ctx, connect.NewRequest(&peer.StatusRequest{}))
 	if err != nil {
@@ -51,7 +46,7 @@
 }
 
 func (c *cli) writeStatus(s *peer.StatusResponse) error {
-	w := tabwriter.NewWriter(c.out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(c.out)
 	fmt.Fprintf(w, "environment\t%s\nrevision\t%d\nleader\t%s\n\n", s.GetEnvironment(), s.GetRevision(), s.GetLeader())
 	fmt.Fprintln(w, "ENTRY\tREVISION\tRENEWED")
 	for _, e := range s.GetEntries() {
@@ -66,13 +61,3 @@
 	}
 	return errors.Wrap(w.Flush(), "write status")
 }
-
-// writeJSON writes a message as one JSON object with snake-case fields.
-func (c *cli) writeJSON(m proto.Message) error {
-	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
-	if err != nil {
-		return errors.Wrap(err, "encode JSON")
-	}
-	_, err = fmt.Fprintf(c.out, "%s\n", data)
-	return errors.Wrap(err, "write JSON")
-}
--- a/internal/app/opcli/trial.go
+++ b/internal/app/opcli/trial.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"text/tabwriter"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -81,7 +80,7 @@
 	if err := writeChanges(out, p.GetChanges()); err != nil {
 		return err
 	}
-	w := tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(out)
 	if len(p.GetPools()) > 0 {
 		fmt.Fprintln(w, "POOL\tVMS\tWANTED")
 	}
@@ -99,7 +98,7 @@
 }
 
 func writeChanges(out io.Writer, changes []*peer.ItemChange) error {
-	w := tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)
+	w := newTable(out)
 	if len(changes) == 0 {
 		fmt.Fprintln(w, "no differences")
 	}
