Split the files of package quorum by what a replica does

Declarations were only moved: the lines of the package are the same but for imports, and its tests pass.

--- a/internal/ctrl/quorum/replica.go
+++ b/internal/ctrl/quorum/replica.go
@@ -29,29 +29,6 @@
 	maxHeldMessages = 1024
 )
 
-// Options holds a replica's identity, recovered state and timing.
-type Options struct {
-	// ID identifies this replica.
-	ID ReplicaID
-	// Hard is the hard state recovered from disk.
-	Hard HardState
-	// Snapshot is the latest snapshot on disk; its index is 0 if there is none.
-	Snapshot Snapshot
-	// Entries are the entries on disk after the snapshot.
-	Entries []Entry
-	// HeartbeatTicks is the heartbeat interval in ticks.
-	HeartbeatTicks int
-	// ElectionTicks is the minimum election timeout in ticks.
-	ElectionTicks int
-	// FirstElectionTicks is the minimum timeout of the first election after a start, in ticks; 0 means ElectionTicks. A
-	// replica that voted for itself in its latest known term waits half of it.
-	FirstElectionTicks int
-	// Random returns a random number from 0 up to, but not including, its argument.
-	Random func(int) int
-	// MessageBytes limits the entries of one message; 0 means DefaultMessageBytes.
-	MessageBytes int
-}
-
 // Position identifies a log entry uniquely by its index and term.
 type Position struct {
 	// Index is the entry's position in the log.
@@ -107,13 +84,6 @@
 	out Output
 }
 
-// pendingWrite is a write that is not synced yet.
-type pendingWrite struct {
-	sequence uint64
-	last     uint64
-	hard     HardState
-}
-
 // New returns a follower with the state recovered from disk.
 func New(o Options) *Replica {
 	if o.MessageBytes == 0 {
@@ -235,30 +205,6 @@
 	return out
 }
 
-// Persisted reports that all writes up to sequence are synced.
-func (r *Replica) Persisted(sequence uint64) {
-	for len(r.writes) > 0 && r.writes[0].sequence <= sequence {
-		r.synced = max(r.synced, r.writes[0].last)
-		r.syncedHard = r.writes[0].hard
-		r.writes = r.writes[1:]
-	}
-	if r.hard == r.syncedHard {
-		r.out.Messages = append(r.out.Messages, r.heldMessages...)
-		r.heldMessages = nil
-	}
-	switch r.role {
-	case RoleLeader:
-		r.advanceCommit()
-	case RoleCandidate:
-		if r.syncedHard == r.hard {
-			r.recordVote(r.id, true)
-		}
-	case RoleFollower:
-		r.acknowledge()
-	default:
-	}
-}
-
 // Compact takes a snapshot of the state machine at an applied index and drops the entries it replaces, but for the last
 // keptEntries.
 func (r *Replica) Compact(index uint64, data []byte) {
@@ -272,33 +218,6 @@
 	r.pendingSnapshot = &Write{Snapshot: &s}
 }
 
-func (r *Replica) takeWrite() *Write {
-	w := r.pendingSnapshot
-	r.pendingSnapshot = nil
-	if r.written < r.log.last() {
-		if w == nil {
-			w = &Write{}
-		}
-		w.Entries = r.log.entriesBetween(r.written, r.log.last())
-		r.written = r.log.last()
-	}
-	if r.hard != r.writtenHard {
-		if w == nil {
-			w = &Write{}
-		}
-		hard := r.hard
-		w.Hard = &hard
-		r.writtenHard = r.hard
-	}
-	if w == nil {
-		return nil
-	}
-	r.sequence++
-	w.Sequence = r.sequence
-	r.writes = append(r.writes, pendingWrite{sequence: w.Sequence, last: r.written, hard: r.writtenHard})
-	return w
-}
-
 // append appends the entry after the last one.
 func (r *Replica) append(e Entry) {
 	check.That(e.Index == r.log.last()+1, "log_has_no_gap", r.logFields(zap.Uint64("index", e.Index))...)
@@ -314,16 +233,6 @@
 	r.rewindSynced(index)
 }
 
-// rewindSynced lowers the written and synced indexes to at most index, also for writes in progress, whose
-// entries may be replaced before they finish.
-func (r *Replica) rewindSynced(index uint64) {
-	r.written = min(r.written, index)
-	r.synced = min(r.synced, index)
-	for i := range r.writes {
-		r.writes[i].last = min(r.writes[i].last, index)
-	}
-}
-
 func (r *Replica) commitTo(index uint64) {
 	if index <= r.commit {
 		return
