Share the flags, scripts and breach handler of tests in base/tests

Seeds and counts are the same, and so are the scripts. Flags on the command line take precedence as before; an explicit -rapid.seed=0 (five packages) or -rapid.checks=100 (app/fakes) is now taken at its word too.

--- a/internal/app/daemon/inforce_test.go
+++ b/internal/app/daemon/inforce_test.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 )
@@ -20,15 +18,10 @@
 // maxInForceDelay is the maximum time from the acceptance of a revision until it is in force on all entries.
 const maxInForceDelay = 4 * time.Second
 
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// The seed is fixed unless the command line gives one.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("4"); err != nil {
-			panic(err)
-		}
-	}
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint("invariant breached: ", name, fields)) })
+	tests.SetFlags(map[string]string{"rapid.seed": "4"})
+	tests.PanicOnBreach()
 	os.Exit(m.Run())
 }
 
--- a/internal/app/fakes/events_test.go
+++ b/internal/app/fakes/events_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -15,24 +14,15 @@
 	"pgregory.net/rapid"
 
 	"cowslipstack/internal/app/fakes"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 )
 
+// TestMain fixes the seed of the random tests, and their number: a check takes most of a second, and ten times that with
+// the race detector.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// A seed given on the command line overrides the fixed one.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("11"); err != nil {
-			panic(err)
-		}
-	}
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		// A check takes most of a second, and ten times that with the race detector.
-		if err := f.Value.Set("10"); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "11", "rapid.checks": "10"})
 	os.Exit(m.Run())
 }
 
--- a/internal/app/proof/system_test.go
+++ b/internal/app/proof/system_test.go
@@ -18,8 +18,8 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/app/fakes"
-	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/front"
@@ -30,17 +30,13 @@
 	"cowslipstack/internal/model/record"
 )
 
+// TestMain fixes the seed and the number of the random tests, unless the command line has a seed.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	// The default is a fixed seed, so that runs are reproducible; the flag -rapid.seed overrides it.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		tests.SetFlags(map[string]string{"rapid.seed": "7", "rapid.checks": "60", "rapid.nofailfile": "true"})
 	}
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	tests.PanicOnBreach()
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/internal/base/tests/doc.go
@@ -0,0 +1,3 @@
+// Package tests holds what the tests of several packages share; only tests may
+// import it.
+package tests
--- a/internal/ctrl/quorum/random_test.go
+++ b/internal/ctrl/quorum/random_test.go
@@ -2,29 +2,23 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
 
-	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/base/tests"
 )
 
+// TestMain fixes the seed, the number and the length of the random tests, unless the command line has a seed.
 func TestMain(m *testing.M) {
-	// Without a given seed a fixed one is used, so that runs are reproducible.
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "60", "rapid.steps": "200", "rapid.nofailfile": "true"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		tests.SetFlags(map[string]string{"rapid.seed": "4", "rapid.checks": "60", "rapid.steps": "200", "rapid.nofailfile": "true"})
 	}
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	tests.PanicOnBreach()
 	os.Exit(m.Run())
 }
 
--- a/internal/ctrl/state/seed_test.go
+++ b/internal/ctrl/state/seed_test.go
@@ -1,18 +1,14 @@
 package state_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"cowslipstack/internal/base/tests"
 )
 
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// A seed given on the command line takes precedence over the fixed one.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("6"); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "6"})
 	os.Exit(m.Run())
 }
--- a/internal/edge/admit/admit_test.go
+++ b/internal/edge/admit/admit_test.go
@@ -14,10 +14,10 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
-	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/edge/route"
 	"cowslipstack/internal/edge/slots"
 	"cowslipstack/internal/model/docs"
@@ -49,7 +49,7 @@
 
 // start runs the named entries until the returned function is called; it returns once each entry has slots.
 func start(t testing.TB, names []string, view fixedView) (localEntries, func()) {
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	tests.PanicOnBreach()
 	all, g := localEntries{}, tasks.NewGroup(context.Background())
 	for i, name := range names {
 		a := New(Options{
--- a/internal/edge/eject/eject_test.go
+++ b/internal/edge/eject/eject_test.go
@@ -1,7 +1,6 @@
 package eject
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -10,15 +9,13 @@
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"cowslipstack/internal/base/tests"
 )
 
-// TestMain fixes the seed; a flag on the command line takes precedence.
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "5", "rapid.checks": "300", "rapid.nofailfile": "true"})
 	os.Exit(m.Run())
 }
 
--- a/internal/edge/queue/queue_test.go
+++ b/internal/edge/queue/queue_test.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strconv"
@@ -11,15 +10,13 @@
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"cowslipstack/internal/base/tests"
 )
 
-// TestMain sets a fixed seed; flags on the command line override it.
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "7", "rapid.checks": "300", "rapid.nofailfile": "true"})
 	os.Exit(m.Run())
 }
 
--- a/internal/edge/slots/model_test.go
+++ b/internal/edge/slots/model_test.go
@@ -1,26 +1,20 @@
 package slots
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"cowslipstack/internal/base/check"
+	"cowslipstack/internal/base/tests"
 )
 
-// TestMain sets a fixed seed; flags on the command line override it.
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "2000", "rapid.steps": "150", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	tests.SetFlags(map[string]string{"rapid.seed": "11", "rapid.checks": "2000", "rapid.steps": "150", "rapid.nofailfile": "true"})
+	tests.PanicOnBreach()
 	os.Exit(m.Run())
 }
 
--- a/internal/edge/table/table_test.go
+++ b/internal/edge/table/table_test.go
@@ -1,7 +1,6 @@
 package table_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,20 +9,16 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/edge/table"
 	"cowslipstack/internal/model/fleet"
 )
 
 const ttl = 10 * time.Second
 
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// A seed given on the command line takes precedence over the fixed one.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("4"); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "4"})
 	os.Exit(m.Run())
 }
 
--- a/internal/plan/budget/budget_test.go
+++ b/internal/plan/budget/budget_test.go
@@ -7,15 +7,14 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/plan/budget"
 )
 
 // TestLoss checks the worst loss of one failure domain against the scripts in testdata.
 func TestLoss(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, loss)
-	})
+	tests.RunScripts(t, loss)
 }
 
 // loss reads one VM per word, as dc/switch/rack, and prints the worst loss.
--- a/internal/plan/place/place_test.go
+++ b/internal/plan/place/place_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/plan/place"
 )
@@ -16,22 +17,20 @@
 
 // TestPlace checks the planned actions against the scripts in testdata, which list VMs, teams and jobs, one per line.
 func TestPlace(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			in := place.Input{Now: now, Lease: time.Minute, Reserved: map[string]bool{}}
-			for _, line := range strings.Split(d.Input, "\n") {
-				readLine(t, &in, line)
-			}
-			if d.Cmd == "explain" {
-				reason, _ := place.Explain(in, d.CmdArgs[0].Key)
-				return reason.String() + "\n"
-			}
-			var out strings.Builder
-			for _, a := range place.Plan(in) {
-				fmt.Fprintf(&out, "%s %s %s: %s\n", a.Command.Job.Step, a.Command.Job.Names[0], a.Command.Job.VM, a.Reason.Rule)
-			}
-			return out.String()
-		})
+	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
+		in := place.Input{Now: now, Lease: time.Minute, Reserved: map[string]bool{}}
+		for _, line := range strings.Split(d.Input, "\n") {
+			readLine(t, &in, line)
+		}
+		if d.Cmd == "explain" {
+			reason, _ := place.Explain(in, d.CmdArgs[0].Key)
+			return reason.String() + "\n"
+		}
+		var out strings.Builder
+		for _, a := range place.Plan(in) {
+			fmt.Fprintf(&out, "%s %s %s: %s\n", a.Command.Job.Step, a.Command.Job.Names[0], a.Command.Job.VM, a.Reason.Rule)
+		}
+		return out.String()
 	})
 }
 
--- a/internal/plan/waves/waves_test.go
+++ b/internal/plan/waves/waves_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/fleet"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/plan/budget"
@@ -21,25 +22,23 @@
 
 // TestWaves checks the planned actions against the scripts in testdata, which describe a fleet, one VM per line.
 func TestWaves(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			in := waves.Input{Now: now, Policy: policy, SpareLimit: 9, SparePools: map[string]bool{"spare": true}}
-			for _, a := range d.CmdArgs {
-				readArgument(t, &in, a)
-			}
-			for _, line := range strings.Split(d.Input, "\n") {
-				in.VMs = append(in.VMs, readVM(t, strings.Fields(line)))
-			}
-			if d.Cmd == "explain" {
-				reason, _ := waves.Explain(in, in.VMs[0].Name)
-				return reason.String() + "; " + reason.Change + "\n"
-			}
-			var out strings.Builder
-			for _, a := range waves.Plan(in) {
-				fmt.Fprintln(&out, describe(a))
-			}
-			return out.String()
-		})
+	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
+		in := waves.Input{Now: now, Policy: policy, SpareLimit: 9, SparePools: map[string]bool{"spare": true}}
+		for _, a := range d.CmdArgs {
+			readArgument(t, &in, a)
+		}
+		for _, line := range strings.Split(d.Input, "\n") {
+			in.VMs = append(in.VMs, readVM(t, strings.Fields(line)))
+		}
+		if d.Cmd == "explain" {
+			reason, _ := waves.Explain(in, in.VMs[0].Name)
+			return reason.String() + "; " + reason.Change + "\n"
+		}
+		var out strings.Builder
+		for _, a := range waves.Plan(in) {
+			fmt.Fprintln(&out, describe(a))
+		}
+		return out.String()
 	})
 }
 
--- a/internal/wire/codec/state_test.go
+++ b/internal/wire/codec/state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -12,20 +11,16 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/model/docs"
 	"cowslipstack/internal/model/record"
 	"cowslipstack/internal/wire/codec"
 )
 
+// TestMain fixes the seed of the random tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// A seed from the command line takes precedence over the fixed one.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("4"); err != nil {
-			panic(err)
-		}
-	}
+	tests.SetFlags(map[string]string{"rapid.seed": "4"})
 	os.Exit(m.Run())
 }
 
