Make a server the only endpoint by one function in the proofs

TestLostCaller and TestStreams each built the view, and newSystem its endpoints, field by field. No behaviour changes: the tests of app/proof pass.

--- a/internal/app/proof/replay_test.go
+++ b/internal/app/proof/replay_test.go
@@ -15,9 +15,6 @@
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
-	"cowslipstack/internal/edge/route"
-	"cowslipstack/internal/model/docs"
-	"cowslipstack/internal/model/fleet"
 )
 
 // TestLostCaller checks that a caller that disconnects in the middle of a long answer gets that answer whole when it
@@ -38,12 +35,7 @@
 		_, _ = w.Write(bytes.Repeat([]byte("b"), size/2))
 	}))
 	defer endpoint.Close()
-	s.view.Store(&route.View{Services: map[string]route.Service{serviceName: {
-		Settings: docs.Service{Name: serviceName, DeadlineMs: 30000},
-		Endpoints: []fleet.Endpoint{{
-			Name: "one", Service: serviceName, Address: endpoint.Listener.Addr().String(), Slots: 8, Expires: clock.System{}.Now().Add(time.Hour),
-		}},
-	}}})
+	s.setEndpoint(endpoint, 30*time.Second)
 	issued := strconv.FormatInt(clock.System{}.Now().UnixMilli(), 10)
 	post := func() *http.Response {
 		request := newRequest(http.MethodPost, s.entries[0].server.URL+"/"+serviceName+"/x")
--- a/internal/app/proof/stream_test.go
+++ b/internal/app/proof/stream_test.go
@@ -11,12 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/edge/front"
 	"cowslipstack/internal/edge/relay"
-	"cowslipstack/internal/edge/route"
-	"cowslipstack/internal/model/docs"
-	"cowslipstack/internal/model/fleet"
 )
 
 // zeros is an endless reader of zero bytes.
@@ -46,13 +42,7 @@
 		_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
 	}))
 	defer endpoint.Close()
-	s.view.Store(&route.View{Services: map[string]route.Service{serviceName: {
-		Settings: docs.Service{Name: serviceName, DeadlineMs: 60000},
-		Endpoints: []fleet.Endpoint{{
-			Name: "one", Service: serviceName, Address: endpoint.Listener.Addr().String(), Slots: 8,
-			Expires: clock.System{}.Now().Add(time.Hour),
-		}},
-	}}})
+	s.setEndpoint(endpoint, time.Minute)
 	for _, declared := range []string{"", "1"} {
 		request, err := http.NewRequest(http.MethodPost, s.entries[0].server.URL+"/"+serviceName+"/x", io.LimitReader(zeros{}, size))
 		is.NoErr(err)
--- a/internal/app/proof/system_test.go
+++ b/internal/app/proof/system_test.go
@@ -234,10 +234,7 @@
 		h := fakes.NewHandler(fmt.Sprint("runner-", i), fakes.ModeAnswer, clock.System{})
 		server := httptest.NewServer(h)
 		s.handlers, s.servers = append(s.handlers, h), append(s.servers, server)
-		service.Endpoints = append(service.Endpoints, fleet.Endpoint{
-			Name: fmt.Sprint("runner-", i), Service: serviceName, Address: server.Listener.Addr().String(), Slots: 4096,
-			Expires: clock.System{}.Now().Add(time.Hour),
-		})
+		service.Endpoints = append(service.Endpoints, endpointOf(fmt.Sprint("runner-", i), server, 4096))
 	}
 	s.view.Store(&route.View{Revision: 1, Services: map[string]route.Service{serviceName: service}})
 	for i := range entries {
@@ -249,6 +246,20 @@
 	return s
 }
 
+func endpointOf(name string, server *httptest.Server, slots int) fleet.Endpoint {
+	return fleet.Endpoint{
+		Name: name, Service: serviceName, Address: server.Listener.Addr().String(), Slots: slots, Expires: clock.System{}.Now().Add(time.Hour),
+	}
+}
+
+// setEndpoint makes a server the only endpoint of the service.
+func (s *system) setEndpoint(server *httptest.Server, deadline time.Duration) {
+	s.view.Store(&route.View{Services: map[string]route.Service{serviceName: {
+		Settings:  docs.Service{Name: serviceName, DeadlineMs: int(deadline.Milliseconds())},
+		Endpoints: []fleet.Endpoint{endpointOf("one", server, 8)},
+	}}})
+}
+
 func (s *system) close() {
 	s.client.CloseIdleConnections()
 	for _, e := range s.entries {
