Ask the leader for operators by one generic function

No behaviour changes: app/script, which calls them through cowslip, passes. (A call whose context has ended already makes the handler panic, before and after.)

--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -108,6 +108,20 @@
 	return state, err
 }
 
+// clientCall is a method of one of a replica's clients.
+type clientCall[C, Q, S any] func(C, context.Context, *connect.Request[Q]) (*connect.Response[S], error)
+
+// askLeader makes a call of the leader, by the client that clientOf selects.
+func askLeader[C, Q, S any](ctx context.Context, c *Control, q *connect.Request[Q], clientOf func(replica) C, call clientCall[C, Q, S]) (*connect.Response[S], error) {
+	var response *connect.Response[S]
+	err := c.callLeader(ctx, func(ctx context.Context, r replica) error {
+		var err error
+		response, err = call(clientOf(r), ctx, connect.NewRequest(q.Msg))
+		return err
+	})
+	return response, err
+}
+
 // callLeader tries the replicas until one succeeds or the leader rejects the call. It starts with the one that
 // answered last and then prefers the one that a replica names as the leader.
 func (c *Control) callLeader(ctx context.Context, call func(context.Context, replica) error) error {
