Wait on a clock by clock.Sleep in four more places

The exchange of announcements, the confirmation of leases and the fake endpoint each had the timer and the select of clock.Sleep once more.

--- a/internal/app/fakes/endpoint.go
+++ b/internal/app/fakes/endpoint.go
@@ -104,12 +104,8 @@
 // announceLoop announces the endpoint at the interval that the entries ask for, until the context ends.
 func (e *Endpoint) announceLoop(ctx context.Context) {
 	for {
-		timer := e.options.Clock.NewTimer(e.announce(ctx))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if pause := e.announce(ctx); !clock.Sleep(ctx, e.options.Clock, pause) {
 			return
-		case <-timer.C():
 		}
 	}
 }
--- a/internal/app/fakes/handler.go
+++ b/internal/app/fakes/handler.go
@@ -174,12 +174,7 @@
 	case ModeHold:
 		h.hold(r)
 	case ModeLate:
-		timer := h.clock.NewTimer(lateDelay)
-		defer timer.Stop()
-		select {
-		case <-timer.C():
-		case <-r.Context().Done():
-		}
+		clock.Sleep(r.Context(), h.clock, lateDelay)
 	case ModeDieAnswering:
 		writeRaw(w, "HTTP/1.1 200 OK\r\n"+relay.HeaderAttempt)
 		return
--- a/internal/ctrl/lease/confirm.go
+++ b/internal/ctrl/lease/confirm.go
@@ -85,7 +85,7 @@
 			return nil
 		case <-c.wake:
 			c.confirmOnce(ctx)
-			c.pause(ctx)
+			clock.Sleep(ctx, c.clock, confirmInterval)
 		}
 	}
 }
@@ -101,12 +101,3 @@
 	waited.err = c.quorum.Confirm(ctx)
 	close(waited.done)
 }
-
-func (c *confirmer) pause(ctx context.Context) {
-	timer := c.clock.NewTimer(confirmInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C():
-	}
-}
--- a/internal/wire/dial/entries.go
+++ b/internal/wire/dial/entries.go
@@ -125,7 +125,7 @@
 		} else {
 			pause = min(2*pause, maxSharePause)
 		}
-		e.sleep(ctx, pause)
+		clock.Sleep(ctx, e.clock, pause)
 	}
 }
 
@@ -145,12 +145,3 @@
 	}
 	return true
 }
-
-func (e *Entries) sleep(ctx context.Context, d time.Duration) {
-	timer := e.clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C():
-	}
-}
