--- a/internal/ctrl/lead/observe.go
+++ b/internal/ctrl/lead/observe.go
@@ -39,14 +39,14 @@
 func (l *Leader) observe(in Input) []record.Action {
 	now, p := in.Now, &l.samples
 	if p.sampledAt.IsZero() {
-		sum := indexByService(l.options.Entries.Reports())
+		sum := fleet.ReportsByService(l.options.Entries.Reports())
 		*p = samples{sampledAt: now, countedAt: now, lastReports: sum, countedReports: sum, demands: map[string]fleet.Demand{}}
 		for pool, d := range in.Demands {
 			p.demands[pool] = d
 		}
 		return nil
 	}
-	sum := indexByService(l.options.Entries.Reports())
+	sum := fleet.ReportsByService(l.options.Entries.Reports())
 	actions := p.updateDemands(in, sum)
 	p.sampledAt, p.lastReports = now, sum
 	if now.Sub(p.countedAt) < badTimeInterval {
@@ -102,15 +102,6 @@
 	return actions
 }
 
-// indexByService indexes reports by service.
-func indexByService(reports []fleet.ServiceReport) reportsByService {
-	sum := make(reportsByService, len(reports))
-	for _, r := range reports {
-		sum[r.Service] = r
-	}
-	return sum
-}
-
 func counts(r fleet.ServiceReport) budget.Counts {
 	return budget.Counts{Answered: r.Answered, Bad: r.NotRun + r.Unknown}
 }
--- a/internal/ctrl/lease/reports.go
+++ b/internal/ctrl/lease/reports.go
@@ -28,7 +28,7 @@
 func (t *reportTotals) update(r grant.Renewal) {
 	if r.AllReports && !t.complete {
 		t.complete = true
-		t.last = indexByService(r.Reports)
+		t.last = fleet.ReportsByService(r.Reports)
 		return
 	}
 	if !t.complete || len(r.Reports) == 0 {
@@ -73,12 +73,3 @@
 		}
 	}
 }
-
-// indexByService indexes reports by service.
-func indexByService(all []fleet.ServiceReport) map[string]fleet.ServiceReport {
-	m := make(map[string]fleet.ServiceReport, len(all))
-	for _, r := range all {
-		m[r.Service] = r
-	}
-	return m
-}
--- a/internal/model/fleet/report.go
+++ b/internal/model/fleet/report.go
@@ -16,3 +16,12 @@
 	// Queued is the number of requests in the entry's queue at the time of the report.
 	Queued int
 }
+
+// ReportsByService returns reports by the name of their service.
+func ReportsByService(reports []ServiceReport) map[string]ServiceReport {
+	byService := make(map[string]ServiceReport, len(reports))
+	for _, r := range reports {
+		byService[r.Service] = r
+	}
+	return byService
+}
