--- a/internal/wire/serve/environment.go
+++ b/internal/wire/serve/environment.go
@@ -62,10 +62,3 @@
 	}
 	return result, nil
 }
-
-func orDefault(text, fallback string) string {
-	if text == "" {
-		return fallback
-	}
-	return text
-}
--- a/internal/wire/serve/history.go
+++ b/internal/wire/serve/history.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -18,7 +19,7 @@
 
 // Diff returns the changes between two documents, by default from production to the latest trial.
 func (s *Environment) Diff(ctx context.Context, r *connect.Request[peer.DiffRequest]) (*connect.Response[peer.DiffResponse], error) {
-	from, to := orDefault(r.Msg.GetFrom(), state.Production), r.Msg.GetTo()
+	from, to := cmp.Or(r.Msg.GetFrom(), state.Production), r.Msg.GetTo()
 	var texts [2][]byte
 	var found [2]bool
 	_, err := s.readState(ctx, func(st *state.State) {
--- a/internal/wire/serve/trial.go
+++ b/internal/wire/serve/trial.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 
@@ -38,7 +39,7 @@
 	digest := docs.Digest(text)
 	if !r.Msg.GetDryRun() {
 		c := record.Command{RequestID: r.Msg.GetRequestId(), Trial: &record.TrialChange{
-			Environment: orDefault(r.Msg.GetEnvironment(), defaultTrialEnvironment), BaseRevision: base, Text: text,
+			Environment: cmp.Or(r.Msg.GetEnvironment(), defaultTrialEnvironment), BaseRevision: base, Text: text,
 		}}
 		result, err := s.submit(ctx, c)
 		if err != nil {
