--- a/internal/edge/admit/choose.go
+++ b/internal/edge/admit/choose.go
@@ -6,11 +6,11 @@
 	"cowslipstack/internal/model/fleet"
 )
 
-// choose takes a slot for a request and returns its runner, or nil where none is free. For a first attempt it picks
+// takeSlot takes a slot for a request and returns its runner, or nil where none is free. For a first attempt it picks
 // two runners at random and takes the less loaded one; if neither has a slot, it takes the first free runner from a
 // random position on. A retry prefers another failure domain, and gets a runner that was tried only if no other is
 // free. The caller holds mu.
-func (s *service) choose(tried []fleet.Endpoint, now time.Time) *runner {
+func (s *service) takeSlot(tried []fleet.Endpoint, now time.Time) *runner {
 	count := len(s.runners)
 	if count == 0 {
 		return nil
--- a/internal/edge/admit/service.go
+++ b/internal/edge/admit/service.go
@@ -95,9 +95,9 @@
 	return queue.Capacity{Slots: granted, ServiceTime: s.meanTime, TailLatency: s.meanTime + tailFactor*s.meanDeviation}
 }
 
-// issueTicket chooses a runner and takes one of its slots; the caller holds mu.
+// issueTicket takes a slot and returns its ticket, or false if none is free; the caller holds mu.
 func (s *service) issueTicket(tried []fleet.Endpoint, now time.Time) (route.Ticket, bool) {
-	r := s.choose(tried, now)
+	r := s.takeSlot(tried, now)
 	if r == nil {
 		return route.Ticket{}, false
 	}
