Say by its name what firstIf decides in the order of jobs

sign needed its comment, and the tie of equal jobs was an addition to its result; cmp.Compare says it. No behaviour changes: the tests of plan/order and ctrl/sched pass.

--- a/internal/plan/order/order.go
+++ b/internal/plan/order/order.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"slices"
 )
 
@@ -48,24 +49,21 @@
 func Compare(a, b *Item) int {
 	switch {
 	case a.LongRunning != b.LongRunning:
-		return sign(a.LongRunning)
+		return firstIf(a.LongRunning)
 	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
 	case a.late() != b.late():
-		return sign(!a.late())
+		return firstIf(!a.late())
 	}
 	if x, y := a.density(), b.density(); x != y {
-		return sign(x > y)
+		return firstIf(x > y)
 	}
-	if a.ID < b.ID {
-		return -1
-	}
-	return sign(a.ID == b.ID) + 1
+	return cmp.Compare(a.ID, b.ID)
 }
 
-// sign returns -1 if before is set and 1 otherwise.
-func sign(before bool) int {
-	if before {
+// firstIf returns the result of a comparison in which a goes first if the condition holds, and b otherwise.
+func firstIf(condition bool) int {
+	if condition {
 		return -1
 	}
 	return 1
