--- a/internal/app/daemon/entry.go
+++ b/internal/app/daemon/entry.go
@@ -123,7 +123,6 @@
 	return &serve.Recall{Cache: cache}
 }
 
-// frontParams are the dependencies of a front.
 type frontParams struct {
 	fx.In
 
--- a/internal/app/fakes/platform_command.go
+++ b/internal/app/fakes/platform_command.go
@@ -34,9 +34,7 @@
 
 // Layout of the simulated fleet.
 const (
-	// vmsPerRack is the number of VMs in one rack.
-	vmsPerRack = 4
-	// dataCentreCount is the number of data centres.
+	vmsPerRack      = 4
 	dataCentreCount = 3
 	// endpointSlots is the number of requests that an endpoint may have in progress.
 	endpointSlots = 8
--- a/internal/ctrl/quorum/replicate.go
+++ b/internal/ctrl/quorum/replicate.go
@@ -6,8 +6,7 @@
 
 const (
 	// maxInFlight bounds the unanswered messages with entries per follower.
-	maxInFlight = 32
-	// snapshotChunkBytes is the size of a snapshot chunk.
+	maxInFlight        = 32
 	snapshotChunkBytes = 128 << 10
 )
 
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -74,8 +74,7 @@
 
 const (
 	// callTimeout limits a call with all its attempts: a caller is told to retry within a quarter of the shortest SLO.
-	callTimeout = 850 * time.Millisecond
-	// attemptTimeout limits one attempt.
+	callTimeout    = 850 * time.Millisecond
 	attemptTimeout = 700 * time.Millisecond
 	// retryInterval is the time between two attempts.
 	retryInterval = 40 * time.Millisecond
--- a/internal/plan/waves/check.go
+++ b/internal/plan/waves/check.go
@@ -96,7 +96,6 @@
 	return (p.active + p.out + 1) / 2
 }
 
-// recentFailureDomains returns the failure domains with a recent failure.
 func (v *view) recentFailureDomains() domainSet {
 	recent := domainSet{}
 	for _, m := range v.VMs {
--- a/internal/plan/waves/plan.go
+++ b/internal/plan/waves/plan.go
@@ -156,7 +156,6 @@
 	return m.Work == w.Name || !m.Maintained.Before(w.Started)
 }
 
-// vmsByRack groups the VMs by rack.
 func (v *view) vmsByRack() map[fleet.Domain][]fleet.VM {
 	racks := map[fleet.Domain][]fleet.VM{}
 	for _, m := range v.VMs {
