--- a/internal/app/proof/system_test.go
+++ b/internal/app/proof/system_test.go
@@ -18,8 +18,8 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/app/fakes"
-	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/ctrl/state"
 	"cowslipstack/internal/edge/claim"
 	"cowslipstack/internal/edge/front"
@@ -30,17 +30,13 @@
 	"cowslipstack/internal/model/record"
 )
 
+// TestMain fixes the seed and the number of the random tests, unless the command line has a seed.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	// The default is a fixed seed, so that runs are reproducible; the flag -rapid.seed overrides it.
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		tests.SetFlags(map[string]string{"rapid.seed": "7", "rapid.checks": "60", "rapid.nofailfile": "true"})
 	}
-	check.SetHandler(func(name string, fields []zap.Field) { panic(fmt.Sprint(name, fields)) })
+	tests.PanicOnBreach()
 	os.Exit(m.Run())
 }
 
@@ -238,10 +234,7 @@
 		h := fakes.NewHandler(fmt.Sprint("runner-", i), fakes.ModeAnswer, clock.System{})
 		server := httptest.NewServer(h)
 		s.handlers, s.servers = append(s.handlers, h), append(s.servers, server)
-		service.Endpoints = append(service.Endpoints, fleet.Endpoint{
-			Name: fmt.Sprint("runner-", i), Service: serviceName, Address: server.Listener.Addr().String(), Slots: 4096,
-			Expires: clock.System{}.Now().Add(time.Hour),
-		})
+		service.Endpoints = append(service.Endpoints, endpointOf(fmt.Sprint("runner-", i), server, 4096))
 	}
 	s.view.Store(&route.View{Revision: 1, Services: map[string]route.Service{serviceName: service}})
 	for i := range entries {
@@ -253,6 +246,20 @@
 	return s
 }
 
+func endpointOf(name string, server *httptest.Server, slots int) fleet.Endpoint {
+	return fleet.Endpoint{
+		Name: name, Service: serviceName, Address: server.Listener.Addr().String(), Slots: slots, Expires: clock.System{}.Now().Add(time.Hour),
+	}
+}
+
+// setEndpoint makes a server the only endpoint of the service.
+func (s *system) setEndpoint(server *httptest.Server, deadline time.Duration) {
+	s.view.Store(&route.View{Services: map[string]route.Service{serviceName: {
+		Settings:  docs.Service{Name: serviceName, DeadlineMs: int(deadline.Milliseconds())},
+		Endpoints: []fleet.Endpoint{endpointOf("one", server, 8)},
+	}}})
+}
+
 func (s *system) close() {
 	s.client.CloseIdleConnections()
 	for _, e := range s.entries {
