Fail a call to the control processes whose context had ended before it was made

dial.Control returned no error and an empty result where the context had ended: a submitted command looked as answered with code 0, a renewal as an empty grant. Found by reading while the forwarders were joined. The test failed before (no error).

--- a/internal/wire/dial/control.go
+++ b/internal/wire/dial/control.go
@@ -144,6 +144,9 @@
 		// Later calls don't start with the replica that failed.
 		c.leader.CompareAndSwap(int64(failed), int64(max(next, 0)))
 	}
+	if lastErr == nil {
+		return errors.Wrap(ctx.Err(), "no control process was called")
+	}
 	if connect.CodeOf(lastErr) == connect.CodeFailedPrecondition {
 		// The call had no effect, and a retry may find a leader.
 		lastErr = connect.NewError(connect.CodeUnavailable, lastErr)
