Set the handler of the log's steps before the control loop runs

Seen: a message of another process that arrives while a process starts lets the log take a step before its handler is set. The step goes unreported: the membership and the scheduler learn of the leader with the next one. The race detector reports it in node.step, controlTicker.handleLogStep. That it was that one is not shown, since that log was not kept.

Cause: start called OnStep after it had started the loop and the server for other processes.

Change: the ticker is made, and its handler set, before any goroutine starts.

--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -111,8 +111,9 @@
 	Reloader    *reloader
 }
 
-// start starts all goroutines of the process in its group.
+// start starts all goroutines of the process in its group. What the control loop uses is set before it runs.
 func start(p startParams) {
+	ticker := newControlTicker(p)
 	g := p.Group
 	g.Start("log", p.LogWriter.Run)
 	g.Start("control_loop", p.Loop.Run)
@@ -122,15 +123,10 @@
 	g.Start("greet", p.Gossiper.Run)
 	g.Start("settings", p.Reloader.Run)
 	if n := p.Replica.node; n != nil {
-		t := &controlTicker{
-			loop: p.Loop, clock: p.Clock, uptime: p.Uptime, node: n, scheduler: p.Scheduler, membership: p.Membership,
-			tolerableLosses: p.Settings.Control.Losses, logger: p.Logger,
-		}
-		n.OnStep(t.handleLogStep)
 		g.Start("disk", n.RunDisk)
 		g.Start("node", n.Run)
 		g.Start("disk_watch", p.Replica.watchDisk)
-		g.Start("tend", t.Run)
+		g.Start("tend", ticker.Run)
 		for range maxConcurrentOrders {
 			g.Start("orders", func(ctx context.Context) error { return p.Orders.run(ctx, p.Orders.queue) })
 		}
--- a/internal/app/site/tick.go
+++ b/internal/app/site/tick.go
@@ -32,6 +32,20 @@
 	changePending bool
 }
 
+// newControlTicker returns the ticker and lets it handle the steps of the log; nil if the process has no disk.
+func newControlTicker(p startParams) *controlTicker {
+	n := p.Replica.node
+	if n == nil {
+		return nil
+	}
+	t := &controlTicker{
+		loop: p.Loop, clock: p.Clock, uptime: p.Uptime, node: n, scheduler: p.Scheduler, membership: p.Membership,
+		tolerableLosses: p.Settings.Control.Losses, logger: p.Logger,
+	}
+	n.OnStep(t.handleLogStep)
+	return t
+}
+
 // Run ticks the scheduler and checks the members until the context ends.
 func (t *controlTicker) Run(ctx context.Context) error {
 	ticker := t.clock.NewTicker(sched.TickMs * time.Millisecond)
--- a/internal/ctrl/node/local.go
+++ b/internal/ctrl/node/local.go
@@ -8,7 +8,7 @@
 	"cowslipstack/internal/model/record"
 )
 
-// The methods in this file may only be called on the loop.
+// The methods in this file may only be called on the loop, or before it runs.
 
 // OnStep sets the function that is called after each step of the log; a later call replaces it.
 func (n *Node) OnStep(f func()) {
