Close a site process's log after its goroutines have ended

Cause: the container's stop hooks run in the reverse order of construction, which put the closing of the log before the end of the goroutines.

Change: one stop hook with the order written down: listeners, goroutines, log.

--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -47,7 +46,15 @@
 	recovered store.Recovered
 }
 
-func newMembership(settings conf.Site, lc fx.Lifecycle, logger *zap.Logger) (*member.Membership, *disk, error) {
+// close closes the log, if there is one.
+func (d *disk) close() error {
+	if d.log == nil {
+		return nil
+	}
+	return d.log.Close()
+}
+
+func newMembership(settings conf.Site, logger *zap.Logger) (*member.Membership, *disk, error) {
 	self := member.Process{
 		Name: settings.Name, ControlAddress: settings.Listen.Control,
 		Address: net.JoinHostPort(settings.Listen.Host, strconv.Itoa(settings.Listen.PeerPort)),
@@ -59,7 +66,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	lc.Append(fx.StopHook(log.Close))
 	logger.Info("data_folder_opened", zap.String("identity", fmt.Sprintf("%016x", uint64(recovered.Identity.ID))),
 		zap.Uint64("snapshot", recovered.Snapshot.Index), zap.Int("entries", len(recovered.Entries)), zap.Int("torn_bytes", recovered.TornBytes))
 	self.Replica = recovered.Identity.ID
--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -51,7 +51,7 @@
 	callers, ready, control, operators, peers net.Listener
 }
 
-func newListeners(settings conf.Site, m *member.Membership, lc fx.Lifecycle) (*listeners, error) {
+func newListeners(settings conf.Site, m *member.Membership) (*listeners, error) {
 	l := &listeners{}
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 	for _, entry := range []struct {
@@ -72,11 +72,19 @@
 			return nil, errors.Wrapf(err, "listen on %s", entry.address)
 		}
 		*entry.listener = listener
-		lc.Append(fx.StopHook(func() { _ = listener.Close() }))
 	}
 	return l, nil
 }
 
+// close closes all listeners; some are closed already if their servers were shut down.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.control, l.operators, l.peers} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 // peerBindAddress returns the address to listen on for other processes.
 func peerBindAddress(settings conf.Site, m *member.Membership) string {
 	if settings.Listen.BindHost == "" {
@@ -89,6 +97,7 @@
 type startParams struct {
 	fx.In
 
+	Lifecycle   fx.Lifecycle
 	Settings    conf.Site
 	Options     Options
 	Clock       clock.Clock
@@ -98,6 +107,7 @@
 	Loop        *loop.Loop
 	Group       *tasks.Group
 	Membership  *member.Membership
+	Disk        *disk
 	Connections *link.Connections
 	Replica     *replica
 	Orders      *orderQueues
@@ -113,6 +123,7 @@
 
 // start starts all goroutines of the process in its group. What the control loop uses is set before it runs.
 func start(p startParams) {
+	p.Lifecycle.Append(fx.StopHook(p.stop))
 	ticker := newControlTicker(p)
 	g := p.Group
 	g.Start("log", p.LogWriter.Run)
@@ -137,3 +148,9 @@
 	p.Drainer.serve("control", p.Listeners.control, p.Server.Control(), g)
 	p.Drainer.serve("operators", p.Listeners.operators, operatorHandler(p.Proxy), g)
 }
+
+// stop ends the servers by closing their listeners, then all goroutines, and closes the log, which no goroutine uses any more.
+func (p startParams) stop() error {
+	p.Listeners.close()
+	return errors.CombineErrors(p.Group.Stop(), p.Disk.close())
+}
--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -113,11 +113,7 @@
 func newLoop() *loop.Loop { return loop.New(loop.DefaultCapacity) }
 
 // newGroup returns the group that owns all goroutines of the process.
-func newGroup(lc fx.Lifecycle) *tasks.Group {
-	g := tasks.NewGroup(context.Background())
-	lc.Append(fx.StopHook(g.Stop))
-	return g
-}
+func newGroup() *tasks.Group { return tasks.NewGroup(context.Background()) }
 
 func newClient(settings conf.Site) *platform.Client {
 	return platform.NewClient(settings.Name, providerAddresses(settings))
