Keep the reason of an attempt that wasn't permitted in the attempt's own record

TestAnswers/failures failed at failures:8 and failures:13.

Cause: the connection's Write returns ErrNotPermitted, but the transport returns whichever error it notices first: that of its write loop, or that of the read loop on the connection closed for it.

Change: the record of the sending has a phase for a permission that ended, and the answer takes its error from there, whatever the transport says. ErrNotPermitted now means only that: a write after an attempt was aborted, or for a hidden retry, has an error of its own. The dialer is an option, so that scripts can let a connection's reads fail, or the context end, while the permission is asked for.

--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -18,15 +18,15 @@
 	c.current.Store(s)
 }
 
-// Write returns ErrNotPermitted if the attempt has written nothing yet and may no longer start.
+// Write returns an error if the attempt has written nothing yet and may not start: ErrNotPermitted if its permission ended.
 func (c *conn) Write(b []byte) (int, error) {
 	s := c.current.Load()
 	if s == nil {
 		return 0, errors.New("the connection belongs to no attempt")
 	}
 	first := phase(s.phase.Load()) == phaseUnsent
-	if !s.begin() {
-		return 0, ErrNotPermitted
+	if err := s.begin(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(b)
 	if first && n == 0 && err != nil {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -25,10 +25,18 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	// DialContext opens a connection to an address.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Options configures a Relay.
 type Options struct {
 	// Connections is the maximum number of connections to one endpoint; 0 means no limit.
 	Connections int
+	// Dialer opens the connections; nil means a net.Dialer.
+	Dialer Dialer
 }
 
 // Relay sends attempts to endpoints; it is safe for concurrent use.
@@ -38,7 +46,10 @@
 
 // New returns a relay with an empty connection pool.
 func New(o Options) *Relay {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlive}
+	dialer := o.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlive}
+	}
 	return &Relay{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -70,7 +81,9 @@
 			c.attach(s)
 		} else if ok {
 			// A second connection for one attempt would be a hidden retry.
-			c.attach(&sendState{permit: never})
+			retried := &sendState{}
+			retried.abort()
+			c.attach(retried)
 		}
 	}}
 	response, err := r.transport.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), e, a)) //nolint:bodyclose // checkResponse and its caller close it
@@ -81,12 +94,16 @@
 }
 
 // failure returns the outcome of an attempt without a response: not_run if no byte was written, which also prevents
-// any later write, and unknown otherwise.
+// any later write, and unknown otherwise. err is whichever error the transport noticed first: that of writing, or that of
+// reading from a connection which was closed for it.
 func failure(s *sendState, err error) Answer {
-	if s.abort() {
-		return Answer{Outcome: fleet.OutcomeNotRun, Err: err}
+	if !s.abort() {
+		return Answer{Outcome: fleet.OutcomeUnknown, Err: err}
 	}
-	return Answer{Outcome: fleet.OutcomeUnknown, Err: err}
+	if s.notPermitted() {
+		err = errors.WithSecondaryError(ErrNotPermitted, err)
+	}
+	return Answer{Outcome: fleet.OutcomeNotRun, Err: err}
 }
 
 // checkResponse accepts a response that carries the attempt's ID and whose end can be detected.
@@ -135,5 +152,3 @@
 	}
 	return request.WithContext(ctx)
 }
-
-func never() bool { return false }
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/cockroachdb/errors"
@@ -73,24 +75,74 @@
 	return fleet.Endpoint{Name: "raw", Service: "s", Address: e.listener.Addr().String()}
 }
 
+// watchedConn is a connection whose close can be awaited.
+type watchedConn struct {
+	net.Conn
+	closed func()
+	done   <-chan struct{}
+}
+
+func (c *watchedConn) Close() error {
+	defer c.closed()
+	return c.Conn.Close()
+}
+
+// failReads makes the reads of the connection fail, and returns once it is closed for that.
+func (c *watchedConn) failReads() {
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	<-c.done
+}
+
+// watchedDialer keeps the last connection that it opened.
+type watchedDialer struct {
+	dialer net.Dialer
+	last   atomic.Pointer[watchedConn]
+}
+
+func (d *watchedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	closed, cancel := context.WithCancel(context.Background())
+	w := &watchedConn{Conn: c, closed: cancel, done: closed.Done()}
+	d.last.Store(w)
+	return w, nil
+}
+
+// permit returns the permission of a case. While it is asked for, the connection may fail or the context end.
+func permit(d *datadriven.TestData, dialer *watchedDialer, cancel context.CancelFunc) func() bool {
+	return func() bool {
+		if d.HasArg("reads_fail") {
+			dialer.last.Load().failReads()
+		}
+		if d.HasArg("cancelled") {
+			cancel()
+			<-dialer.last.Load().done
+		}
+		return !d.HasArg("not_permitted")
+	}
+}
+
 // TestAnswers sends one attempt for each case and prints its outcome and how many requests the endpoint read.
 func TestAnswers(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	datadriven.Walk(t, "testdata/answers", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			r := relay.New(relay.Options{Connections: 1})
+			dialer := &watchedDialer{}
+			r := relay.New(relay.Options{Connections: 1, Dialer: dialer})
 			defer r.Close()
 			e := newRawEndpoint(t)
 			defer func() { _ = e.listener.Close() }()
 			var method, body string
 			d.MaybeScanArgs(t, "method", &method)
 			d.MaybeScanArgs(t, "body", &body)
-			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: func() bool { return !d.HasArg("not_permitted") }}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: permit(d, dialer, cancel)}
 			if body != "" {
 				a.Body, a.Length = strings.NewReader(body), int64(len(body))
 			}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
 			if d.HasArg("keep_alive") {
 				// The first request leaves its connection in the pool for the second.
 				e.answers <- "HTTP/1.1 200 OK\nCowslip-Attempt: {id}\nContent-Length: 0\n\n"
--- a/internal/edge/relay/sending.go
+++ b/internal/edge/relay/sending.go
@@ -1,6 +1,13 @@
 package relay
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errAborted means that a write came after its attempt was aborted.
+var errAborted = errors.New("the attempt was aborted")
 
 // phase is the progress of sending an attempt; it only moves forward.
 type phase int32
@@ -12,6 +19,8 @@
 	phaseStarted
 	// phaseAborted means that no byte was written, and none will be.
 	phaseAborted
+	// phaseNotPermitted is phaseAborted for the reason that the permission to send had ended.
+	phaseNotPermitted
 )
 
 // sendState tracks whether a byte of an attempt was written to a connection; it is safe for concurrent use.
@@ -21,16 +30,19 @@
 	scan   scanner
 }
 
-// begin is called before each write and reports whether the write is allowed.
-func (s *sendState) begin() bool {
+// begin is called before each write and returns an error if the write is not allowed.
+func (s *sendState) begin() error {
 	if phase(s.phase.Load()) == phaseStarted {
-		return true
+		return nil
 	}
 	if s.permit != nil && !s.permit() {
-		s.abort()
-		return false
+		s.phase.CompareAndSwap(int32(phaseUnsent), int32(phaseNotPermitted))
+		return ErrNotPermitted
 	}
-	return s.phase.CompareAndSwap(int32(phaseUnsent), int32(phaseStarted))
+	if !s.phase.CompareAndSwap(int32(phaseUnsent), int32(phaseStarted)) {
+		return errAborted
+	}
+	return nil
 }
 
 // markUnwritten aborts a started attempt whose first write failed without writing a byte.
@@ -41,5 +53,10 @@
 // abort prevents an unsent attempt from starting; it returns false if a byte may have been written.
 func (s *sendState) abort() bool {
 	s.phase.CompareAndSwap(int32(phaseUnsent), int32(phaseAborted))
-	return phase(s.phase.Load()) == phaseAborted
+	return phase(s.phase.Load()) != phaseStarted
+}
+
+// notPermitted reports whether the attempt was not sent because the permission to send had ended.
+func (s *sendState) notPermitted() bool {
+	return phase(s.phase.Load()) == phaseNotPermitted
 }
