Tell a caller whose time ended so, whatever error of the connection came first

When a request's time ends at the endpoint while its connection fails, as when the endpoint keeps the same deadline and closes it, callers are told no_answer (502) or timeout (504), by chance. No figure of how often.

Cause: the transport returns whichever it notices first, the end of the context or the error of reading.

Change: once the context has ended, the answer of an attempt without a response says so; the error of the transport stays with it as a secondary one.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -88,22 +88,26 @@
 	}}
 	response, err := r.transport.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), e, a)) //nolint:bodyclose // checkResponse and its caller close it
 	if err != nil {
-		return failure(s, errors.Wrap(err, "send to endpoint"))
+		return failure(ctx, s, errors.Wrap(err, "send to endpoint"))
 	}
 	return checkResponse(a, response, s, used)
 }
 
 // failure returns the outcome of an attempt without a response: not_run if no byte was written, which also prevents
-// any later write, and unknown otherwise. err is whichever error the transport noticed first: that of writing, or that of
-// reading from a connection which was closed for it.
-func failure(s *sendState, err error) Answer {
-	if !s.abort() {
-		return Answer{Outcome: fleet.OutcomeUnknown, Err: err}
+// any later write, and unknown otherwise. err is whichever error the transport noticed first, such as that of reading from
+// a connection which was closed for another reason; a reason that is known here goes before it.
+func failure(ctx context.Context, s *sendState, err error) Answer {
+	outcome := fleet.OutcomeUnknown
+	if s.abort() {
+		outcome = fleet.OutcomeNotRun
 	}
-	if s.notPermitted() {
+	switch ended := ctx.Err(); {
+	case s.notPermitted():
 		err = errors.WithSecondaryError(ErrNotPermitted, err)
+	case ended != nil:
+		err = errors.WithSecondaryError(errors.Wrap(ended, "send to endpoint"), err)
 	}
-	return Answer{Outcome: fleet.OutcomeNotRun, Err: err}
+	return Answer{Outcome: outcome, Err: err}
 }
 
 // checkResponse accepts a response that carries the attempt's ID and whose end can be detected.
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -80,6 +80,16 @@
 	net.Conn
 	closed func()
 	done   <-chan struct{}
+	// afterWrite is called after each write, before it returns.
+	afterWrite atomic.Pointer[func()]
+}
+
+func (c *watchedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if f := c.afterWrite.Load(); f != nil {
+		(*f)()
+	}
+	return n, err
 }
 
 func (c *watchedConn) Close() error {
@@ -110,17 +120,30 @@
 	return w, nil
 }
 
-// permit returns the permission of a case. While it is asked for, the connection may fail or the context end.
-func permit(d *datadriven.TestData, dialer *watchedDialer, cancel context.CancelFunc) func() bool {
-	return func() bool {
+// permit returns the permission of a case. While it is asked for, or with after_write while the request is written and
+// the endpoint has read it, the connection may fail and then the context end.
+func permit(d *datadriven.TestData, dialer *watchedDialer, e *rawEndpoint, cancel context.CancelFunc) func() bool {
+	disturb := func() {
+		c := dialer.last.Load()
 		if d.HasArg("reads_fail") {
-			dialer.last.Load().failReads()
+			c.failReads()
 		}
 		if d.HasArg("cancelled") {
 			cancel()
-			<-dialer.last.Load().done
+			<-c.done
+		}
+	}
+	return func() bool {
+		if !d.HasArg("after_write") {
+			disturb()
+			return !d.HasArg("not_permitted")
+		}
+		written := func() {
+			e.requests <- <-e.requests
+			disturb()
 		}
-		return !d.HasArg("not_permitted")
+		dialer.last.Load().afterWrite.Store(&written)
+		return true
 	}
 }
 
@@ -139,7 +162,7 @@
 			d.MaybeScanArgs(t, "body", &body)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: permit(d, dialer, cancel)}
+			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: permit(d, dialer, e, cancel)}
 			if body != "" {
 				a.Body, a.Length = strings.NewReader(body), int64(len(body))
 			}
