Tell a caller whose answer's headers are too long that the answer was bad

If the headers of an endpoint's answer exceed 64 KiB, callers are told no_answer, that the connection ended, where the page for callers says bad_answer for an answer that is too long.

Cause: the transport's error for it has no type, and isn't always the one that it returns.

Change: the scanner counts the bytes of the headers, and the answer of the attempt says ErrHeaderTooLong; the front answers bad_answer. Interim responses count, as they do for the transport.

--- a/internal/edge/front/attempt.go
+++ b/internal/edge/front/attempt.go
@@ -110,7 +110,8 @@
 		r.status, r.code, r.safeRetry, r.sent = http.StatusServiceUnavailable, codeNotReached, true, false
 	case errors.Is(a.Err, context.DeadlineExceeded):
 		r.status, r.code = http.StatusGatewayTimeout, codeTimeout
-	case errors.Is(a.Err, relay.ErrUnbounded), errors.Is(a.Err, relay.ErrTooLong), errors.Is(a.Err, relay.ErrWrongAttempt):
+	case errors.Is(a.Err, relay.ErrUnbounded), errors.Is(a.Err, relay.ErrTooLong), errors.Is(a.Err, relay.ErrHeaderTooLong),
+		errors.Is(a.Err, relay.ErrWrongAttempt):
 		r.code = codeBadAnswer
 	}
 	return r
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -28,6 +28,8 @@
 	ErrUnbounded = errors.New("the answer has no length and no chunks")
 	// ErrTooLong means that the endpoint sent more bytes than the response declared.
 	ErrTooLong = errors.New("the answer is longer than it declared")
+	// ErrHeaderTooLong means that the headers of the response, with those of interim ones, exceeded the limit.
+	ErrHeaderTooLong = errors.New("the answer's headers are too long")
 	// ErrNotPermitted means that the permission to send ended before the first byte was written.
 	ErrNotPermitted = errors.New("the entry may no longer send")
 )
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -104,6 +104,8 @@
 	switch ended := ctx.Err(); {
 	case s.notPermitted():
 		err = errors.WithSecondaryError(ErrNotPermitted, err)
+	case s.scan.unfinishedHeaderBytes() >= maxHeaderBytes:
+		err = errors.WithSecondaryError(ErrHeaderTooLong, err)
 	case ended != nil:
 		err = errors.WithSecondaryError(errors.Wrap(ended, "send to endpoint"), err)
 	}
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -49,7 +49,7 @@
 }
 
 // serve answers each request with the next scripted answer. An empty answer, or one that ends in {cut}, closes the
-// connection; {id} stands for the attempt's ID.
+// connection; {id} stands for the attempt's ID, {long} for more bytes than the headers may hold.
 func (e *rawEndpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
@@ -65,6 +65,7 @@
 		answer := <-e.answers
 		answer, cut := strings.CutSuffix(answer, "{cut}")
 		answer = strings.ReplaceAll(strings.ReplaceAll(answer, "\n", "\r\n"), "{id}", request.Header.Get(relay.HeaderAttempt))
+		answer = strings.ReplaceAll(answer, "{long}", strings.Repeat("x", 70_000))
 		if _, err := io.WriteString(c, answer); err != nil || cut || answer == "" {
 			return
 		}
@@ -193,7 +194,7 @@
 func describe(a relay.Answer) string {
 	if a.Outcome != fleet.OutcomeAnswered {
 		for _, known := range []error{
-			relay.ErrWrongAttempt, relay.ErrDeclined, relay.ErrUnbounded, relay.ErrTooLong, relay.ErrNotPermitted, context.Canceled,
+			relay.ErrWrongAttempt, relay.ErrDeclined, relay.ErrUnbounded, relay.ErrTooLong, relay.ErrHeaderTooLong, relay.ErrNotPermitted, context.Canceled,
 		} {
 			if errors.Is(a.Err, known) {
 				return a.Outcome.String() + ": " + known.Error()
--- a/internal/edge/relay/scanner.go
+++ b/internal/edge/relay/scanner.go
@@ -5,9 +5,11 @@
 // statusStart is the offset of the status code in the first line of a response: "HTTP/1.1 200 OK".
 const statusStart = len("HTTP/1.1 ")
 
-// scanner counts the bytes of a response after its headers; it is safe for concurrent use.
+// scanner counts the bytes of a response's headers and of what follows them; it is safe for concurrent use.
 type scanner struct {
 	mu sync.Mutex
+	// header is the number of bytes of the headers so far, with those of interim responses.
+	header int
 	// lineBytes is the number of bytes of the current header line so far, without the line break.
 	lineBytes int
 	// started means that the status line has ended.
@@ -35,6 +37,7 @@
 
 // observeHeader scans one byte of the headers; an interim response (1xx) is followed by another one.
 func (s *scanner) observeHeader(c byte) {
+	s.header++
 	switch {
 	case c == '\r':
 	case c != '\n':
@@ -57,3 +60,13 @@
 	defer s.mu.Unlock()
 	return s.body
 }
+
+// unfinishedHeaderBytes returns the number of bytes of the headers, or 0 if they have ended.
+func (s *scanner) unfinishedHeaderBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inBody {
+		return 0
+	}
+	return s.header
+}
