Read the answer of an endpoint that closes its connection before the whole request is sent

Where an endpoint declines a long request, or answers it, before it has read the body, and closes the connection, callers are told no_answer with an unknown outcome instead of declined or the answer, and a request that can't be repeated is lost.

Cause: the transport drops an answer for the error of the write that it interrupts, if it notices that first.

Change: a write that meets a reset after the first byte returns once the connection is closed. Reads end soon after a reset, with the answer or an error, and the transport closes the connection after them; the end of the context closes it too.

--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,6 +13,19 @@
 type conn struct {
 	net.Conn
 	current atomic.Pointer[sendState]
+	// closed is closed with the connection.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, closed: make(chan struct{})}
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // attach assigns the connection to an attempt.
@@ -29,8 +44,13 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
-	if first && n == 0 && err != nil {
+	switch {
+	case first && n == 0 && err != nil:
 		s.markUnwritten()
+	case errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE):
+		// The endpoint has closed the connection and may have answered before: the transport would drop that answer for
+		// this error. Reads end soon, with the answer or with an error, and after them the connection is closed.
+		<-c.closed
 	}
 	return n, err
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -56,7 +56,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c), nil
 		},
 		MaxConnsPerHost:        o.Connections,
 		MaxIdleConnsPerHost:    o.Connections,
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -27,12 +27,16 @@
 	listener net.Listener
 	requests chan *http.Request
 	answers  chan string
+	// skipBodies means that it answers without reading the requests' bodies.
+	skipBodies bool
 }
 
-func newRawEndpoint(t *testing.T) *rawEndpoint {
+func newRawEndpoint(t *testing.T, skipBodies bool) *rawEndpoint {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	e := &rawEndpoint{listener: listener, requests: make(chan *http.Request, 16), answers: make(chan string, 16)}
+	e := &rawEndpoint{
+		listener: listener, requests: make(chan *http.Request, 16), answers: make(chan string, 16), skipBodies: skipBodies,
+	}
 	go e.run()
 	t.Cleanup(func() { _ = listener.Close() })
 	return e
@@ -58,8 +62,10 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
+		if !e.skipBodies {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
 		}
 		e.requests <- request
 		answer := <-e.answers
@@ -148,49 +154,66 @@
 	}
 }
 
-// TestAnswers sends one attempt for each case and prints its outcome and how many requests the endpoint read.
+// TestAnswers sends one attempt for each case, or several with times, and prints its outcome and how many requests the
+// endpoint read.
 func TestAnswers(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	datadriven.Walk(t, "testdata/answers", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			dialer := &watchedDialer{}
-			r := relay.New(relay.Options{Connections: 1, Dialer: dialer})
-			defer r.Close()
-			e := newRawEndpoint(t)
-			defer func() { _ = e.listener.Close() }()
-			var method, body string
-			d.MaybeScanArgs(t, "method", &method)
-			d.MaybeScanArgs(t, "body", &body)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: permit(d, dialer, e, cancel)}
-			if body != "" {
-				a.Body, a.Length = strings.NewReader(body), int64(len(body))
-			}
-			if d.HasArg("keep_alive") {
-				// The first request leaves its connection in the pool for the second.
-				e.answers <- "HTTP/1.1 200 OK\nCowslip-Attempt: {id}\nContent-Length: 0\n\n"
-				first := r.Send(ctx, e.endpoint(), relay.Attempt{ID: "a-0", Method: "GET", Path: "/", Permit: func() bool { return true }})
-				is.New(t).NoErr(errors.CombineErrors(first.Err, first.Response.Body.Close()))
-				<-e.requests
-			}
-			if d.HasArg("refused") {
-				_ = e.listener.Close()
-			}
-			if d.HasArg("late") {
-				go func() { e.requests <- <-e.requests; cancel() }()
-			} else {
-				e.answers <- strings.TrimSuffix(d.Input, "{end}")
-			}
-			text := describe(r.Send(ctx, e.endpoint(), a))
-			if d.HasArg("late") {
-				e.answers <- d.Input
+			times := 1
+			d.MaybeScanArgs(t, "times", &times)
+			text := sendOnce(t, d)
+			for range times - 1 {
+				if other := sendOnce(t, d); other != text {
+					return text + "another time: " + other
+				}
 			}
-			return fmt.Sprintf("%s\nrequests read by the endpoint: %d\n", text, len(e.requests))
+			return text
 		})
 	})
 }
 
+// sendOnce sends the attempt of a case to an endpoint of its own.
+func sendOnce(t *testing.T, d *datadriven.TestData) string {
+	dialer := &watchedDialer{}
+	r := relay.New(relay.Options{Connections: 1, Dialer: dialer})
+	defer r.Close()
+	e := newRawEndpoint(t, d.HasArg("skips_body"))
+	defer func() { _ = e.listener.Close() }()
+	var method, body string
+	bodyBytes := 0
+	d.MaybeScanArgs(t, "method", &method)
+	d.MaybeScanArgs(t, "body", &body)
+	d.MaybeScanArgs(t, "body_bytes", &bodyBytes)
+	body += strings.Repeat("x", bodyBytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a := relay.Attempt{ID: "a-1", Method: method, Path: "/", Header: http.Header{}, Permit: permit(d, dialer, e, cancel)}
+	if body != "" {
+		a.Body, a.Length = strings.NewReader(body), int64(len(body))
+	}
+	if d.HasArg("keep_alive") {
+		// The first request leaves its connection in the pool for the second.
+		e.answers <- "HTTP/1.1 200 OK\nCowslip-Attempt: {id}\nContent-Length: 0\n\n"
+		first := r.Send(ctx, e.endpoint(), relay.Attempt{ID: "a-0", Method: "GET", Path: "/", Permit: func() bool { return true }})
+		is.New(t).NoErr(errors.CombineErrors(first.Err, first.Response.Body.Close()))
+		<-e.requests
+	}
+	if d.HasArg("refused") {
+		_ = e.listener.Close()
+	}
+	if d.HasArg("late") {
+		go func() { e.requests <- <-e.requests; cancel() }()
+	} else {
+		e.answers <- strings.TrimSuffix(d.Input, "{end}")
+	}
+	text := describe(r.Send(ctx, e.endpoint(), a))
+	if d.HasArg("late") {
+		e.answers <- d.Input
+	}
+	return fmt.Sprintf("%s\nrequests read by the endpoint: %d\n", text, len(e.requests))
+}
+
 func describe(a relay.Answer) string {
 	if a.Outcome != fleet.OutcomeAnswered {
 		for _, known := range []error{
