Show the report of a race in the output of a failed soak

A seed that timed out kept no logs even with a folder.

Cause: only the marker was reported; and the logs were saved before the test counted as failed.

Change: the failure shows 8 KB of the log from the marker on, and a timeout is reported before the logs are saved.

--- a/internal/app/chaos/soak_test.go
+++ b/internal/app/chaos/soak_test.go
@@ -221,8 +221,9 @@
 			return
 		}
 	}
+	s.t.Errorf("seed %d: timed out waiting for %s", s.seed, what)
 	s.saveLogs()
-	s.t.Fatalf("seed %d: timed out waiting for %s", s.seed, what)
+	s.t.FailNow()
 }
 
 // checkResult reports all violations, and fails if no task was completed or a log shows a fault of the program.
@@ -246,13 +247,23 @@
 		is.New(s.t).NoErr(err)
 		for _, marker := range []string{"invariant_breached", "panic:", "DATA RACE", "part_failed"} {
 			if strings.Contains(string(text), marker) {
-				s.t.Errorf("seed %d: the log of %s has %s", s.seed, p.name, marker)
+				s.t.Errorf("seed %d: the log of %s has %s: %s", s.seed, p.name, marker, excerpt(string(text), marker))
 			}
 		}
 	}
 	s.saveLogs()
 }
 
+// excerptBytes is how much of a log a failure shows: a report of the race detector with its stacks.
+const excerptBytes = 8 << 10
+
+// excerpt returns the part of a log that begins with the first line that has a marker.
+func excerpt(text, marker string) string {
+	at := strings.Index(text, marker)
+	text = text[strings.LastIndexByte(text[:at], '\n')+1:]
+	return text[:min(len(text), excerptBytes)]
+}
+
 // saveLogs copies the logs of a failed seed to the folder of the flag soak.keep, if it is set.
 func (s *soak) saveLogs() {
 	if !s.t.Failed() || *soakLogFolder == "" {
