--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,6 +13,19 @@
 type conn struct {
 	net.Conn
 	current atomic.Pointer[sendState]
+	// closed is closed with the connection.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, closed: make(chan struct{})}
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // attach assigns the connection to an attempt.
@@ -18,19 +33,24 @@
 	c.current.Store(s)
 }
 
-// Write returns ErrNotPermitted if the attempt has written nothing yet and may no longer start.
+// Write returns an error if the attempt has written nothing yet and may not start: ErrNotPermitted if its permission ended.
 func (c *conn) Write(b []byte) (int, error) {
 	s := c.current.Load()
 	if s == nil {
 		return 0, errors.New("the connection belongs to no attempt")
 	}
 	first := phase(s.phase.Load()) == phaseUnsent
-	if !s.begin() {
-		return 0, ErrNotPermitted
+	if err := s.begin(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(b)
-	if first && n == 0 && err != nil {
+	switch {
+	case first && n == 0 && err != nil:
 		s.markUnwritten()
+	case errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE):
+		// The endpoint has closed the connection and may have answered before: the transport would drop that answer for
+		// this error. Reads end soon, with the answer or with an error, and after them the connection is closed.
+		<-c.closed
 	}
 	return n, err
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -25,10 +25,18 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	// DialContext opens a connection to an address.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Options configures a Relay.
 type Options struct {
 	// Connections is the maximum number of connections to one endpoint; 0 means no limit.
 	Connections int
+	// Dialer opens the connections; nil means a net.Dialer.
+	Dialer Dialer
 }
 
 // Relay sends attempts to endpoints; it is safe for concurrent use.
@@ -38,14 +46,17 @@
 
 // New returns a relay with an empty connection pool.
 func New(o Options) *Relay {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlive}
+	dialer := o.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlive}
+	}
 	return &Relay{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c), nil
 		},
 		MaxConnsPerHost:        o.Connections,
 		MaxIdleConnsPerHost:    o.Connections,
@@ -70,23 +81,35 @@
 			c.attach(s)
 		} else if ok {
 			// A second connection for one attempt would be a hidden retry.
-			c.attach(&sendState{permit: never})
+			retried := &sendState{}
+			retried.abort()
+			c.attach(retried)
 		}
 	}}
 	response, err := r.transport.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), e, a)) //nolint:bodyclose // checkResponse and its caller close it
 	if err != nil {
-		return failure(s, errors.Wrap(err, "send to endpoint"))
+		return failure(ctx, s, errors.Wrap(err, "send to endpoint"))
 	}
 	return checkResponse(a, response, s, used)
 }
 
 // failure returns the outcome of an attempt without a response: not_run if no byte was written, which also prevents
-// any later write, and unknown otherwise.
-func failure(s *sendState, err error) Answer {
+// any later write, and unknown otherwise. err is whichever error the transport noticed first, such as that of reading from
+// a connection which was closed for another reason; a reason that is known here goes before it.
+func failure(ctx context.Context, s *sendState, err error) Answer {
+	outcome := fleet.OutcomeUnknown
 	if s.abort() {
-		return Answer{Outcome: fleet.OutcomeNotRun, Err: err}
+		outcome = fleet.OutcomeNotRun
 	}
-	return Answer{Outcome: fleet.OutcomeUnknown, Err: err}
+	switch ended := ctx.Err(); {
+	case s.notPermitted():
+		err = errors.WithSecondaryError(ErrNotPermitted, err)
+	case s.scan.unfinishedHeaderBytes() >= maxHeaderBytes:
+		err = errors.WithSecondaryError(ErrHeaderTooLong, err)
+	case ended != nil:
+		err = errors.WithSecondaryError(errors.Wrap(ended, "send to endpoint"), err)
+	}
+	return Answer{Outcome: outcome, Err: err}
 }
 
 // checkResponse accepts a response that carries the attempt's ID and whose end can be detected.
@@ -135,5 +158,3 @@
 	}
 	return request.WithContext(ctx)
 }
-
-func never() bool { return false }
