Sync a data folder before relying on what a killed process left

What callers saw: nothing yet, it is found by reading and by the test. A follower that restarts would acknowledge entries that only its page cache holds; where another machine then loses its disk and this one power, an accepted configuration or job could be gone. Cause: OpenFolder took what it read for synced. It isn't if the process was killed between a write, or a rename, and its sync. Change: opening a folder syncs its names first, and the last segment once it is open for appending. A start waits for two more syncs.

--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -171,6 +171,48 @@
 	t.Logf("%d write points failed, %d torn tails", points, torn)
 }
 
+// powerLosses is the number of random outcomes of a power loss that are tried at each point.
+const powerLosses = 4
+
+// TestPowerLossAfterRestartLosesState guards against a restart that relies on data which the killed process never synced.
+func TestPowerLossAfterRestartLosesState(t *testing.T) {
+	points := 0
+	for seed := range uint64(crashSeeds) {
+		for failAt := 1; ; failAt++ {
+			what := fmt.Sprintf("seed %d, killed at operation %d", seed, failAt)
+			r := rand.New(rand.NewPCG(seed, 0))
+			folder := newFakeFolder()
+			folder.failAt = failAt
+			allowed := []expectedState{{}}
+			l, _, err := OpenFolder(folder, "one", jsonCodec{})
+			if err == nil {
+				allowed, err = saveRandomWrites(r, l, expectedState{}, 12, 0)
+			}
+			if err == nil {
+				break
+			}
+			points++
+			folder.failAt = 0
+			_, f, err := OpenFolder(folder, "one", jsonCodec{})
+			if err != nil {
+				t.Fatalf("%s: %v", what, err)
+			}
+			m := requireMatch(t, allowed, f, what)
+			for range powerLosses {
+				_, again, err := OpenFolder(folder.crash(r), "one", jsonCodec{})
+				if err != nil {
+					t.Fatalf("%s: after the power loss: %v", what, err)
+				}
+				requireMatch(t, []expectedState{m}, again, what+", after the power loss")
+				if again.Identity.ID != f.Identity.ID {
+					t.Fatalf("%s: another identity after the power loss", what)
+				}
+			}
+		}
+	}
+	t.Logf("%d points", points)
+}
+
 // refusedOperations is the number of operations that a full disk refuses; maxSaveRetries suffices to get past them.
 const (
 	refusedOperations = 6
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -87,6 +87,10 @@
 		return nil, Recovered{}, err
 	}
 	l := &Log{folder: folder, codec: codec, identity: found.Identity, hard: found.Hard, segments: found.Segments}
+	// A process that was killed may have left names and data unsynced, which its successor relies on from now on.
+	if err := l.folder.Sync(); err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "sync data folder")
+	}
 	if err := l.removeObsolete(found.Snapshot.Index); err != nil {
 		return nil, Recovered{}, err
 	}
--- a/internal/ctrl/store/segment.go
+++ b/internal/ctrl/store/segment.go
@@ -9,13 +9,14 @@
 // errSync marks a failed sync: it is unknown which of the preceding writes are on disk.
 var errSync = errors.New("a sync failed")
 
+// reopen opens the last segment for appending, removes a partial frame at its end, and syncs it.
 func (l *Log) reopen(s Segment, torn int) error {
 	var err error
 	if l.file, err = l.folder.Append(s.Name()); err != nil {
 		return errors.Wrap(err, "open log")
 	}
 	if torn == 0 {
-		return nil
+		return errors.Wrap(l.file.Sync(), "sync log")
 	}
 	return l.truncateFile(s.Bytes)
 }
