Wait for room where a quota or a sync reports the full disk

Cause: only ENOSPC from a write counted as a full disk. EDQUOT, and ENOSPC from fsync as thin volumes and network file systems return it, were final. Change: both wait for room and are written again. The frame is cut first, since the system may drop data whose sync failed, and another sync would then report success; the test's disk does so. A failed sync of the folder, and any other error, stays final.

--- a/internal/app/bench/group_test.go
+++ b/internal/app/bench/group_test.go
@@ -44,8 +44,10 @@
 	tasks *tasks.Group
 	log   *store.Log
 	disk  *testDisk
-	inbox chan []quorum.Message
-	net   *network
+	// folder is the data folder of a replica in memory, nil for one on the local disk.
+	folder *memoryFolder
+	inbox  chan []quorum.Message
+	net    *network
 }
 
 // Send puts messages into the receivers' inboxes. It drops messages from and to a partitioned replica, and those that
@@ -154,36 +156,83 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	r := &replica{id: found.Identity.ID, name: name, log: log, disk: &testDisk{Log: log}, inbox: make(chan []quorum.Message, 4096)}
+	r := newReplica(log, found)
 	var disk node.Disk = r.disk
 	if !grouped {
 		disk = ungroupedDisk{log}
 	}
+	r.startLoop(tb, found, disk, 8192)
+	return r
+}
+
+// openReplicaInMemory opens a replica on an empty data folder in memory and starts its loop.
+func openReplicaInMemory(tb testing.TB, name string, snapshotEntries uint64) *replica {
+	tb.Helper()
+	folder := newMemoryFolder()
+	log, found, err := store.OpenFolder(folder, name, codec.Codec{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r := newReplica(log, found)
+	r.folder = folder
+	r.startLoop(tb, found, log, snapshotEntries)
+	return r
+}
+
+func newReplica(log *store.Log, found store.Recovered) *replica {
+	return &replica{
+		id: found.Identity.ID, name: found.Identity.Name, log: log, disk: &testDisk{Log: log},
+		inbox: make(chan []quorum.Message, 4096),
+	}
+}
+
+// startLoop creates the replica's node and starts its loop.
+func (r *replica) startLoop(tb testing.TB, found store.Recovered, disk node.Disk, snapshotEntries uint64) {
+	tb.Helper()
 	l := loop.New(loop.DefaultCapacity)
+	var err error
 	r.node, err = node.New(node.Options{
-		Self: quorum.Member{ID: r.id, Name: name}, Agreed: found.Identity.Agreed,
+		Self: quorum.Member{ID: r.id, Name: r.name}, Agreed: found.Identity.Agreed,
 		Loop: l, Clock: clock.System{}, Logger: zap.NewNop(), Snapshot: found.Snapshot,
 		Replica: quorum.New(quorum.Options{
 			ID: r.id, Hard: found.Hard, Snapshot: found.Snapshot, Entries: found.Entries,
 			HeartbeatTicks: benchHeartbeat, ElectionTicks: benchElection, Random: rand.IntN,
 		}),
-		Transport: r, Codec: codec.Codec{}, Disk: disk, Tick: benchTick, SnapshotEntries: 8192,
+		Transport: r, Codec: codec.Codec{}, Disk: disk, Tick: benchTick, SnapshotEntries: snapshotEntries,
 	})
 	if err != nil {
 		tb.Fatal(err)
 	}
 	r.tasks = tasks.NewGroup(context.Background())
 	r.tasks.Start("loop", l.Run)
-	return r
 }
 
-// startGroup starts replicas with these names, which then form a group; they stop when the test ends.
+// startGroup starts replicas with these names and with data folders on the local disk, which then form a group.
 func startGroup(tb testing.TB, names []string, grouped bool) *network {
 	tb.Helper()
-	n := &network{nodes: map[quorum.ReplicaID]*replica{}, cut: map[quorum.ReplicaID]bool{}}
 	base := tb.TempDir()
+	replicas := make([]*replica, 0, len(names))
 	for _, name := range names {
-		r := openReplica(tb, filepath.Join(base, name), name, grouped)
+		replicas = append(replicas, openReplica(tb, filepath.Join(base, name), name, grouped))
+	}
+	return joinReplicas(tb, replicas)
+}
+
+// startGroupInMemory starts replicas with data folders in memory, which then form a group.
+func startGroupInMemory(tb testing.TB, names []string, snapshotEntries uint64) *network {
+	tb.Helper()
+	replicas := make([]*replica, 0, len(names))
+	for _, name := range names {
+		replicas = append(replicas, openReplicaInMemory(tb, name, snapshotEntries))
+	}
+	return joinReplicas(tb, replicas)
+}
+
+// joinReplicas connects replicas, which then form a group; they stop when the test ends.
+func joinReplicas(tb testing.TB, replicas []*replica) *network {
+	tb.Helper()
+	n := &network{nodes: map[quorum.ReplicaID]*replica{}, cut: map[quorum.ReplicaID]bool{}}
+	for _, r := range replicas {
 		r.net = n
 		n.nodes[r.id] = r
 	}
--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -222,13 +223,29 @@
 // TestFullDisk makes the disk full for some operations, starting at each operation in turn: the log must continue once
 // there is space, and a crash in the meantime must lose nothing that was saved.
 func TestFullDisk(t *testing.T) {
+	testFullDisk(t, crashSeeds, syscall.ENOSPC, false)
+}
+
+// TestQuotaEndsReplica guards against a replica that stops for good where its disk's quota is used up for a while.
+func TestQuotaEndsReplica(t *testing.T) {
+	testFullDisk(t, 2, syscall.EDQUOT, false)
+}
+
+// TestFullDiskAtSyncEndsReplica guards against a replica that stops for good where a full disk is noticed by a sync.
+func TestFullDiskAtSyncEndsReplica(t *testing.T) {
+	testFullDisk(t, crashSeeds/2, syscall.ENOSPC, true)
+}
+
+func testFullDisk(t *testing.T, seeds uint64, refusal error, atSync bool) {
+	t.Helper()
 	waited := 0
-	for seed := range uint64(crashSeeds) {
+	for seed := range seeds {
 		for from := 1; ; from++ {
 			for _, retries := range []int{0, maxSaveRetries} {
 				what := fmt.Sprintf("seed %d, full from operation %d, saved again %d times", seed, from, retries)
 				r := rand.New(rand.NewPCG(seed, 0))
 				folder := newFakeFolder()
+				folder.refusal, folder.refusesAtSync = refusal, atSync
 				l, _, err := OpenFolder(folder, "one", jsonCodec{})
 				if err != nil {
 					t.Fatalf("%s: %v", what, err)
--- a/internal/ctrl/store/folder_test.go
+++ b/internal/ctrl/store/folder_test.go
@@ -25,16 +25,21 @@
 	failAt          int
 	// The disk is full, for data and for new names, in operations fullFrom up to but not including fullUntil.
 	fullFrom, fullUntil int
+	// refusal is the error of a full disk; if refusesAtSync is set, it accepts writes and refuses the syncs of files.
+	refusal       error
+	refusesAtSync bool
 }
 
 type fakeFile struct {
 	folder *fakeFolder
 	data   []byte
 	synced int
+	// lostFrom and lostUntil bound the data of a failed sync, which no later sync writes to the disk.
+	lostFrom, lostUntil int
 }
 
 func newFakeFolder() *fakeFolder {
-	return &fakeFolder{files: map[string]*fakeFile{}, syncedFiles: map[string]*fakeFile{}}
+	return &fakeFolder{files: map[string]*fakeFile{}, syncedFiles: map[string]*fakeFile{}, refusal: syscall.ENOSPC}
 }
 
 func (f *fakeFolder) fails() bool {
@@ -61,6 +66,7 @@
 	for name, file := range names {
 		reached := file.synced + r.IntN(len(file.data)-file.synced+1)
 		data := slices.Clone(file.data[:reached])
+		clear(data[min(file.lostFrom, reached):min(file.lostUntil, reached)])
 		if reached > file.synced && r.IntN(2) == 0 {
 			// Sectors of an unsynced write reach the disk in any order.
 			data[file.synced+r.IntN(reached-file.synced)] ^= 0x40
@@ -93,9 +99,9 @@
 }
 
 func (f *fakeFolder) Create(name string) (File, error) {
-	if f.isFull() {
+	if f.isFull() && !f.refusesAtSync {
 		f.count++
-		return nil, syscall.ENOSPC
+		return nil, f.refusal
 	}
 	file := &fakeFile{folder: f}
 	return file, f.change(func(m map[string]*fakeFile) { m[name] = file })
@@ -126,10 +132,10 @@
 }
 
 func (f *fakeFile) Write(data []byte) (int, error) {
-	if f.folder.isFull() {
+	if f.folder.isFull() && !f.folder.refusesAtSync {
 		f.folder.count++
 		f.data = append(f.data, data[:len(data)/2]...)
-		return len(data) / 2, syscall.ENOSPC
+		return len(data) / 2, f.folder.refusal
 	}
 	if f.folder.fails() {
 		f.data = append(f.data, data[:len(data)/2]...)
@@ -145,10 +151,16 @@
 	}
 	f.data = f.data[:size]
 	f.synced = min(f.synced, int(size))
+	f.lostFrom, f.lostUntil = min(f.lostFrom, int(size)), min(f.lostUntil, int(size))
 	return nil
 }
 
 func (f *fakeFile) Sync() error {
+	if f.folder.isFull() && f.folder.refusesAtSync {
+		f.folder.count++
+		f.lostFrom, f.lostUntil = f.synced, len(f.data)
+		return f.folder.refusal
+	}
 	if f.folder.fails() {
 		return errInjected
 	}
--- a/internal/ctrl/store/identity.go
+++ b/internal/ctrl/store/identity.go
@@ -45,7 +45,7 @@
 	}
 	_, err = file.Write(appendFrame(fileHeader(kind), payload))
 	if err == nil {
-		err = errors.Mark(file.Sync(), errSync)
+		err = file.Sync()
 	}
 	if err = errors.CombineErrors(err, file.Close()); err != nil {
 		return errors.Wrapf(err, "write %s", temporary)
@@ -53,7 +53,7 @@
 	if err := f.Rename(temporary, name); err != nil {
 		return errors.Wrapf(err, "rename %s", temporary)
 	}
-	return errors.Mark(errors.Wrap(f.Sync(), "sync data folder"), errSync)
+	return errors.Mark(errors.Wrap(f.Sync(), "sync data folder"), errFolderSync)
 }
 
 // readFile returns the payload of a file that replaceFile wrote.
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -45,7 +45,7 @@
 	segments []Segment
 	// file is the current segment's file, nil if it could not be created yet.
 	file File
-	// torn means that a failed write may have left a partial frame at the end of the file.
+	// torn means that a failed write or sync may have left a partial frame at the end of the file.
 	torn bool
 	// unsaved are the writes that are still to be saved; some remain after the disk was full.
 	unsaved []quorum.Write
@@ -161,13 +161,13 @@
 	return err
 }
 
-// recordFailure records a failed write. After a full disk the state is known, so the log stays usable; other failures
-// are final.
+// recordFailure records a failed write. After a full disk the log stays usable, because the next attempt writes the whole
+// file or frame again; other failures are final.
 func (l *Log) recordFailure(err error) error {
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, syscall.ENOSPC) && !errors.Is(err, errSync):
+	case errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) && !errors.Is(err, errFolderSync):
 		return errors.Mark(err, quorum.ErrFull)
 	default:
 		l.failed = err
@@ -238,13 +238,14 @@
 		return err
 	}
 	frame := appendFrame(nil, payload)
+	l.torn = true
 	if _, err := l.file.Write(frame); err != nil {
-		l.torn = true
 		return errors.Wrap(err, "write log")
 	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Mark(errors.Wrap(err, "sync log"), errSync)
+		return errors.Wrap(err, "sync log")
 	}
+	l.torn = false
 	syncsTotal.Inc()
 	bytesTotal.Add(len(frame))
 	s := &l.segments[len(l.segments)-1]
--- a/internal/ctrl/store/segment.go
+++ b/internal/ctrl/store/segment.go
@@ -6,8 +6,8 @@
 	"cowslipstack/internal/ctrl/quorum"
 )
 
-// errSync marks a failed sync: it is unknown which of the preceding writes are on disk.
-var errSync = errors.New("a sync failed")
+// errFolderSync marks a failed sync of the data folder: it is unknown which names are on disk.
+var errFolderSync = errors.New("a sync of the data folder failed")
 
 // reopen opens the last segment for appending, removes a partial frame at its end, and syncs it.
 func (l *Log) reopen(s Segment, torn int) error {
@@ -26,10 +26,10 @@
 	if err := l.file.Truncate(int64(size)); err != nil {
 		return errors.Wrap(err, "cut torn record")
 	}
-	return errors.Mark(errors.Wrap(l.file.Sync(), "sync log"), errSync)
+	return errors.Wrap(l.file.Sync(), "sync log")
 }
 
-// prepareFile prepares the file for a frame: it removes a partial frame of a failed write, and rotates if the segment
+// prepareFile prepares the file for a frame: it removes a partial frame of a failed write or sync, and rotates if the segment
 // is full or could not be created.
 func (l *Log) prepareFile() error {
 	if l.file == nil || l.segments[len(l.segments)-1].Bytes >= segmentBytes {
@@ -38,7 +38,7 @@
 	return l.truncateTornWrite()
 }
 
-// truncateTornWrite removes a partial frame that a failed write may have left at the end of the file.
+// truncateTornWrite removes a partial frame that a failed write or sync may have left at the end of the file.
 func (l *Log) truncateTornWrite() error {
 	if !l.torn {
 		return nil
@@ -64,7 +64,7 @@
 	}
 	content := appendFrame(fileHeader(kindLog), payload)
 	if _, err = file.Write(content); err == nil {
-		err = errors.Mark(file.Sync(), errSync)
+		err = file.Sync()
 	}
 	if err != nil {
 		return errors.Wrap(errors.CombineErrors(err, file.Close()), "make log segment")
@@ -72,7 +72,7 @@
 	s.Bytes = len(content)
 	l.file = file
 	l.segments = append(l.segments, s)
-	return errors.Mark(errors.Wrap(l.folder.Sync(), "sync data folder"), errSync)
+	return errors.Mark(errors.Wrap(l.folder.Sync(), "sync data folder"), errFolderSync)
 }
 
 func (l *Log) rotate() error {
