Remove what a failed sync left, before a restart takes it for saved

Test: TestRestartAfterFailedSyncLosesState refuses one sync of a file, at each operation in turn, with ENOSPC and with EIO; the process is then restarted and the power is cut. What callers saw: nothing yet, it is found by the test. After an EIO from a sync the process ends, and its restart reads the frame whole from the page cache. Where the system has dropped the data, a later sync reports success all the same; the replica acknowledges the frame, and a power loss takes it. Cause: the frame, the new segment or the temporary file stayed as written. Evidence: the test's disk keeps data of a failed sync readable and loses it with the power, as Linux file systems may. Change: a frame whose sync failed is cut at once, a segment or a temporary file that could not be written or synced is removed. Nothing of them was acknowledged. A full disk gets that room back at once as well.

--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -214,6 +214,45 @@
 	t.Logf("%d points", points)
 }
 
+// TestRestartAfterFailedSyncLosesState guards against a restart that relies on data whose sync failed: the system may have
+// dropped it, and a later sync then reports success.
+func TestRestartAfterFailedSyncLosesState(t *testing.T) {
+	failed := 0
+	for seed := range uint64(crashSeeds / 2) {
+		for _, refusal := range []error{syscall.ENOSPC, syscall.EIO} {
+			for from, met := 1, true; met; from++ {
+				what := fmt.Sprintf("seed %d, %v from operation %d", seed, refusal, from)
+				r := rand.New(rand.NewPCG(seed, 0))
+				folder := newFakeFolder()
+				l, _, err := OpenFolder(folder, "one", jsonCodec{})
+				if err != nil {
+					t.Fatalf("%s: %v", what, err)
+				}
+				folder.refusal, folder.refusesAtSync = refusal, true
+				folder.count, folder.fullFrom, folder.fullUntil = 0, from, from+1
+				allowed, err := saveRandomWrites(r, l, expectedState{}, 12, 0)
+				met = folder.count >= from
+				if err == nil {
+					continue
+				}
+				failed++
+				folder.fullFrom, folder.fullUntil = 0, 0
+				_, f, err := OpenFolder(folder, "one", jsonCodec{})
+				if err != nil {
+					t.Fatalf("%s: %v", what, err)
+				}
+				m := requireMatch(t, allowed, f, what)
+				_, again, err := OpenFolder(folder.crash(r), "one", jsonCodec{})
+				if err != nil {
+					t.Fatalf("%s: after the power loss: %v", what, err)
+				}
+				requireMatch(t, []expectedState{m}, again, what+", after the power loss")
+			}
+		}
+	}
+	t.Logf("%d syncs failed", failed)
+}
+
 // refusedOperations is the number of operations that a full disk refuses; maxSaveRetries suffices to get past them.
 const (
 	refusedOperations = 6
--- a/internal/ctrl/store/folder.go
+++ b/internal/ctrl/store/folder.go
@@ -41,6 +41,11 @@
 	Sync() error
 }
 
+// closeAndRemove removes a file that could not be written or synced, and returns the cause with any further error.
+func closeAndRemove(f Folder, file File, name string, cause error) error {
+	return errors.CombineErrors(cause, errors.CombineErrors(file.Close(), f.Remove(name)))
+}
+
 // diskFolder is a Folder on the local file system.
 type diskFolder struct{ path string }
 
--- a/internal/ctrl/store/identity.go
+++ b/internal/ctrl/store/identity.go
@@ -47,8 +47,11 @@
 	if err == nil {
 		err = file.Sync()
 	}
-	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return errors.Wrapf(err, "write %s", temporary)
+	if err != nil {
+		return errors.Wrapf(closeAndRemove(f, file, temporary, err), "write %s", temporary)
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrapf(err, "close %s", temporary)
 	}
 	if err := f.Rename(temporary, name); err != nil {
 		return errors.Wrapf(err, "rename %s", temporary)
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -243,7 +243,8 @@
 		return errors.Wrap(err, "write log")
 	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync log")
+		// After a restart the frame would look whole, though the system may have dropped its data.
+		return errors.CombineErrors(errors.Wrap(err, "sync log"), l.truncateTornWrite())
 	}
 	l.torn = false
 	syncsTotal.Inc()
--- a/internal/ctrl/store/segment.go
+++ b/internal/ctrl/store/segment.go
@@ -67,7 +67,7 @@
 		err = file.Sync()
 	}
 	if err != nil {
-		return errors.Wrap(errors.CombineErrors(err, file.Close()), "make log segment")
+		return errors.Wrap(closeAndRemove(l.folder, file, s.Name(), err), "make log segment")
 	}
 	s.Bytes = len(content)
 	l.file = file
