Let a retry on a full disk need room only for what is missing

What callers saw: a replica that stays silent for longer than its disk is full. It is one of a group, so callers saw nothing as long as the others had room.

Result: the test passes; as many files after each retry as before. The tests of ctrl/store and of app/bench pass with the race detector.

--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -313,6 +313,36 @@
 	t.Logf("%d runs met a full disk", waited)
 }
 
+// TestFullDiskRetryNeedsRoomAgain guards against retries that need room for what is saved already, or leave files behind.
+func TestFullDiskRetryNeedsRoomAgain(t *testing.T) {
+	is := is.New(t)
+	folder := newFakeFolder()
+	l, _, err := OpenFolder(folder, "one", jsonCodec{})
+	is.NoErr(err)
+	entries := make([]quorum.Entry, 3)
+	for i := range entries {
+		entries[i] = quorum.Entry{Index: uint64(i) + 1, Term: 1, Kind: quorum.EntryCommand, Data: make([]byte, 1000)}
+	}
+	is.NoErr(l.Save([]quorum.Write{{Entries: entries[:2]}}))
+	write := quorum.Write{Snapshot: &quorum.Snapshot{Index: 1, Term: 1, Data: make([]byte, 30_000)}, Entries: entries[2:]}
+	snapshot, err := jsonCodec{}.EncodeSnapshot(*write.Snapshot)
+	is.NoErr(err)
+	room := folder.bytes() + len(snapshot) + 500
+	folder.roomBytes = room
+	is.True(errors.Is(l.Save([]quorum.Write{write}), quorum.ErrFull)) // the snapshot fits, the entry doesn't
+	files := len(folder.files)
+	for range maxSaveRetries {
+		is.True(errors.Is(l.Save(nil), quorum.ErrFull))
+		is.Equal(len(folder.files), files)
+	}
+	folder.roomBytes = room + 2000
+	is.NoErr(l.Save(nil)) // the entry fits
+	_, f, err := OpenFolder(folder, "one", jsonCodec{})
+	is.NoErr(err)
+	is.Equal(f.Snapshot.Index, uint64(1))
+	is.Equal(len(f.Entries), 2)
+}
+
 // TestDamage flips a bit in each byte of a log in turn. Damage that a crash can't cause must be reported, so that
 // nothing is lost silently; damage in the last frame counts as a torn write.
 func TestDamage(t *testing.T) {
--- a/internal/ctrl/store/folder_test.go
+++ b/internal/ctrl/store/folder_test.go
@@ -28,6 +28,8 @@
 	// refusal is the error of a full disk; if refusesAtSync is set, it accepts writes and refuses the syncs of files.
 	refusal       error
 	refusesAtSync bool
+	// roomBytes is the size of the disk; 0 means unlimited.
+	roomBytes int
 }
 
 type fakeFile struct {
@@ -52,6 +54,26 @@
 	return f.count+1 >= f.fullFrom && f.count+1 < f.fullUntil
 }
 
+// fits returns how many of the given bytes the disk accepts.
+func (f *fakeFolder) fits(bytes int) int {
+	if f.isFull() && !f.refusesAtSync {
+		return bytes / 2
+	}
+	if f.roomBytes == 0 {
+		return bytes
+	}
+	return max(0, min(bytes, f.roomBytes-f.bytes()))
+}
+
+// bytes returns the size of all files.
+func (f *fakeFolder) bytes() int {
+	total := 0
+	for _, file := range f.files {
+		total += len(file.data)
+	}
+	return total
+}
+
 // crash returns the folder after a power loss: what is synced, and a random part of the rest: any of the changes of
 // names, and a prefix of each file's unsynced data.
 func (f *fakeFolder) crash(r *rand.Rand) *fakeFolder {
@@ -132,10 +154,10 @@
 }
 
 func (f *fakeFile) Write(data []byte) (int, error) {
-	if f.folder.isFull() && !f.folder.refusesAtSync {
+	if size := f.folder.fits(len(data)); size < len(data) {
 		f.folder.count++
-		f.data = append(f.data, data[:len(data)/2]...)
-		return len(data) / 2, f.folder.refusal
+		f.data = append(f.data, data[:size]...)
+		return size, f.folder.refusal
 	}
 	if f.folder.fails() {
 		f.data = append(f.data, data[:len(data)/2]...)
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -41,6 +41,8 @@
 	lock     io.Closer
 	identity Identity
 	hard     quorum.HardState
+	// snapshot is the index of the snapshot on disk, 0 for none.
+	snapshot uint64
 	// segments are the closed segments followed by the current one.
 	segments []Segment
 	// file is the current segment's file, nil if it could not be created yet.
@@ -86,7 +88,10 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
-	l := &Log{folder: folder, codec: codec, identity: found.Identity, hard: found.Hard, segments: found.Segments}
+	l := &Log{
+		folder: folder, codec: codec, identity: found.Identity, hard: found.Hard,
+		snapshot: found.Snapshot.Index, segments: found.Segments,
+	}
 	// A process that was killed may have left names and data unsynced, which its successor relies on from now on.
 	if err := l.folder.Sync(); err != nil {
 		return nil, Recovered{}, errors.Wrap(err, "sync data folder")
@@ -263,20 +268,16 @@
 	return nil
 }
 
-// saveSnapshot stores a snapshot and removes the segments whose entries it includes.
+// saveSnapshot stores a snapshot and removes the segments whose entries it includes. A repeated call needs no room for what
+// an earlier one has done.
 func (l *Log) saveSnapshot(s quorum.Snapshot) error {
-	payload, err := l.codec.EncodeSnapshot(s)
-	if err != nil {
-		return err
-	}
-	if err := replaceFile(l.folder, kindSnapshot, fileName(snapshotPrefix, s.Index), payload); err != nil {
-		return err
-	}
-	if err := l.removeObsolete(s.Index); err != nil {
+	if err := l.storeSnapshot(s); err != nil {
 		return err
 	}
-	if err := l.rotate(); err != nil {
-		return err
+	if l.file == nil || l.segments[len(l.segments)-1].Last > 0 {
+		if err := l.rotate(); err != nil {
+			return err
+		}
 	}
 	current := len(l.segments) - 1
 	keep := slices.IndexFunc(l.segments, func(seg Segment) bool { return seg.Last > s.Index })
@@ -291,3 +292,22 @@
 	l.segments = slices.Clone(l.segments[keep:])
 	return nil
 }
+
+// storeSnapshot stores a snapshot, unless it is stored already, and removes the one before.
+func (l *Log) storeSnapshot(s quorum.Snapshot) error {
+	if s.Index == l.snapshot {
+		return nil
+	}
+	payload, err := l.codec.EncodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	if err := replaceFile(l.folder, kindSnapshot, fileName(snapshotPrefix, s.Index), payload); err != nil {
+		return err
+	}
+	if err := l.removeObsolete(s.Index); err != nil {
+		return err
+	}
+	l.snapshot = s.Index
+	return nil
+}
