--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -313,6 +315,94 @@
 	t.Logf("%d runs met a full disk", waited)
 }
 
+const (
+	// fullDiskHistory is the number of times that the disk is full in one history.
+	fullDiskHistory = 60
+	// smallSegmentBytes is a segment size at which the log rotates after a few writes.
+	smallSegmentBytes = 1 << 10
+	// maxFinalBytes bounds a folder whose snapshot covers the whole log.
+	maxFinalBytes = 4 << 10
+)
+
+// TestFullDiskAgainAndAgainGrows guards against a folder that grows, or a log that stops, as its disk is full at varying
+// operations of a long history with rotations, snapshots, restarts and power losses.
+func TestFullDiskAgainAndAgainGrows(t *testing.T) {
+	var refused, rotated int
+	for seed := range uint64(crashSeeds) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		folder := newFakeFolder()
+		l, m := reopenLog(t, folder, []expectedState{{}}, fmt.Sprintf("seed %d", seed))
+		for round := range fullDiskHistory {
+			what := fmt.Sprintf("seed %d, round %d", seed, round)
+			folder.refusesAtSync = r.IntN(2) == 0
+			folder.count, folder.fullFrom = 0, 1+r.IntN(12)
+			folder.fullUntil = folder.fullFrom + 1 + r.IntN(refusedOperations)
+			allowed, err := saveRandomWrites(r, l, m, 4, r.IntN(2)*maxSaveRetries)
+			if err != nil && !errors.Is(err, quorum.ErrFull) {
+				t.Fatalf("%s: %v", what, err)
+			}
+			if err != nil {
+				refused++
+			}
+			rotated = max(rotated, len(l.segments))
+			if r.IntN(3) == 0 {
+				// A restart may fail while the disk is full.
+				folder.count, folder.fullFrom, folder.fullUntil = 0, 1, math.MaxInt
+				if _, _, err := OpenFolder(folder, "one", jsonCodec{}); err != nil && !errors.Is(err, syscall.ENOSPC) {
+					t.Fatalf("%s: %v", what, err)
+				}
+			}
+			folder.fullFrom, folder.fullUntil = 0, 0
+			if r.IntN(3) == 0 {
+				folder = folder.crash(r)
+			}
+			l, m = reopenLog(t, folder, allowed, what)
+			requireNoLeftovers(t, folder, l, what)
+		}
+		last := m.last()
+		for _, s := range l.segments {
+			last = max(last, s.Last)
+		}
+		final := quorum.Snapshot{Index: last + 1, Term: max(m.hard.Term, m.snapshot.Term, 1)}
+		if err := l.Save([]quorum.Write{{Snapshot: &final, Reset: true}}); err != nil {
+			t.Fatal(err)
+		}
+		if folder.bytes() > maxFinalBytes {
+			t.Fatalf("seed %d: the folder holds %d bytes of %d", seed, folder.bytes(), maxFinalBytes)
+		}
+	}
+	t.Logf("%d times left unsaved, at most %d segments", refused, rotated)
+}
+
+// reopenLog opens a folder and returns the log with the allowed state that it holds.
+func reopenLog(t *testing.T, folder *fakeFolder, allowed []expectedState, what string) (*Log, expectedState) {
+	t.Helper()
+	l, f, err := OpenFolder(folder, "one", jsonCodec{})
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	l.segmentBytes = smallSegmentBytes
+	return l, requireMatch(t, allowed, f, what)
+}
+
+// requireNoLeftovers checks that a folder holds the identity, at most one snapshot and the segments of the log, all but the
+// last of which hold entries or are full.
+func requireNoLeftovers(t *testing.T, folder *fakeFolder, l *Log, what string) {
+	t.Helper()
+	files := 1 + len(l.segments)
+	if l.snapshot > 0 {
+		files++
+	}
+	if len(folder.files) != files {
+		t.Fatalf("%s: %d files, want %d: %v", what, len(folder.files), files, slices.Sorted(maps.Keys(folder.files)))
+	}
+	for _, s := range l.segments[:len(l.segments)-1] {
+		if s.Last == 0 && s.Bytes < l.segmentBytes {
+			t.Fatalf("%s: %s holds no entry and isn't full", what, s.Name())
+		}
+	}
+}
+
 // TestFullDiskRetryNeedsRoomAgain guards against retries that need room for what is saved already, or leave files behind.
 func TestFullDiskRetryNeedsRoomAgain(t *testing.T) {
 	is := is.New(t)
--- a/internal/ctrl/store/folder_test.go
+++ b/internal/ctrl/store/folder_test.go
@@ -85,7 +85,8 @@
 			change(names)
 		}
 	}
-	for name, file := range names {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		file := names[name]
 		reached := file.synced + r.IntN(len(file.data)-file.synced+1)
 		data := slices.Clone(file.data[:reached])
 		clear(data[min(file.lostFrom, reached):min(file.lostUntil, reached)])
@@ -100,7 +101,7 @@
 }
 
 func (f *fakeFolder) Names() ([]string, error) {
-	return slices.Collect(maps.Keys(f.files)), nil
+	return slices.Sorted(maps.Keys(f.files)), nil
 }
 
 func (f *fakeFolder) Read(name string) ([]byte, error) {
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -13,8 +13,8 @@
 	"cowslipstack/internal/ctrl/quorum"
 )
 
-// segmentBytes is the size at which the log rotates to a new segment.
-const segmentBytes = 4 << 20
+// defaultSegmentBytes is the size at which the log rotates to a new segment.
+const defaultSegmentBytes = 4 << 20
 
 // ErrFailed is returned after a failed write: the state of the disk is unknown until a restart.
 var ErrFailed = errors.New("the data folder failed earlier; restart this process once the cause is mended")
@@ -41,6 +41,8 @@
 	lock     io.Closer
 	identity Identity
 	hard     quorum.HardState
+	// segmentBytes is the size at which the log rotates to a new segment.
+	segmentBytes int
 	// snapshot is the index of the snapshot on disk, 0 for none.
 	snapshot uint64
 	// segments are the closed segments followed by the current one.
@@ -90,7 +92,7 @@
 	}
 	l := &Log{
 		folder: folder, codec: codec, identity: found.Identity, hard: found.Hard,
-		snapshot: found.Snapshot.Index, segments: found.Segments,
+		segmentBytes: defaultSegmentBytes, snapshot: found.Snapshot.Index, segments: found.Segments,
 	}
 	// A process that was killed may have left names and data unsynced, which its successor relies on from now on.
 	if err := l.folder.Sync(); err != nil {
--- a/internal/ctrl/store/segment.go
+++ b/internal/ctrl/store/segment.go
@@ -32,7 +32,7 @@
 // prepareFile prepares the file for a frame: it removes a partial frame of a failed write or sync, and rotates if the segment
 // is full or could not be created.
 func (l *Log) prepareFile() error {
-	if l.file == nil || l.segments[len(l.segments)-1].Bytes >= segmentBytes {
+	if l.file == nil || l.segments[len(l.segments)-1].Bytes >= l.segmentBytes {
 		return l.rotate()
 	}
 	return l.truncateTornWrite()
