--- a/internal/ctrl/quorum/group_test.go
+++ b/internal/ctrl/quorum/group_test.go
@@ -34,10 +34,12 @@
 
 // host simulates a process with a disk.
 type host struct {
-	name      string
-	id        ReplicaID
-	up        bool
-	frozen    bool
+	name   string
+	id     ReplicaID
+	up     bool
+	frozen bool
+	// full means that the host's disk accepts no write.
+	full      bool
 	replica   *Replica
 	disk      testDisk
 	unsynced  []Write
@@ -49,6 +51,11 @@
 	return h.up && !h.frozen
 }
 
+// canSync reports whether the host can complete its unsynced writes.
+func (h *host) canSync() bool {
+	return h.running() && !h.full
+}
+
 // testDisk is the state that a host has synced.
 type testDisk struct {
 	hard     HardState
@@ -126,7 +133,7 @@
 
 // sync completes the oldest unsynced writes, at most count of them.
 func (g *group) sync(h *host, count int) {
-	if count = min(count, len(h.unsynced)); count == 0 || !h.running() {
+	if count = min(count, len(h.unsynced)); count == 0 || !h.canSync() {
 		return
 	}
 	for _, w := range h.unsynced[:count] {
@@ -279,12 +286,34 @@
 	return nil
 }
 
+// work ticks all hosts and proposes a command at the leader in each tick. All hosts take snapshots each snapshotTicks. It
+// returns how many commands were proposed and committed.
+func (g *group) work(ticks, snapshotTicks int) (proposed, committed int) {
+	before := len(g.committed)
+	for tick := range ticks {
+		if h := g.leader(); h != nil {
+			if _, err := h.replica.Propose([]byte("work")); err == nil {
+				proposed++
+				g.handle(h)
+			}
+		}
+		for _, h := range g.hosts {
+			g.tick(h)
+			if tick%snapshotTicks == snapshotTicks-1 {
+				g.compact(h)
+			}
+		}
+		g.settle()
+	}
+	return proposed, len(g.committed) - before
+}
+
 // settle syncs writes and delivers messages until none are left.
 func (g *group) settle() {
 	for busy := true; busy; {
 		busy = len(g.network) > 0
 		for _, h := range g.hosts {
-			busy = busy || (h.running() && len(h.unsynced) > 0)
+			busy = busy || (h.canSync() && len(h.unsynced) > 0)
 			g.sync(h, len(h.unsynced))
 		}
 		for count := len(g.network); count > 0 && len(g.network) > 0; count-- {
--- a/internal/ctrl/quorum/random_test.go
+++ b/internal/ctrl/quorum/random_test.go
@@ -107,7 +107,7 @@
 		c.requestRead(h)
 		return
 	}
-	switch r.IntN(6) {
+	switch r.IntN(7) {
 	case 0:
 		c.restart(h, r.IntN(3))
 	case 1:
@@ -123,6 +123,8 @@
 		// A frozen host receives nothing and its clock stops; once thawed it may believe that it still leads.
 		h.frozen = !h.frozen
 		c.requestRead(h)
+	case 5:
+		h.full = !h.full
 	default:
 		c.compact(h)
 	}
@@ -237,7 +239,7 @@
 func (c *chaos) heal() {
 	clear(c.blocked)
 	for _, h := range c.hosts {
-		h.frozen = false
+		h.frozen, h.full = false, false
 		if !h.up {
 			c.start(h)
 		}
--- a/internal/ctrl/quorum/script_test.go
+++ b/internal/ctrl/quorum/script_test.go
@@ -43,6 +43,17 @@
 	case "first-election-ticks":
 		d.ScanArgs(t, "ticks", &s.firstElectionTicks)
 		return "ok"
+	case "work":
+		var ticks int
+		d.ScanArgs(t, "ticks", &ticks)
+		return s.runWork(ticks)
+	case "full-in-turn":
+		var rounds, ticks int
+		d.ScanArgs(t, "rounds", &rounds)
+		d.ScanArgs(t, "ticks", &ticks)
+		return s.fillInTurn(rounds, ticks, slices.Contains(names, "transfer"))
+	case "backlog":
+		return s.backlog()
 	case "until-leader":
 		return s.untilLeader(names[0])
 	case "block":
@@ -87,6 +98,10 @@
 		s.crash(h, 0)
 	case "start":
 		s.start(h)
+	case "full":
+		h.full = true
+	case "room":
+		h.full = false
 	case "freeze":
 		h.frozen = true
 	case "thaw":
@@ -161,6 +176,55 @@
 	s.settle()
 }
 
+// workSnapshotTicks is the time between two snapshots of the command work, in ticks.
+const workSnapshotTicks = 15
+
+func (s *script) runWork(ticks int) string {
+	proposed, committed := s.work(ticks, workSnapshotTicks)
+	return fmt.Sprintf("%d proposed, %d committed", proposed, committed)
+}
+
+// fillInTurn makes the disk of each host full for some ticks, one after another and the leader's first, while commands are
+// proposed. With transfer the leader then hands over: to the host whose disk is full, or if it is that host itself, to the
+// next one.
+func (s *script) fillInTurn(rounds, ticks int, transfer bool) string {
+	var b strings.Builder
+	for range rounds {
+		turn := slices.Clone(s.hosts)
+		first := slices.Index(turn, s.leader())
+		turn[0], turn[first] = turn[first], turn[0]
+		for i, h := range turn {
+			h.full = true
+			fmt.Fprintf(&b, "%s full: %s\n", h.name, s.runWork(ticks))
+			if l := s.leader(); transfer {
+				to := h
+				if to == l {
+					to = turn[(i+len(turn)-1)%len(turn)]
+				}
+				_ = l.replica.Transfer(to.id)
+				s.handle(l)
+				fmt.Fprintf(&b, "%s hands over to %s: %s\n", l.name, to.name, s.runWork(ticks))
+			}
+			h.full = false
+		}
+	}
+	return b.String()
+}
+
+// backlog returns what each host has not finished: writes, held messages and unanswered messages to followers.
+func (s *script) backlog() string {
+	var b strings.Builder
+	for _, h := range s.hosts {
+		unanswered := 0
+		for _, p := range h.replica.peers {
+			unanswered += len(p.inFlight)
+		}
+		fmt.Fprintf(&b, "%s unsynced=%d writes=%d held=%d unanswered=%d uncommitted=%d\n", h.name, len(h.unsynced),
+			len(h.replica.writes), len(h.replica.heldMessages), unanswered, h.replica.uncommitted)
+	}
+	return b.String()
+}
+
 // untilLeader counts the ticks until a leader other than old has committed an entry of its term.
 func (s *script) untilLeader(old string) string {
 	for ticks := range 10 * testElection {
