Report no failed disk when a process stops while its disk is full

Test: TestStopWithFullDiskIsFailure stops a replica whose disk is full. Cause: RunDisk took the interrupted wait for room for a failure of the disk. Change: it logs stopped_while_disk_full and ends in order.

--- a/internal/app/bench/full_disk_test.go
+++ b/internal/app/bench/full_disk_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"cowslipstack/internal/ctrl/quorum"
@@ -124,3 +125,21 @@
 	}
 	return slices.SortedFunc(slices.Values(info.Members), func(a, b quorum.Member) int { return int(a.Name[0]) - int(b.Name[0]) })
 }
+
+// TestStopWithFullDiskIsFailure guards against a planned stop that is reported as a failed disk because the disk is full.
+func TestStopWithFullDiskIsFailure(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), faultTimeout)
+	defer cancel()
+	n := startGroupInMemory(t, []string{"a", "b", "c"}, turnSnapshotEntries)
+	w := &turnWriter{network: n}
+	leader := n.leader(t)
+	leader.folder.setFull(refusal{cause: syscall.ENOSPC})
+	for leader.folder.refusedSoFar() == 0 {
+		is.NoErr(w.commit(ctx, t))
+	}
+	failures := metrics.GetOrCreateCounter("cowslip_control_disk_failures_total")
+	before := failures.Get()
+	is.NoErr(leader.tasks.Stop())
+	is.Equal(failures.Get(), before)
+}
--- a/internal/ctrl/node/disk.go
+++ b/internal/ctrl/node/disk.go
@@ -64,6 +64,10 @@
 		case <-n.diskQueue.ready:
 		}
 		if err := n.processRequests(ctx, n.diskQueue.take()); err != nil {
+			if ctx.Err() != nil && errors.Is(err, quorum.ErrFull) {
+				n.options.Logger.Info("stopped_while_disk_full", zap.Error(err))
+				return nil
+			}
 			diskFailures.Inc()
 			failed := func() { n.fail(errors.Wrap(err, "data folder")) }
 			if err := n.options.Loop.Post(ctx, failed); err != nil {
