--- a/internal/ctrl/store/identity.go
+++ b/internal/ctrl/store/identity.go
@@ -45,15 +45,18 @@
 	}
 	_, err = file.Write(appendFrame(fileHeader(kind), payload))
 	if err == nil {
-		err = errors.Mark(file.Sync(), errSync)
+		err = file.Sync()
 	}
-	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return errors.Wrapf(err, "write %s", temporary)
+	if err != nil {
+		return errors.Wrapf(closeAndRemove(f, file, temporary, err), "write %s", temporary)
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrapf(err, "close %s", temporary)
 	}
 	if err := f.Rename(temporary, name); err != nil {
 		return errors.Wrapf(err, "rename %s", temporary)
 	}
-	return errors.Mark(errors.Wrap(f.Sync(), "sync data folder"), errSync)
+	return errors.Mark(errors.Wrap(f.Sync(), "sync data folder"), errFolderSync)
 }
 
 // readFile returns the payload of a file that replaceFile wrote.
--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -13,8 +13,8 @@
 	"cowslipstack/internal/ctrl/quorum"
 )
 
-// segmentBytes is the size at which the log rotates to a new segment.
-const segmentBytes = 4 << 20
+// defaultSegmentBytes is the size at which the log rotates to a new segment.
+const defaultSegmentBytes = 4 << 20
 
 // ErrFailed is returned after a failed write: the state of the disk is unknown until a restart.
 var ErrFailed = errors.New("the data folder failed earlier; restart this process once the cause is mended")
@@ -41,11 +41,15 @@
 	lock     io.Closer
 	identity Identity
 	hard     quorum.HardState
+	// segmentBytes is the size at which the log rotates to a new segment.
+	segmentBytes int
+	// snapshot is the index of the snapshot on disk, 0 for none.
+	snapshot uint64
 	// segments are the closed segments followed by the current one.
 	segments []Segment
 	// file is the current segment's file, nil if it could not be created yet.
 	file File
-	// torn means that a failed write may have left a partial frame at the end of the file.
+	// torn means that a failed write or sync may have left a partial frame at the end of the file.
 	torn bool
 	// unsaved are the writes that are still to be saved; some remain after the disk was full.
 	unsaved []quorum.Write
@@ -86,7 +90,14 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
-	l := &Log{folder: folder, codec: codec, identity: found.Identity, hard: found.Hard, segments: found.Segments}
+	l := &Log{
+		folder: folder, codec: codec, identity: found.Identity, hard: found.Hard,
+		segmentBytes: defaultSegmentBytes, snapshot: found.Snapshot.Index, segments: found.Segments,
+	}
+	// A process that was killed may have left names and data unsynced, which its successor relies on from now on.
+	if err := l.folder.Sync(); err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "sync data folder")
+	}
 	if err := l.removeObsolete(found.Snapshot.Index); err != nil {
 		return nil, Recovered{}, err
 	}
@@ -157,13 +168,13 @@
 	return err
 }
 
-// recordFailure records a failed write. After a full disk the state is known, so the log stays usable; other failures
-// are final.
+// recordFailure records a failed write. After a full disk the log stays usable, because the next attempt writes the whole
+// file or frame again; other failures are final.
 func (l *Log) recordFailure(err error) error {
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, syscall.ENOSPC) && !errors.Is(err, errSync):
+	case errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) && !errors.Is(err, errFolderSync):
 		return errors.Mark(err, quorum.ErrFull)
 	default:
 		l.failed = err
@@ -234,13 +245,15 @@
 		return err
 	}
 	frame := appendFrame(nil, payload)
+	l.torn = true
 	if _, err := l.file.Write(frame); err != nil {
-		l.torn = true
 		return errors.Wrap(err, "write log")
 	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Mark(errors.Wrap(err, "sync log"), errSync)
+		// After a restart the frame would look whole, though the system may have dropped its data.
+		return errors.CombineErrors(errors.Wrap(err, "sync log"), l.truncateTornWrite())
 	}
+	l.torn = false
 	syncsTotal.Inc()
 	bytesTotal.Add(len(frame))
 	s := &l.segments[len(l.segments)-1]
@@ -257,20 +270,16 @@
 	return nil
 }
 
-// saveSnapshot stores a snapshot and removes the segments whose entries it includes.
+// saveSnapshot stores a snapshot and removes the segments whose entries it includes. A repeated call needs no room for what
+// an earlier one has done.
 func (l *Log) saveSnapshot(s quorum.Snapshot) error {
-	payload, err := l.codec.EncodeSnapshot(s)
-	if err != nil {
-		return err
-	}
-	if err := replaceFile(l.folder, kindSnapshot, fileName(snapshotPrefix, s.Index), payload); err != nil {
+	if err := l.storeSnapshot(s); err != nil {
 		return err
 	}
-	if err := l.removeObsolete(s.Index); err != nil {
-		return err
-	}
-	if err := l.rotate(); err != nil {
-		return err
+	if l.file == nil || l.segments[len(l.segments)-1].Last > 0 {
+		if err := l.rotate(); err != nil {
+			return err
+		}
 	}
 	current := len(l.segments) - 1
 	keep := slices.IndexFunc(l.segments, func(seg Segment) bool { return seg.Last > s.Index })
@@ -285,3 +294,22 @@
 	l.segments = slices.Clone(l.segments[keep:])
 	return nil
 }
+
+// storeSnapshot stores a snapshot, unless it is stored already, and removes the one before.
+func (l *Log) storeSnapshot(s quorum.Snapshot) error {
+	if s.Index == l.snapshot {
+		return nil
+	}
+	payload, err := l.codec.EncodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	if err := replaceFile(l.folder, kindSnapshot, fileName(snapshotPrefix, s.Index), payload); err != nil {
+		return err
+	}
+	if err := l.removeObsolete(s.Index); err != nil {
+		return err
+	}
+	l.snapshot = s.Index
+	return nil
+}
