--- a/internal/app/site/gossip.go
+++ b/internal/app/site/gossip.go
@@ -41,7 +41,7 @@
 }
 
 // seedAddresses converts the seeds' control addresses to peer addresses; the peer port is the same on all hosts. Seeds
-// that can't be read are logged and left out; without any other it fails.
+// that can't be read are logged and left out; it fails if none of those given can.
 func seedAddresses(controlAddresses []string, port int, logger *zap.Logger) ([]string, error) {
 	var all []string
 	for _, c := range controlAddresses {
@@ -52,7 +52,7 @@
 		}
 		all = append(all, net.JoinHostPort(host, strconv.Itoa(port)))
 	}
-	if len(all) == 0 {
+	if len(all) == 0 && len(controlAddresses) > 0 {
 		return nil, errors.Newf("none of the seeds %q is an address", controlAddresses)
 	}
 	return all, nil
