Count a task as done that its worker finished before its attempt was given up

A worker whose reports don't come through (leader late, leaders changing) loses its attempts once its lease has expired on any clock. What it had finished before that it lists until it is acknowledged; the leader acknowledged such an end without recording it, since the attempt was unknown by then, and in the same reply could start the task again. The same happened where the worker's report was handled while the command that gave the attempt up was on its way: Apply took the loss first, dropped the end, and the leader acknowledged it.

An end that the worker reports is marked so in the command (field reported of BatchEnd; replicas of an older build ignore it, and replaying older commands gives the same state as before). If it is done, the task counts as done whatever became of its attempt; one that was started meanwhile is stopped. Other ends of given up attempts still change nothing.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -108,6 +108,7 @@
 	}
 	attempt := t.FindAttempt(end.Attempt)
 	if attempt == nil {
+		m.endLate(j, t, end, nowMs)
 		return
 	}
 	worker := attempt.Worker
@@ -137,6 +138,22 @@
 	}
 }
 
+// endLate marks a task as done whose worker reports so after the attempt was given up, such as when the lease had lapsed
+// because no report came through.
+func (m *StateMachine) endLate(j *Job, t *Task, end *batch.AttemptEnd, nowMs int64) {
+	if !end.Reported || !EndsLate(j, t, end.Task, end.Attempt, end.Kind) {
+		return
+	}
+	m.markBegun(j)
+	m.markDone(j, end, nowMs)
+	m.markChanged(end.Task.Job)
+}
+
+// EndsLate reports whether the end of an attempt that was given up still shows that its task is done.
+func EndsLate(j *Job, t *Task, id batch.TaskID, attempt int, kind batch.EndKind) bool {
+	return kind == batch.EndDone && !t.Done && attempt <= t.LastAttempt && !j.Phase.IsTerminal() && !j.Spec.Steps[id.Step].LongRunning
+}
+
 // keepCheckpoint stores a checkpoint; one of any member of a gang is valid for the whole gang.
 func (m *StateMachine) keepCheckpoint(j *Job, end *batch.AttemptEnd) {
 	first := j.FirstTask(end.Task.Occurrence, end.Task.Step)
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -106,7 +107,7 @@
 		_, t := s.findTask(id)
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
-				s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
+				s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 				lost++
 			}
 		}
@@ -117,13 +118,12 @@
 	}
 }
 
-// endAttempt adds an attempt's end to the next command.
-func (s *Scheduler) endAttempt(id batch.TaskID, number int, kind batch.EndKind, checkpoint string) {
-	countEnd(kind)
-	delete(s.stopping, id)
-	s.proposals.pending.Ends = append(s.proposals.pending.Ends, batch.AttemptEnd{
-		Task: id, Attempt: number, Kind: kind, Checkpoint: checkpoint, TimeMs: s.wallMs(),
-	})
+// endAttempt adds an attempt's end, as of now, to the next command.
+func (s *Scheduler) endAttempt(end batch.AttemptEnd) {
+	countEnd(end.Kind)
+	delete(s.stopping, end.Task)
+	end.TimeMs = s.wallMs()
+	s.proposals.pending.Ends = append(s.proposals.pending.Ends, end)
 }
 
 // recordEnds records the ends that a worker reports, and returns the highest number among them.
@@ -138,10 +138,12 @@
 		tracked := w.running[report.Task]
 		delete(w.running, report.Task)
 		j, t := s.findTask(report.Task)
-		if t == nil || t.FindAttempt(report.Attempt) == nil {
+		if t == nil || t.FindAttempt(report.Attempt) == nil && !jobs.EndsLate(j, t, report.Task, report.Attempt, report.Kind) {
 			continue
 		}
-		s.endAttempt(report.Task, report.Attempt, report.Kind, report.Checkpoint)
+		s.endAttempt(batch.AttemptEnd{
+			Task: report.Task, Attempt: report.Attempt, Kind: report.Kind, Checkpoint: report.Checkpoint, Reported: true,
+		})
 		s.noteOutcome(w, report)
 		if report.Kind == batch.EndDone && tracked != nil {
 			s.learnScale(j.Spec.Queue, s.now()-tracked.sinceMs, j.Spec.Steps[report.Task.Step].EstimateMs)
@@ -235,7 +237,7 @@
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
 				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
 				zap.Uint64("sequence", h.Sequence))
-			s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
+			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 		}
 	}
 }
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -64,6 +64,8 @@
 	Checkpoint string
 	// TimeMs is when the leader learned of the end, in Unix milliseconds.
 	TimeMs int64
+	// Reported is set if the worker reported the end: a task is then done even if its attempt was given up before.
+	Reported bool
 }
 
 // Wave is an operator's maintenance wave: a list of VMs that are maintained within a time limit.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -20,6 +20,7 @@
 	for _, e := range c.Ends {
 		w.Ends = append(w.Ends, &peer.BatchEnd{
 			Task: taskIDToWire(e.Task), Attempt: int32(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
+			Reported: e.Reported,
 		})
 	}
 	for _, s := range c.Starts {
@@ -49,7 +50,7 @@
 	for _, e := range w.GetEnds() {
 		c.Ends = append(c.Ends, batch.AttemptEnd{
 			Task: taskIDFromWire(e.GetTask()), Attempt: int(e.GetAttempt()), Kind: batch.EndKind(e.GetKind()),
-			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(),
+			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(), Reported: e.GetReported(),
 		})
 	}
 	for _, s := range w.GetStarts() {
