Answer from a quorum's confirmation only what was asked before it

A confirmation of the leadership that arrived late, such as after a pause of the process, answered all calls that waited by then, however old it was: also those that came after the quorum had been asked. Another process may lead since then, so that a former leader could answer a read of the configuration or of a job from its old state.

--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -19,7 +19,8 @@
 	// confirmedMs is the uptime at which the last successful confirmation was requested.
 	confirmedMs int64
 	confirming  bool
-	waiting     []func(ok bool)
+	// waiting are the calls that the request in flight confirms, and late those that came after it was made.
+	waiting, late []func(ok bool)
 }
 
 // commit calls done once all changes collected so far are applied, or may be lost.
@@ -77,14 +78,14 @@
 	}
 }
 
-// whenConfirmed calls done once a quorum asked within maxConfirmationAgeMs has confirmed the leadership, or with
-// false when it is lost.
+// whenConfirmed calls done once a quorum asked from now on, or within maxConfirmationAgeMs, has confirmed the
+// leadership, or with false when it is lost.
 func (s *Scheduler) whenConfirmed(done func(ok bool)) {
 	if s.active && s.now()-s.leadership.confirmedMs <= maxConfirmationAgeMs {
 		done(true)
 		return
 	}
-	s.leadership.waiting = append(s.leadership.waiting, done)
+	s.leadership.late = append(s.leadership.late, done)
 	s.confirmLeadership()
 }
 
@@ -95,6 +96,7 @@
 	}
 	asked, term := s.now(), s.term
 	s.leadership.confirming = true
+	s.leadership.waiting, s.leadership.late = append(s.leadership.waiting, s.leadership.late...), nil
 	err := s.options.Log.ConfirmNow(func(err error) {
 		if term != s.term || err != nil {
 			return
@@ -104,15 +106,29 @@
 		if !s.active {
 			s.activate()
 		}
-		waiting := s.leadership.waiting
-		s.leadership.waiting = nil
-		notifyAll(waiting, true)
+		s.notifyConfirmed()
 	})
 	if err != nil {
 		s.leadership.confirming = false
 	}
 }
 
+// notifyConfirmed continues the calls that the last request confirms. Another process may lead since an old request was
+// made: calls that came after it wait for another one.
+func (s *Scheduler) notifyConfirmed() {
+	l := &s.leadership
+	waiting := l.waiting
+	l.waiting = nil
+	if s.now()-l.confirmedMs <= maxConfirmationAgeMs {
+		waiting = append(waiting, l.late...)
+		l.late = nil
+	}
+	notifyAll(waiting, true)
+	if len(l.late) > 0 {
+		s.confirmLeadership()
+	}
+}
+
 // clearStarting removes starts from the tasks that are starting: they are applied or never will be.
 func (s *Scheduler) clearStarting(starts []batch.AttemptStart) {
 	for _, start := range starts {
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -142,8 +142,8 @@
 // stepDown fails all waiting calls and drops the scheduler's state; the next leader decides anew.
 func (s *Scheduler) stepDown(term uint64) {
 	s.options.Logger.Info("control_lost", zap.Uint64("term", s.term), zap.Uint64("next_term", term),
-		zap.Int("waiting", len(s.proposals.waiting)+len(s.leadership.waiting)))
-	waiting, unconfirmed := s.proposals.waiting, s.leadership.waiting
+		zap.Int("waiting", len(s.proposals.waiting)+len(s.leadership.waiting)+len(s.leadership.late)))
+	waiting, unconfirmed := s.proposals.waiting, append(s.leadership.waiting, s.leadership.late...)
 	s.proposals, s.leadership = proposals{}, leadership{}
 	s.reset()
 	for _, done := range waiting {
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// answerConfirmations confirms what was asked so far, and nothing that is asked because of it.
+func (l *fakeLog) answerConfirmations() {
+	confirmations := l.confirmations
+	l.confirmations = nil
+	for _, confirm := range confirmations {
+		confirm(nil)
+	}
+}
+
 // uptime is a monotonic clock that the script advances.
 type uptime struct{ ms int64 }
 
@@ -233,6 +242,8 @@
 	case "commit":
 		h.log.paused = false
 		h.log.commitAll()
+	case "answer-confirmations":
+		h.log.answerConfirmations()
 	case "lose-leadership":
 		h.log.leads, h.log.proposals, h.log.confirmations = false, nil, nil
 		h.log.term++
