Move waiting jobs with their queue to another pool

A configuration that gave a queue another pool left the queue's waiting jobs in the former pool's order until something else changed them: they went on to start there, and never started if no worker served that pool any more, or it was a standby pool. Priorities and objectives of waiting jobs stayed as they were, too.

The leader compares the configuration's version with the one that its view is based on, after each step of the log, moves the jobs whose pool changed and renews the order of the others. What runs goes on where it is. The script configurations-pool failed before: a worker of the former pool got "start a.0.0.1#1".

--- a/internal/ctrl/sched/parse_test.go
+++ b/internal/ctrl/sched/parse_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	version := intArg(t, d, "version", 1)
 	pool := stringArg(d, "pool", "p")
-	return &batch.Configuration{
+	c := &batch.Configuration{
 		Version: uint64(version), Text: []byte("text-" + strconv.FormatInt(version, 10)),
 		Queues: []batch.Queue{{
 			Host: "h", Prefix: "/q/", Pool: pool, MaxAttempts: int(intArg(t, d, "attempts", 2)), SlackFactor: 2,
@@ -23,6 +23,10 @@
 		}},
 		Pools: []batch.Pool{{Name: "p", AdmissionCheck: true}, {Name: "spare", Standby: true}},
 	}
+	if added := stringArg(d, "add_pool", ""); added != "" {
+		c.Pools = append(c.Pools, batch.Pool{Name: added, AdmissionCheck: true})
+	}
+	return c
 }
 
 // parseJob reads a job: one step per line, as key=value pairs.
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -86,6 +86,8 @@
 	jobs            map[string]*activeJob
 	// gangJobs are the jobs with gangs, and scheduledJobs those with an occurrence that is still to become due.
 	gangJobs, scheduledJobs map[string]*activeJob
+	// configurationVersion is that of the configuration that the view of the jobs is based on.
+	configurationVersion uint64
 	// starting holds the tasks whose start is proposed and not yet applied.
 	starting map[batch.TaskID]bool
 	// startingWorker holds the workers of these tasks.
@@ -169,6 +171,7 @@
 		}
 	}
 	machine.TakeChanged()
+	s.configurationVersion = machine.State().Configuration.Version
 	for id := range machine.Jobs() {
 		s.refreshJob(id)
 	}
@@ -201,11 +204,29 @@
 	}
 }
 
-// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed.
+// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed, by themselves or
+// with the configuration.
 func (s *Scheduler) refreshChangedJobs() {
 	for _, id := range s.options.Log.Batch().TakeChanged() {
 		s.refreshJob(id)
 	}
+	if version := s.currentConfiguration().Version; version != s.configurationVersion {
+		s.configurationVersion = version
+		s.reconfigureJobs()
+	}
+}
+
+// reconfigureJobs moves jobs whose queue has another pool now, and renews what orders the others.
+func (s *Scheduler) reconfigureJobs() {
+	for id, job := range s.jobs {
+		if job.pool != s.poolOf(job.state) {
+			s.options.Logger.Info("job_pool_changed", zap.String("job", id), zap.String("pool", s.poolOf(job.state)),
+				zap.String("former", job.pool), zap.Uint64("configuration", s.configurationVersion))
+			s.refreshJob(id)
+		} else {
+			s.setOrderInputs(job)
+		}
+	}
 }
 
 // Tick performs the periodic work; it must be called every TickMs.
