Keep the cost of a tick independent of the gangs that wait for room

The workers and what they have free are listed once per tick and pool, and again after a gang was planned; a gang is placed only if there are resources for all its members at once on workers with its label.

TestBacklogOfGangsOverloadsLeader failed before: 16,500 allocations against 550.

--- a/internal/ctrl/sched/bench_test.go
+++ b/internal/ctrl/sched/bench_test.go
@@ -49,6 +49,50 @@
 	}
 }
 
+// TestBacklogOfGangsOverloadsLeader checks that a tick costs the leader no more where many gangs wait for room.
+func TestBacklogOfGangsOverloadsLeader(t *testing.T) {
+	allocations := func(backlog int) float64 {
+		h := newGangHarness(backlog)
+		return testing.AllocsPerRun(100, h.tick)
+	}
+	short, long := allocations(10), allocations(300)
+	if long > 2*short {
+		t.Errorf("a tick allocates %.0f times with 300 gangs waiting, %.0f times with 10", long, short)
+	}
+}
+
+// BenchmarkGangTick measures a tick while a backlog of gangs waits for room.
+func BenchmarkGangTick(b *testing.B) {
+	for _, backlog := range []int{10, 300, 1000} {
+		b.Run(fmt.Sprintf("backlog=%d", backlog), func(b *testing.B) {
+			h := newGangHarness(backlog)
+			for b.Loop() {
+				h.tick()
+			}
+		})
+	}
+}
+
+// newGangHarness returns a scheduler with workers that have room for some members of a gang, but not for all.
+func newGangHarness(backlog int) *benchHarness {
+	h := newBenchHarness(0)
+	for i := range backlog {
+		h.scheduler.Call(&batch.Call{Submit: &batch.Submission{Host: "h", Path: fmt.Sprintf("/q/%016x", 1<<32+i), Job: batch.Job{
+			Text: "text", Steps: []batch.Step{{
+				Count: benchWorkers + 1, Gang: true, SameRack: true, Need: batch.Resources{CPUMilli: 33000, MemoryMB: 9000}, EstimateMs: 640,
+			}},
+		}}}, h.uptime.ms, func(batch.Reply) {})
+		h.log.commitAll()
+	}
+	return h
+}
+
+// tick ticks the scheduler; the clock stands still, so that the workers stay known.
+func (h *benchHarness) tick() {
+	h.scheduler.Tick()
+	h.log.commitAll()
+}
+
 // benchHarness drives a scheduler with workers that run what they are told and end their oldest task at each heartbeat.
 type benchHarness struct {
 	*harness
--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -38,42 +38,66 @@
 			delete(s.gangs, key)
 		}
 	}
+	rooms := map[string]*poolRoom{}
 	for _, job := range s.gangJobs {
 		for stepIndex := range job.state.Spec.Steps {
 			if !job.state.Spec.Steps[stepIndex].Gang {
 				continue
 			}
 			for occurrence := range job.state.Spec.Occurrences() {
-				s.planGang(job.state, occurrence, stepIndex, now)
+				if s.planGang(rooms, job.state, occurrence, stepIndex, now) {
+					// Less room is left for the next gang.
+					delete(rooms, s.poolOf(job.state))
+				}
 			}
 		}
 	}
 }
 
-func (s *Scheduler) planGang(j *jobs.Job, occurrence, stepIndex int, now int64) {
+// planGang plans a gang if it could start and its workers have room, and reports whether it did.
+func (s *Scheduler) planGang(rooms map[string]*poolRoom, j *jobs.Job, occurrence, stepIndex int, now int64) bool {
 	key := stepKey{job: j.Spec.ID, occurrence: occurrence, step: stepIndex}
 	due := j.Spec.DueMs(occurrence)
 	if s.gangs[key] != nil || j.StepTasksLeft(occurrence, stepIndex) == 0 || !j.StepOpen(occurrence, stepIndex) ||
 		(due > 0 && s.wallMs() < due) {
-		return
+		return false
 	}
-	step, first := &j.Spec.Steps[stepIndex], j.FirstTask(occurrence, stepIndex)
-	g := &gangPlan{workers: map[batch.TaskID]string{}, tickets: map[batch.TaskID]string{}, plannedMs: now, need: step.ReservedResources()}
-	for i := range step.Count {
-		t := &j.Tasks[first+i]
-		id := batch.TaskID{Job: j.Spec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}
-		if len(t.Attempts) > 0 || s.starting[id] {
-			// A former attempt still runs somewhere; its workers end it when a member is gone.
-			return
-		}
-		g.attempt = max(g.attempt, t.LastAttempt+1)
+	attempt := s.nextGangAttempt(j, occurrence, stepIndex)
+	if attempt == 0 {
+		// A former attempt still runs somewhere; its workers end it when a member is gone.
+		return false
+	}
+	step, pool := &j.Spec.Steps[stepIndex], s.poolOf(j)
+	if rooms[pool] == nil {
+		rooms[pool] = s.roomOf(pool, now)
+	}
+	if !rooms[pool].holds(step) {
+		return false
 	}
-	if !s.placeGang(j, occurrence, stepIndex, g, now) {
-		return
+	g := &gangPlan{
+		attempt: attempt, workers: map[batch.TaskID]string{}, tickets: map[batch.TaskID]string{}, plannedMs: now,
+		need: step.ReservedResources(),
+	}
+	if !s.placeGang(j, occurrence, stepIndex, g, rooms[pool], now) {
+		return false
 	}
 	s.gangs[key] = g
 	s.options.Logger.Info("gang_planned", zap.String("job", j.Spec.ID), zap.Int("step", stepIndex), zap.Int("attempt", g.attempt),
 		zap.Int("members", step.Count))
+	return true
+}
+
+// nextGangAttempt returns the number of a gang's next attempt, 0 while a former one may run.
+func (s *Scheduler) nextGangAttempt(j *jobs.Job, occurrence, stepIndex int) int {
+	attempt, first := 0, j.FirstTask(occurrence, stepIndex)
+	for i := range j.Spec.Steps[stepIndex].Count {
+		t := &j.Tasks[first+i]
+		if len(t.Attempts) > 0 || s.starting[batch.TaskID{Job: j.Spec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}] {
+			return 0
+		}
+		attempt = max(attempt, t.LastAttempt+1)
+	}
+	return attempt
 }
 
 // gangBroken reports whether a member of a gang's attempt has ended, so that the other members can't continue.
@@ -87,31 +111,59 @@
 	return false
 }
 
-// placeGang finds a worker for each member: all in one rack if the step requests it and a rack has enough free
-// resources, otherwise across racks.
-func (s *Scheduler) placeGang(j *jobs.Job, occurrence, stepIndex int, g *gangPlan, now int64) bool {
-	step := &j.Spec.Steps[stepIndex]
-	free := map[string]batch.Resources{}
-	var ids []string
-	pool := s.poolOf(j)
+// poolRoom holds the workers of a pool that take new tasks, in a fixed order, and what the planned gangs leave free.
+type poolRoom struct {
+	ids     []string
+	workers map[string]*worker
+	free    map[string]batch.Resources
+	racks   []string
+}
+
+func (s *Scheduler) roomOf(pool string, now int64) *poolRoom {
+	room := &poolRoom{workers: map[string]*worker{}, free: map[string]batch.Resources{}}
 	for id, w := range s.workers {
 		if w.pool == pool && w.usable(now) && !w.onProbation(now) && now-w.heardMs < leaseMs && !s.fleet.leaving(w) {
-			ids = append(ids, id)
-			free[id] = w.free
+			room.ids, room.workers[id], room.free[id] = append(room.ids, id), w, w.free
 		}
 	}
-	slices.Sort(ids)
+	slices.Sort(room.ids)
 	for _, other := range s.gangs {
 		for _, id := range other.workers {
-			free[id] = free[id].Sub(other.need)
+			room.free[id] = room.free[id].Sub(other.need)
+		}
+	}
+	room.racks = s.racksOf(room.ids)
+	return room
+}
+
+// holds reports whether there are resources for all members of a gang at once.
+func (r *poolRoom) holds(step *batch.Step) bool {
+	need, members := step.ReservedResources(), 0
+	for _, id := range r.ids {
+		if step.RequiredLabel != "" && !slices.Contains(r.workers[id].labels, step.RequiredLabel) {
+			continue
+		}
+		free := r.free[id]
+		for count := 0; free.Covers(need) && (step.MaxPerWorker == 0 || count < step.MaxPerWorker); count++ {
+			if members++; members == step.Count {
+				return true
+			}
+			free = free.Sub(need)
 		}
 	}
+	return false
+}
+
+// placeGang finds a worker for each member: all in one rack if the step requests it and a rack has enough free
+// resources, otherwise across racks.
+func (s *Scheduler) placeGang(j *jobs.Job, occurrence, stepIndex int, g *gangPlan, room *poolRoom, now int64) bool {
+	step := &j.Spec.Steps[stepIndex]
 	racks := []string{""}
 	if step.SameRack {
-		racks = append(s.racksOf(ids), "")
+		racks = append(slices.Clone(room.racks), "")
 	}
 	for _, rack := range racks {
-		if s.placeMembers(j, occurrence, stepIndex, g, ids, free, rack, now) {
+		if s.placeMembers(j, occurrence, stepIndex, g, room.ids, room.free, rack, now) {
 			return true
 		}
 	}
