Keep the ends of given up attempts that the log refused

While the log takes no record (a handover in progress, or too much waits for a quorum) the leader dropped what it had collected. What a worker reports, or a caller asks for, comes again; but an attempt is given up only once, when the lease of its worker lapses or the worker leaves: dropped, it stayed in the state for good, and its task never started again under this leader. Such ends are put into the next record now.

The script records-refused failed before: "w2: ok; lease", without the start of a.0.0.0#2.

--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
@@ -65,6 +67,7 @@
 	}
 	s.options.Logger.Info("record_refused", zap.Uint64("term", term), zap.Error(err))
 	c.inFlight--
+	c.pending.Ends = append(c.pending.Ends, givenUp(change.Ends)...)
 	s.clearStarting(change.Starts)
 	for _, start := range change.Starts {
 		s.refreshJob(start.Task.Job)
@@ -72,6 +75,12 @@
 	notifyAll(waiting, false)
 }
 
+// givenUp returns the ends of attempts that the leader gave up; it does so once, while a worker reports an end until it is
+// acknowledged.
+func givenUp(ends []batch.AttemptEnd) []batch.AttemptEnd {
+	return slices.DeleteFunc(ends, func(end batch.AttemptEnd) bool { return end.Reported })
+}
+
 func notifyAll(waiting []func(bool), ok bool) {
 	for _, done := range waiting {
 		done(ok)
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -13,6 +13,7 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/model/record"
@@ -24,6 +25,7 @@
 	leads         bool
 	term          uint64
 	paused        bool
+	busy          bool
 	proposals     []func()
 	confirmations []func(error)
 	wallMs        func() int64
@@ -33,6 +35,9 @@
 func (l *fakeLog) Batch() *jobs.StateMachine { return l.batch }
 
 func (l *fakeLog) ProposeNow(c record.Command, done func(error)) error {
+	if l.busy {
+		return quorum.ErrBusy
+	}
 	l.proposals = append(l.proposals, func() {
 		l.batch.Apply(c.Batch, l.wallMs())
 		done(nil)
@@ -242,6 +247,8 @@
 	case "commit":
 		h.log.paused = false
 		h.log.commitAll()
+	case "refuse-records", "take-records":
+		h.log.busy = d.Cmd == "refuse-records"
 	case "answer-confirmations":
 		h.log.answerConfirmations()
 	case "lose-leadership":
