--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -138,9 +138,17 @@
 		tracked := w.running[report.Task]
 		delete(w.running, report.Task)
 		j, t := s.findTask(report.Task)
-		if t == nil || t.FindAttempt(report.Attempt) == nil && !jobs.EndsLate(j, t, report.Task, report.Attempt, report.Kind) {
+		if t == nil {
 			continue
 		}
+		if t.FindAttempt(report.Attempt) == nil {
+			if !jobs.EndsLate(j, t, report.Task, report.Attempt, report.Kind) {
+				continue
+			}
+			s.options.Logger.Info("attempt_done_late", zap.String("job", report.Task.Job), zap.Int("step", report.Task.Step),
+				zap.Int("index", report.Task.Index), zap.Int("attempt", report.Attempt), zap.Int("last", t.LastAttempt),
+				zap.Int("running", len(t.Attempts)), zap.String("worker", w.id), zap.Uint64("number", report.Number))
+		}
 		s.endAttempt(batch.AttemptEnd{
 			Task: report.Task, Attempt: report.Attempt, Kind: report.Kind, Checkpoint: report.Checkpoint, Reported: true,
 		})
