--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
@@ -19,7 +21,8 @@
 	// confirmedMs is the uptime at which the last successful confirmation was requested.
 	confirmedMs int64
 	confirming  bool
-	waiting     []func(ok bool)
+	// waiting are the calls that the request in flight confirms, and late those that came after it was made.
+	waiting, late []func(ok bool)
 }
 
 // commit calls done once all changes collected so far are applied, or may be lost.
@@ -64,6 +67,7 @@
 	}
 	s.options.Logger.Info("record_refused", zap.Uint64("term", term), zap.Error(err))
 	c.inFlight--
+	c.pending.Ends = append(c.pending.Ends, givenUp(change.Ends)...)
 	s.clearStarting(change.Starts)
 	for _, start := range change.Starts {
 		s.refreshJob(start.Task.Job)
@@ -71,20 +75,26 @@
 	notifyAll(waiting, false)
 }
 
+// givenUp returns the ends of attempts that the leader gave up; it does so once, while a worker reports an end until it is
+// acknowledged.
+func givenUp(ends []batch.AttemptEnd) []batch.AttemptEnd {
+	return slices.DeleteFunc(ends, func(end batch.AttemptEnd) bool { return end.Reported })
+}
+
 func notifyAll(waiting []func(bool), ok bool) {
 	for _, done := range waiting {
 		done(ok)
 	}
 }
 
-// whenConfirmed calls done once a quorum asked within maxConfirmationAgeMs has confirmed the leadership, or with
-// false when it is lost.
+// whenConfirmed calls done once a quorum asked from now on, or within maxConfirmationAgeMs, has confirmed the
+// leadership, or with false when it is lost.
 func (s *Scheduler) whenConfirmed(done func(ok bool)) {
 	if s.active && s.now()-s.leadership.confirmedMs <= maxConfirmationAgeMs {
 		done(true)
 		return
 	}
-	s.leadership.waiting = append(s.leadership.waiting, done)
+	s.leadership.late = append(s.leadership.late, done)
 	s.confirmLeadership()
 }
 
@@ -95,6 +105,7 @@
 	}
 	asked, term := s.now(), s.term
 	s.leadership.confirming = true
+	s.leadership.waiting, s.leadership.late = append(s.leadership.waiting, s.leadership.late...), nil
 	err := s.options.Log.ConfirmNow(func(err error) {
 		if term != s.term || err != nil {
 			return
@@ -104,15 +115,29 @@
 		if !s.active {
 			s.activate()
 		}
-		waiting := s.leadership.waiting
-		s.leadership.waiting = nil
-		notifyAll(waiting, true)
+		s.notifyConfirmed()
 	})
 	if err != nil {
 		s.leadership.confirming = false
 	}
 }
 
+// notifyConfirmed continues the calls that the last request confirms. Another process may lead since an old request was
+// made: calls that came after it wait for another one.
+func (s *Scheduler) notifyConfirmed() {
+	l := &s.leadership
+	waiting := l.waiting
+	l.waiting = nil
+	if s.now()-l.confirmedMs <= maxConfirmationAgeMs {
+		waiting = append(waiting, l.late...)
+		l.late = nil
+	}
+	notifyAll(waiting, true)
+	if len(l.late) > 0 {
+		s.confirmLeadership()
+	}
+}
+
 // clearStarting removes starts from the tasks that are starting: they are applied or never will be.
 func (s *Scheduler) clearStarting(starts []batch.AttemptStart) {
 	for _, start := range starts {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -111,7 +112,7 @@
 		_, t := s.findTask(id)
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
-				s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
+				s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 				lost++
 			}
 		}
@@ -122,13 +123,12 @@
 	}
 }
 
-// endAttempt adds an attempt's end to the next command.
-func (s *Scheduler) endAttempt(id batch.TaskID, number int, kind batch.EndKind, checkpoint string) {
-	countEnd(kind)
-	delete(s.stopping, id)
-	s.proposals.pending.Ends = append(s.proposals.pending.Ends, batch.AttemptEnd{
-		Task: id, Attempt: number, Kind: kind, Checkpoint: checkpoint, TimeMs: s.wallMs(),
-	})
+// endAttempt adds an attempt's end, as of now, to the next command.
+func (s *Scheduler) endAttempt(end batch.AttemptEnd) {
+	countEnd(end.Kind)
+	delete(s.stopping, end.Task)
+	end.TimeMs = s.wallMs()
+	s.proposals.pending.Ends = append(s.proposals.pending.Ends, end)
 }
 
 // recordEnds records the ends that a worker reports, and returns the highest number among them.
@@ -143,10 +143,20 @@
 		tracked := w.running[report.Task]
 		delete(w.running, report.Task)
 		j, t := s.findTask(report.Task)
-		if t == nil || t.FindAttempt(report.Attempt) == nil {
+		if t == nil {
 			continue
 		}
-		s.endAttempt(report.Task, report.Attempt, report.Kind, report.Checkpoint)
+		if t.FindAttempt(report.Attempt) == nil {
+			if !jobs.EndsLate(j, t, report.Task, report.Attempt, report.Kind) {
+				continue
+			}
+			s.options.Logger.Info("attempt_done_late", zap.String("job", report.Task.Job), zap.Int("step", report.Task.Step),
+				zap.Int("index", report.Task.Index), zap.Int("attempt", report.Attempt), zap.Int("last", t.LastAttempt),
+				zap.Int("running", len(t.Attempts)), zap.String("worker", w.id), zap.Uint64("number", report.Number))
+		}
+		s.endAttempt(batch.AttemptEnd{
+			Task: report.Task, Attempt: report.Attempt, Kind: report.Kind, Checkpoint: report.Checkpoint, Reported: true,
+		})
 		s.noteOutcome(w, report)
 		if report.Kind == batch.EndDone && tracked != nil {
 			s.learnScale(j.Spec.Queue, s.now()-tracked.sinceMs, j.Spec.Steps[report.Task.Step].EstimateMs)
@@ -241,7 +251,7 @@
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
 				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
 				zap.Uint64("sequence", h.Sequence))
-			s.endAttempt(id, r.Number, batch.EndWorkerLost, "")
+			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 		}
 	}
 	if !mayBeUnread || !found {
