Check the count of waiting jobs in the soak

Callers ask how many jobs wait after each submission: at least those that were accepted before and of which no worker has begun a task since.

--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -49,6 +49,7 @@
 		}
 		job := c.newJob()
 		c.submit(job)
+		c.checkWaitingJobs()
 		if !c.accepted(job) {
 			continue
 		}
@@ -161,6 +162,20 @@
 	}
 }
 
+// checkWaitingJobs asks some process how many jobs wait: at least those that were accepted before and have not begun since.
+func (c *siteCaller) checkWaitingJobs() {
+	waiting := c.soak.checker.waitingJobs()
+	status, text := c.call(http.MethodGet, c.soak.nextProcess().callers(), "/q/", "")
+	if status != http.StatusOK {
+		return
+	}
+	var m struct {
+		Pending int `json:"pending"`
+	}
+	err := json.Unmarshal(text, &m)
+	c.soak.checker.waitingJobsCounted(waiting, m.Pending, err)
+}
+
 // checkConfiguration reads the configuration from some process and checks that its version is at least minVersion. It
 // returns whether a configuration was read.
 func (c *siteCaller) checkConfiguration(minVersion int64) bool {
--- a/internal/app/chaos/soak_checker_test.go
+++ b/internal/app/chaos/soak_checker_test.go
@@ -171,6 +171,40 @@
 	}
 }
 
+// waits reports whether a job was accepted, has not begun, and nobody cancels it; the caller holds the lock.
+func (j *observedJob) waits() bool {
+	return !j.accepted.IsZero() && !j.started && !j.cancelSent
+}
+
+// waitingJobs returns the jobs that wait.
+func (c *checker) waitingJobs() []*observedJob {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var waiting []*observedJob
+	for _, job := range c.jobs {
+		if job.waits() {
+			waiting = append(waiting, job)
+		}
+	}
+	return waiting
+}
+
+// waitingJobsCounted checks the count of waiting jobs that was received after some were seen to wait.
+func (c *checker) waitingJobsCounted(before []*observedJob, count int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := 0
+	for _, job := range before {
+		if job.waits() {
+			waiting++
+		}
+	}
+	c.counts["waiting_counted"]++
+	if err != nil || count < waiting {
+		c.addViolation("inconsistent: %d jobs are said to wait, %d do (%v)", count, waiting, err)
+	}
+}
+
 // jobState checks the status and the state that a caller received for its job.
 func (c *checker) jobState(job *observedJob, status int, state string) {
 	c.mu.Lock()
