--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -1,9 +1,6 @@
 package sched
 
 import (
-	"maps"
-	"slices"
-
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
@@ -89,6 +86,8 @@
 	jobs            map[string]*activeJob
 	// gangJobs are the jobs with gangs, and scheduledJobs those with an occurrence that is still to become due.
 	gangJobs, scheduledJobs map[string]*activeJob
+	// configurationVersion is that of the configuration that the view of the jobs is based on.
+	configurationVersion uint64
 	// starting holds the tasks whose start is proposed and not yet applied.
 	starting map[batch.TaskID]bool
 	// startingWorker holds the workers of these tasks.
@@ -97,8 +96,6 @@
 	fleet          fleetView
 	permits        permits
 	estimates      estimates
-	// viewVersion is the version of the configuration by which the view of all jobs was last refreshed.
-	viewVersion uint64
 	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
 	waitingCountedMs int64
 }
@@ -147,8 +144,8 @@
 // stepDown fails all waiting calls and drops the scheduler's state; the next leader decides anew.
 func (s *Scheduler) stepDown(term uint64) {
 	s.options.Logger.Info("control_lost", zap.Uint64("term", s.term), zap.Uint64("next_term", term),
-		zap.Int("waiting", len(s.proposals.waiting)+len(s.leadership.waiting)))
-	waiting, unconfirmed := s.proposals.waiting, s.leadership.waiting
+		zap.Int("waiting", len(s.proposals.waiting)+len(s.leadership.waiting)+len(s.leadership.late)))
+	waiting, unconfirmed := s.proposals.waiting, append(s.leadership.waiting, s.leadership.late...)
 	s.proposals, s.leadership = proposals{}, leadership{}
 	s.reset()
 	for _, done := range waiting {
@@ -174,7 +171,7 @@
 		}
 	}
 	machine.TakeChanged()
-	s.viewVersion = machine.State().Configuration.Version
+	s.configurationVersion = machine.State().Configuration.Version
 	for id := range machine.Jobs() {
 		s.refreshJob(id)
 	}
@@ -207,17 +204,29 @@
 	}
 }
 
-// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed: all jobs after a
-// change of the configuration, which may name other pools and priorities.
+// refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed, by themselves or
+// with the configuration.
 func (s *Scheduler) refreshChangedJobs() {
-	changed := s.options.Log.Batch().TakeChanged()
-	if version := s.currentConfiguration().Version; version != s.viewVersion {
-		s.viewVersion = version
-		changed = slices.AppendSeq(changed, maps.Keys(s.jobs))
-	}
-	for _, id := range changed {
+	for _, id := range s.options.Log.Batch().TakeChanged() {
 		s.refreshJob(id)
 	}
+	if version := s.currentConfiguration().Version; version != s.configurationVersion {
+		s.configurationVersion = version
+		s.reconfigureJobs()
+	}
+}
+
+// reconfigureJobs moves jobs whose queue has another pool now, and renews what orders the others.
+func (s *Scheduler) reconfigureJobs() {
+	for id, job := range s.jobs {
+		if job.pool != s.poolOf(job.state) {
+			s.options.Logger.Info("job_pool_changed", zap.String("job", id), zap.String("pool", s.poolOf(job.state)),
+				zap.String("former", job.pool), zap.Uint64("configuration", s.configurationVersion))
+			s.refreshJob(id)
+		} else {
+			s.setOrderInputs(job)
+		}
+	}
 }
 
 // Tick performs the periodic work; it must be called every TickMs.
