Keep what a VM came back from visible after its probation

An operator has the same trouble: once the probation of a VM has ended, `cowslip vm list` doesn't tell whether the VM was rebooted or lost.

Cause: a VM's cause says "rebooted for WORK" in its probation only, 1 s in the script. The end of the probation replaces it by "a VM counts as capacity after 1s of probation (ran for 1s)". On a busy core one turn of the polling, which starts a process, takes longer than that.

Change: the reason for the end of a probation names what the VM came back from: "(rebooted for operator-reboot, then ran for 1s)", or that the platform runs it again after its loss. It stays until the VM's next change, and is in the log of decisions too. No stored format changes.

--- a/internal/plan/waves/plan.go
+++ b/internal/plan/waves/plan.go
@@ -45,7 +45,8 @@
 	return Current(v.Waves)
 }
 
-// endProbations ends the probation of VMs that have run long enough.
+// endProbations ends the probation of VMs that have run long enough. The reason keeps what the VM came back from, so that an
+// operator still sees it after the probation.
 func (v *view) endProbations() []record.Action {
 	var actions []record.Action
 	for _, m := range v.VMs {
@@ -54,7 +55,7 @@
 			continue
 		}
 		actions = append(actions, vmAction(m, record.VMActivate, m.Work, record.Reason{
-			Inputs: fmt.Sprintf("ran for %s", ran), Rule: fmt.Sprintf("a VM counts as capacity after %s of probation", v.Policy.Probation),
+			Inputs: fmt.Sprintf("%s, then ran for %s", m.Cause, ran), Rule: fmt.Sprintf("a VM counts as capacity after %s of probation", v.Policy.Probation),
 		}))
 	}
 	return actions
--- a/internal/plan/waves/waves_test.go
+++ b/internal/plan/waves/waves_test.go
@@ -46,6 +46,8 @@
 	switch a.Key {
 	case "need": // need=(pool,count)
 		in.Pools = append(in.Pools, waves.Pool{Name: a.Vals[0], Need: parseInt(t, a.Vals[1])})
+	case "probation": // probation=(minutes)
+		in.Policy.Probation = time.Duration(parseInt(t, a.Vals[0])) * time.Minute
 	case "budget": // budget=(pool,left in seconds)
 		p := budget.Policy{Service: a.Vals[0] + "-service", Pool: a.Vals[0], AllowedMS: int64(parseInt(t, a.Vals[1])) * 1000}
 		in.Budgets = append(in.Budgets, budget.Status{Policy: p})
@@ -58,7 +60,8 @@
 	}
 }
 
-// readVM reads: name pool dc/switch/rack phase days-since-maintenance [work] [minutes-since-failure].
+// readVM reads: name pool dc/switch/rack phase days-since-maintenance [work] [minutes-since-failure] [cause...]. The phase
+// began 5 minutes ago.
 func readVM(t *testing.T, f []string) fleet.VM {
 	p := strings.Split(f[2], "/")
 	v := fleet.VM{Name: f[0], Pool: f[1], Domain: fleet.Domain{DataCentre: p[0], Switch: p[1], Rack: p[2]}, PhaseSince: now.Add(-5 * time.Minute)}
@@ -68,9 +71,12 @@
 	if len(f) > 5 {
 		v.Work = strings.Trim(f[5], "-")
 	}
-	if len(f) > 6 {
+	if len(f) > 6 && f[6] != "-" {
 		v.Failed = now.Add(-time.Duration(parseInt(t, f[6])) * time.Minute)
 	}
+	if len(f) > 7 {
+		v.Cause = strings.Join(f[7:], " ")
+	}
 	return v
 }
 
