--- a/internal/ctrl/sched/parse_test.go
+++ b/internal/ctrl/sched/parse_test.go
@@ -45,6 +45,8 @@
 				s.Need.CPUMilli = int64(n)
 			case "memory":
 				s.Need.MemoryMB = int64(n)
+			case "accelerators":
+				s.Need.Accelerators = int64(n)
 			case "after":
 				s.After = []int{n}
 			case "gang":
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -386,8 +386,10 @@
 	report := &batch.Heartbeat{
 		Worker: worker, Incarnation: intArg(t, d, "incarnation", 1), Sequence: uint64(intArg(t, d, "sequence", int64(h.sequence[worker]))),
 		Pool: stringArg(d, "pool", "p"), Address: stringArg(d, "address", worker), Draining: stringArg(d, "draining", "") != "",
-		Capacity: batch.Resources{CPUMilli: intArg(t, d, "cpu", 16000), MemoryMB: 64000},
-		Labels:   []string{"a", stringArg(d, "rack", "r1")},
+		Capacity: batch.Resources{
+			CPUMilli: intArg(t, d, "cpu", 16000), MemoryMB: intArg(t, d, "memory", 64000), Accelerators: intArg(t, d, "accelerators", 0),
+		},
+		Labels: []string{"a", stringArg(d, "rack", "r1")},
 	}
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		fields := strings.Fields(line)
