sched: don't count tasks that stand still for want of capacity as failures of their worker

Callers: a worker whose capacity shrank below what runs there got no tasks for 4 s, also after its capacity had grown again.

Cause: tasks that share less processor time than they need make no progress. The leader took each of them for a failure of the worker, and three in a row quarantine it.

Evidence: capacity-shrinks-is-no-failure failed before: the worker was "shunned" after four tasks had stood still at 500 of 4,000 milli.

Why this works: the leader keeps when a worker last listed more than its capacity. A task that has stood still since before then is stopped and starts elsewhere as before, and doesn't count; one that stands still where there is room counts as before (the second half of the script).

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -203,10 +203,15 @@
 				zap.Int("index", r.Task.Index), zap.Int("attempt", r.Attempt), zap.String("worker", w.id),
 				zap.Int("percent", a.percent), zap.Int64("for_ms", now-a.progressMs))
 			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
+			if a.progressMs > w.overfullMs {
+				s.countFailure(w, "attempts_stand_still")
+			}
 			a.progressMs = now
-			s.countFailure(w, "attempts_stand_still")
 		}
 	}
+	if !w.free.Covers(batch.Resources{}) {
+		w.overfullMs = now
+	}
 	w.running = seen
 	s.endMissing(w, h)
 	return stops
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -26,6 +26,8 @@
 	rack      string
 	// free are the resources left after the last heartbeat and the starts assigned since.
 	free batch.Resources
+	// overfullMs is the uptime of its last heartbeat that listed more than its capacity.
+	overfullMs int64
 	// acknowledged is the number of this incarnation's last end that is recorded.
 	acknowledged uint64
 	// unreadRows is the number of rows that could not be read in the last heartbeat. unreadRunning is that of running rows
