--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// Add returns c plus other.
+func (c Resources) Add(other Resources) Resources {
+	return Resources{
+		CPUMilli: c.CPUMilli + other.CPUMilli, MemoryMB: c.MemoryMB + other.MemoryMB, Accelerators: c.Accelerators + other.Accelerators,
+	}
+}
+
 // Sub returns c minus need; dimensions may become negative.
 func (c Resources) Sub(need Resources) Resources {
 	return Resources{
