plan/pools, sched: size pools by what workers report of their capacity

Callers: jobs waited for workers that had shrunk, while VMs of the standby pool stayed off.

Cause: the platform's VM list was the only source of a VM's size. The listed capacity goes on as it was when a worker reports less, so that the pool counts as large enough.

Evidence: capacity-shrinks-pool-size failed before: two workers at 4 of 16 cores with 20 cores of tasks, and no move.

Why this works: what workers report below the list, except for what runs there nevertheless, is added to a demand; workers without any don't count as those that tasks with a limit per worker need. Where every worker reports what the list says, or no task waits or runs, nothing changes.

--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/plan/pools"
 )
 
@@ -51,6 +52,11 @@
 		p := &all[i]
 		p.VM = pools.Resources{CPUMilli: max(p.VM.CPUMilli, v.Capacity.CPUMilli), MemoryMB: max(p.VM.MemoryMB, v.Capacity.MemoryMB)}
 		fallbackVM = p.VM
+		lacking := s.lackingOn(v)
+		p.Lacking = p.Lacking.Add(pools.Resources{CPUMilli: lacking.CPUMilli, MemoryMB: lacking.MemoryMB})
+		if lacking.CPUMilli > 0 && lacking.CPUMilli == v.Capacity.CPUMilli || lacking.MemoryMB > 0 && lacking.MemoryMB == v.Capacity.MemoryMB {
+			p.Depleted++
+		}
 		load, empty, longRunning := s.loadOf(v)
 		p.VMs = append(p.VMs, pools.VM{
 			Name: v.Name, LoadMilli: load, Empty: empty && v.orderable(now),
@@ -70,6 +76,17 @@
 	return all
 }
 
+// lackingOn returns by how much a VM's listed capacity is above what its worker reports, or what runs there if that is
+// more.
+func (s *Scheduler) lackingOn(v *vm) batch.Resources {
+	w := s.workers[v.Worker]
+	if w == nil || w.inherited || w.left || w.draining {
+		return batch.Resources{}
+	}
+	held := w.capacity.Sub(w.free.Min(batch.Resources{}))
+	return v.Capacity.Sub(v.Capacity.Min(held))
+}
+
 // moveVM orders a VM to another pool.
 func (s *Scheduler) moveVM(m pools.Move, now int64) {
 	v := s.fleet.vms[m.VM]
--- a/internal/plan/pools/plan.go
+++ b/internal/plan/pools/plan.go
@@ -18,6 +18,10 @@
 	Upcoming Resources
 	// VM is the capacity of one of its VMs; zero if unknown.
 	VM Resources
+	// Lacking is the amount by which its workers' capacities are below those of their VMs.
+	Lacking Resources
+	// Depleted is the number of its VMs whose workers have no capacity of some kind at present.
+	Depleted int
 	// VMs are its VMs that can work and those that are moving to it.
 	VMs []VM
 	// MinVMs is the minimum number of VMs, whatever their capacity, because some tasks must run on separate VMs.
@@ -84,15 +88,19 @@
 		return 0
 	}
 	d := p.Running.Add(p.Waiting).Add(Resources{CPUMilli: p.Upcoming.CPUMilli * upcomingPercent / 100, MemoryMB: p.Upcoming.MemoryMB * upcomingPercent / 100})
-	return max(p.MinVMs, vmsFor(d.CPUMilli, p.VM.CPUMilli), vmsFor(d.MemoryMB, p.VM.MemoryMB))
+	separate := p.MinVMs
+	if separate > 0 {
+		separate += p.Depleted
+	}
+	return max(separate, vmsFor(d.CPUMilli, p.Lacking.CPUMilli, p.VM.CPUMilli), vmsFor(d.MemoryMB, p.Lacking.MemoryMB, p.VM.MemoryMB))
 }
 
-// vmsFor returns how many VMs with a capacity of each hold a demand.
-func vmsFor(demand, each int64) int {
-	if each <= 0 {
+// vmsFor returns how many VMs with a capacity of each hold a demand, if some lack an amount together.
+func vmsFor(demand, lacking, each int64) int {
+	if each <= 0 || demand <= 0 {
 		return 0
 	}
-	return int((demand*sizingPercent/100 + each - 1) / each)
+	return int((demand*sizingPercent/100 + lacking + each - 1) / each)
 }
 
 // donor is a pool that can give up VMs.
--- a/internal/plan/pools/script_test.go
+++ b/internal/plan/pools/script_test.go
@@ -35,6 +35,12 @@
 					p.Upcoming.CPUMilli = n
 				case "memory":
 					p.Waiting.MemoryMB = n
+				case "lacking":
+					p.Lacking.CPUMilli = n
+				case "lacking_memory":
+					p.Lacking.MemoryMB = n
+				case "depleted":
+					p.Depleted = int(n)
 				case "min_vms":
 					p.MinVMs = int(n)
 				case "idle":
