sched: say that a task waits for capacity where no worker has as much

Callers: `cowslip batch job` told of a task that fits no worker any more, or needs an accelerator that is gone, that it waits for room, with free amounts above those needed; the wait looks as if it ended when something else does.

Cause: the text compared only what is free, and never named accelerators.

Evidence: capacity-shrinks-to-nothing failed before ("for room: 1000 milli and 1000 MB are needed, the freest of 1 workers has 16000 and -1000" for a task that lacks an accelerator). The starts in that script were as they should be: work begins in the reply to the first heartbeat that has the capacity again.

Why this works: the need is compared with the capacities that the workers report now, before it is compared with what is free of them.

--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -140,7 +140,8 @@
 	if !j.StepOpen(occurrence, stepIndex) {
 		return fmt.Sprintf("for steps %v", step.After)
 	}
-	usable, labelled, fitting, mostFree := 0, 0, 0, batch.Resources{}
+	need := step.ReservedResources()
+	usable, labelled, capable, fitting, mostFree := 0, 0, 0, 0, batch.Resources{}
 	for _, w := range s.workers {
 		if w.pool != pool || !w.usable(now) || now-w.heardMs >= maxSilenceMs || s.fleet.leaving(w) {
 			continue
@@ -148,23 +149,27 @@
 		usable++
 		if step.RequiredLabel == "" || slices.Contains(w.labels, step.RequiredLabel) {
 			labelled++
-			if w.free.Covers(step.ReservedResources()) {
+			if w.capacity.Covers(need) {
+				capable++
+			}
+			if w.free.Covers(need) {
 				fitting++
 			}
-			if w.free.CPUMilli > mostFree.CPUMilli {
+			if labelled == 1 || w.free.CPUMilli > mostFree.CPUMilli {
 				mostFree = w.free
 			}
 		}
 	}
-	need := step.ReservedResources()
 	switch {
 	case usable == 0:
 		return fmt.Sprintf("for a worker: pool %s has none that takes tasks", pool)
 	case labelled == 0:
 		return fmt.Sprintf("for a worker with the label %s: none of %d has it", step.RequiredLabel, usable)
+	case capable == 0:
+		return fmt.Sprintf("for capacity: %s are needed, none of %d workers has as much at present", describeNeed(need), labelled)
 	case fitting == 0:
-		return fmt.Sprintf("for room: %d milli and %d MB are needed, the freest of %d workers has %d and %d",
-			need.CPUMilli, need.MemoryMB, labelled, mostFree.CPUMilli, mostFree.MemoryMB)
+		return fmt.Sprintf("for room: %s are needed, the freest of %d workers has %d and %d",
+			describeNeed(need), labelled, mostFree.CPUMilli, mostFree.MemoryMB)
 	case s.needsPermit(j):
 		return "for advice on the workers, or for their next heartbeat"
 	default:
@@ -172,6 +177,14 @@
 	}
 }
 
+// describeNeed describes what a task reserves; accelerators only if it needs some.
+func describeNeed(need batch.Resources) string {
+	if need.Accelerators > 0 {
+		return fmt.Sprintf("%d milli, %d MB and %d accelerators", need.CPUMilli, need.MemoryMB, need.Accelerators)
+	}
+	return fmt.Sprintf("%d milli and %d MB", need.CPUMilli, need.MemoryMB)
+}
+
 func (s *Scheduler) workerViews() []batch.WorkerView {
 	all, now := make([]batch.WorkerView, 0, len(s.workers)), s.now()
 	for _, w := range s.workers {
