chaos: the soak's workers shrink, grow and check no capacity

Every second worker starts whatever it is ordered to, and its capacity changes each 0.5 to 7 s between nothing and all of it, until the faults end; it reports the capacity in its next heartbeat only, and the provider's list stays as it was. A stop takes up to 0.3 s, during which the attempt is listed.

The checker holds each start against two bounds: the largest capacity within the last 3 s and one heartbeat, as the users' rule has it, and the capacity in the heartbeat that the start answers, which is stricter and what the leader promises. The other half of the workers refuses what doesn't fit, as before.

--- a/internal/app/chaos/soak_test.go
+++ b/internal/app/chaos/soak_test.go
@@ -70,7 +70,9 @@
 	watchers     sync.WaitGroup
 	version      atomic.Int64
 	faultsUntil  time.Time
-	pickCount    atomic.Uint64
+	// calm is set once the faults have ended.
+	calm      atomic.Bool
+	pickCount atomic.Uint64
 }
 
 // nextProcess returns the processes in turn, with a stride of 7 from an offset by the seed.
@@ -199,6 +201,7 @@
 		clients.Go(func() { c.submitJobs(faultsDone) })
 	}
 	s.injectFaults()
+	s.calm.Store(true)
 	close(faultsDone)
 	clients.Wait()
 	s.await("all processes ready", func() bool {
--- a/internal/app/chaos/soak_worker_test.go
+++ b/internal/app/chaos/soak_worker_test.go
@@ -21,10 +21,10 @@
 	taskMilliCores   = 1000
 )
 
-// runningAttempt is an attempt that a worker runs until it is due.
+// runningAttempt is an attempt that a worker runs until it is due, or until stopDue once it is being stopped.
 type runningAttempt struct {
-	attempt int
-	due     time.Time
+	attempt      int
+	due, stopDue time.Time
 }
 
 // siteWorker is one incarnation of a simulated worker; only its own goroutine uses it.
@@ -43,6 +43,11 @@
 	running   map[string]runningAttempt
 	ended     [][]any
 	endNumber int
+	// capacity is nil if the worker refuses what doesn't fit. reported is the capacity in its last heartbeat, and interval
+	// the time until the next one.
+	capacity *changingCapacity
+	reported int
+	interval time.Duration
 	// highestEnded holds the highest attempt of each task that has ended here.
 	highestEnded map[string]int
 }
@@ -61,13 +66,16 @@
 	}()
 	client := &http.Client{Timeout: time.Second}
 	for {
-		interval := w.heartbeat(client)
-		for end := time.Now().Add(interval); time.Now().Before(end); {
+		w.interval = w.heartbeat(client)
+		for end := time.Now().Add(w.interval); time.Now().Before(end); {
 			select {
 			case <-stop:
 				return
 			case <-time.After(10 * time.Millisecond):
 			}
+			if w.capacity != nil {
+				w.capacity.update(w.soak.calm.Load())
+			}
 			if w.endDue() {
 				end = time.Now().Add(min(time.Until(end), 50*time.Millisecond))
 			}
@@ -82,6 +90,10 @@
 		switch {
 		case time.Now().After(w.lease):
 			w.end(name, "lapsed")
+		case !r.stopDue.IsZero() && time.Now().After(r.stopDue):
+			w.end(name, "stopped")
+		case !r.stopDue.IsZero():
+			continue
 		case time.Now().After(r.due) && w.random.IntN(40) == 0:
 			w.end(name, "failed")
 		case time.Now().After(r.due):
@@ -105,13 +117,18 @@
 // heartbeat sends one heartbeat and returns the time until the next one.
 func (w *siteWorker) heartbeat(client *http.Client) time.Duration {
 	w.sequence++
+	w.reported = workerMilliCores
+	if w.capacity != nil {
+		w.reported = w.capacity.now()
+	}
+	w.soak.checker.heartbeatSent(w.reported, len(w.running)*taskMilliCores)
 	running := [][]any{}
 	for name, r := range w.running {
 		running = append(running, []any{name, r.attempt, "", w.random.IntN(100)})
 	}
 	report, err := json.Marshal(map[string]any{
 		"service": w.pool, "address": w.id + ":1", "state": "ready", "seq": w.sequence, "born": w.born, "zone": "dc", "slots": 8,
-		"capacity": map[string]int{"cpu": workerMilliCores, "memMb": 4000}, "labels": []string{"a", "r1"}, "running": running, "ended": w.ended,
+		"capacity": map[string]int{"cpu": w.reported, "memMb": 4000}, "labels": []string{"a", "r1"}, "running": running, "ended": w.ended,
 	})
 	if err != nil {
 		panic(err)
@@ -171,21 +188,27 @@
 		}
 	}
 	for _, s := range o.Stop {
-		if r, ok := w.running[s[0].(string)]; ok && r.attempt == int(s[1].(float64)) {
-			w.end(s[0].(string), "stopped")
+		if r, ok := w.running[s[0].(string)]; ok && r.attempt == int(s[1].(float64)) && r.stopDue.IsZero() {
+			r.stopDue = time.Now().Add(time.Duration(w.random.Int64N(int64(maxStopDuration))))
+			w.running[s[0].(string)] = r
 		}
 	}
 	return time.Duration(max(20, o.RetryMs)) * time.Millisecond
 }
 
-// start starts an attempt, or refuses it if the task runs already, the attempt is outdated or there is no capacity.
+// start starts an attempt, or refuses it if the task runs already, the attempt is outdated, or the worker checks its
+// capacity and has too little.
 func (w *siteWorker) start(name string, attempt int, spec string) {
-	if _, ok := w.running[name]; ok || attempt <= w.highestEnded[name] || (len(w.running)+1)*taskMilliCores > workerMilliCores {
+	used := (len(w.running) + 1) * taskMilliCores
+	if _, ok := w.running[name]; ok || attempt <= w.highestEnded[name] || w.capacity == nil && used > workerMilliCores {
 		w.endNumber++
 		w.ended = append(w.ended, []any{w.endNumber, name, attempt, "refused", ""})
 		return
 	}
 	w.soak.checker.taskStarted(w, name, attempt, spec)
+	if w.capacity != nil {
+		w.soak.checker.capacityUsed(w, name, attempt, used)
+	}
 	w.running[name] = runningAttempt{attempt: attempt, due: time.Now().Add(time.Duration(50+w.random.IntN(400)) * time.Millisecond)}
 }
 
@@ -200,11 +223,15 @@
 	return parts[0], step, index, err == nil && other == nil
 }
 
-// newSiteWorker returns the next incarnation of the worker on a VM.
+// newSiteWorker returns the next incarnation of the worker on a VM; every second one checks no capacity.
 func (s *soak) newSiteWorker(vm, pool string) *siteWorker {
 	s.incarnations++
-	return &siteWorker{
+	w := &siteWorker{
 		soak: s, random: rand.New(rand.NewPCG(s.seed, uint64(s.incarnations))), id: fmt.Sprintf("i-%04d", s.incarnations), vm: vm, pool: pool,
 		born: time.Now().UnixMilli(), running: map[string]runningAttempt{}, highestEnded: map[string]int{},
 	}
+	if s.incarnations%2 == 0 {
+		w.capacity = newChangingCapacity(w.random)
+	}
+	return w
 }
