--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -46,8 +46,9 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-arrivedMs > maxReplyDelayMs {
-				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed.
+			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence {
+				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed, or where
+				// a newer heartbeat shows no room for it.
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
@@ -202,10 +203,15 @@
 				zap.Int("index", r.Task.Index), zap.Int("attempt", r.Attempt), zap.String("worker", w.id),
 				zap.Int("percent", a.percent), zap.Int64("for_ms", now-a.progressMs))
 			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
+			if a.progressMs > w.overfullMs {
+				s.countFailure(w, "attempts_stand_still")
+			}
 			a.progressMs = now
-			s.countFailure(w, "attempts_stand_still")
 		}
 	}
+	if !w.free.Covers(batch.Resources{}) {
+		w.overfullMs = now
+	}
 	w.running = seen
 	s.endMissing(w, h)
 	return stops
