--- a/internal/app/script/script_test.go
+++ b/internal/app/script/script_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"regexp"
 	"strconv"
 	"syscall"
 	"testing"
@@ -54,6 +55,7 @@
 			"fetch":        fetch,
 			"await":        await,
 			"code":         code,
+			"fails":        fails,
 			"expand":       expand,
 			"certificates": certificates,
 			"listening":    listening,
@@ -144,15 +146,35 @@
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: code n program [args...]")
 	}
-	err := ts.Exec(args[1], args[2:]...)
+	checkCode(ts, args[0], args[1:])
+}
+
+// fails N REGEXP PROGRAM ARGS... repeats a program, whose exit code must be N each time, until its standard error matches.
+func fails(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 || args[0] == "0" {
+		ts.Fatalf("usage: fails n regexp program [args...]")
+	}
+	pattern := regexp.MustCompile(args[1])
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		checkCode(ts, args[0], args[2:])
+		if pattern.MatchString(ts.ReadFile("stderr")) {
+			return
+		}
+	}
+	ts.Fatalf("no error matched %s", args[1])
+}
+
+// checkCode runs a program and checks its exit code.
+func checkCode(ts *testscript.TestScript, want string, command []string) {
+	err := ts.Exec(command[0], command[1:]...)
 	got := "0"
 	if exit, ok := err.(interface{ ExitCode() int }); ok {
 		got = strconv.Itoa(exit.ExitCode())
 	} else if err != nil {
 		ts.Fatalf("%v", err)
 	}
-	if got != args[0] {
-		ts.Fatalf("got exit code %s, want %s", got, args[0])
+	if got != want {
+		ts.Fatalf("got exit code %s, want %s", got, want)
 	}
 }
 
