End a stop while another process's message waits for the control loop

Cause, found by reading and then reproduced: a frame that arrives over an outgoing connection and answers no call, such as a follower's answer to the leader, was handed to the control loop with a context that never ends. If the loop ends before it has run this event, the reading goroutine waits for ever, with it the group of goroutines, until the 500 ms for the stop are over. The server's side of a connection has the right context already; no other call to the loop has an endless one.

Change: the frame is delivered with the context of Connections.Run, which ends with the loop's. A message that is dropped so is one that a stopping process need not handle; the log tolerates lost messages.

--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -82,8 +82,8 @@
 	peers *peerHandler
 }
 
-func (i *inbox) deliver(f *peer.Link) {
-	if answer := i.peers.Deliver(context.Background(), f); answer != nil {
+func (i *inbox) deliver(ctx context.Context, f *peer.Link) {
+	if answer := i.peers.Deliver(ctx, f); answer != nil {
 		i.peers.send(codec.MessagesFromWire(answer.GetQuorum().GetMessages()))
 	}
 }
--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -55,7 +55,7 @@
 	clock   clock.Clock
 	logger  *zap.Logger
 	// deliver handles incoming one-way frames.
-	deliver func(*peer.Link)
+	deliver func(context.Context, *peer.Link)
 	queue   chan *pendingCall
 
 	mu sync.Mutex
@@ -151,13 +151,13 @@
 
 // serve writes and reads frames over a connection until it breaks, then fails the requests already sent.
 func (p *peerConn) serve(ctx context.Context, conn net.Conn, first *pendingCall) {
-	ctx, cancel := context.WithCancel(ctx)
+	writeCtx, cancel := context.WithCancel(ctx)
 	readDone := make(chan error, 1)
 	go func() {
-		readDone <- p.read(conn)
+		readDone <- p.read(ctx, conn)
 		cancel()
 	}()
-	err := p.write(ctx, conn, first)
+	err := p.write(writeCtx, conn, first)
 	cancel()
 	closeErr := conn.Close()
 	cause := errors.CombineErrors(err, errors.CombineErrors(<-readDone, closeErr))
@@ -246,7 +246,7 @@
 	}
 }
 
-func (p *peerConn) read(conn net.Conn) error {
+func (p *peerConn) read(ctx context.Context, conn net.Conn) error {
 	reader := bufio.NewReaderSize(conn, readBufferBytes)
 	for {
 		f, err := readFrame(reader)
@@ -265,7 +265,7 @@
 		if c != nil {
 			c.response <- result{frame: f}
 		} else if f.GetCall() == 0 {
-			p.deliver(f)
+			p.deliver(ctx, f)
 		}
 	}
 }
--- a/internal/wire/link/connections.go
+++ b/internal/wire/link/connections.go
@@ -14,15 +14,16 @@
 type Connections struct {
 	clock   clock.Clock
 	logger  *zap.Logger
-	deliver func(*peer.Link)
+	deliver func(context.Context, *peer.Link)
 	start   chan *peerConn
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
 }
 
-// NewConnections returns a connection set that passes incoming one-way frames to deliver.
-func NewConnections(clk clock.Clock, logger *zap.Logger, deliver func(*peer.Link)) *Connections {
+// NewConnections returns a connection set that passes incoming one-way frames to deliver, with the
+// context of Run.
+func NewConnections(clk clock.Clock, logger *zap.Logger, deliver func(context.Context, *peer.Link)) *Connections {
 	return &Connections{clock: clk, logger: logger, deliver: deliver, start: make(chan *peerConn, maxQueuedFrames), conns: map[string]*peerConn{}}
 }
 
--- a/internal/wire/link/script_test.go
+++ b/internal/wire/link/script_test.go
@@ -99,7 +99,7 @@
 	// On this clock no deadline of a connection passes while the script runs.
 	ahead := clock.NewManual(time.Now().Add(time.Hour))
 	server := &link.Server{Listener: listener, Handler: h, Clock: ahead, Logger: zap.NewNop()}
-	connections := link.NewConnections(ahead, zap.NewNop(), func(*peer.Link) {})
+	connections := link.NewConnections(ahead, zap.NewNop(), func(context.Context, *peer.Link) {})
 	ctx, stop := context.WithCancel(context.Background())
 	ends := make(chan error, 2)
 	go func() { ends <- server.Run(ctx) }()
