Don't let a hello with an impossible term hide the true leader

Cause: of two leaders the one with the higher term was followed, whoever named it, and the known term never falls. No election gets past 2^64-1, so neither the true leader's hellos nor the process's own replica could correct it.

Change: two terms more than 2^32 apart can't be compared, as with the sequences of heartbeats in ctrl/sched: at ten elections a second that many take 13 years. Such a term is believed only from the leader itself, and only while no other leader has said within 1.5 s that it leads; else it is ignored, with a log line (leader_term_ignored) for each new term. The same holds downwards, so that a false term gives way to the true leader's own word, and a process's replica always decides over a far term. There is no fixed upper bound: a leader whose term is high indeed is followed once the former one no longer says that it leads, and at once where none is known. A process without a replica greets all replicas while its leader doesn't say that it leads, else a false leader would be the only one that it asks. Nearer terms are compared as before. No message changes.

Evidence: testdata/leading-impossible-term fails on the old code at its first check: route p2 is "p5" in term instead of "p1" in term 7. It covers the claim at a follower, at the leader, at a process without a replica and at one that knows no leader, passed on by a third, corrected by the own replica, and true leaders in term 2^50.

--- a/internal/app/site/gossip.go
+++ b/internal/app/site/gossip.go
@@ -103,7 +103,7 @@
 	self := g.peers.membership.Self().Address
 	err = g.peers.loop.Call(ctx, func() {
 		known = g.peers.membership.Route().Leader != ""
-		all = g.peers.membership.Peers()
+		all = g.peers.membership.Peers(g.peers.uptime.Milliseconds())
 	})
 	if !known {
 		for _, s := range *g.seeds.Load() {
--- a/internal/ctrl/member/membership.go
+++ b/internal/ctrl/member/membership.go
@@ -73,6 +73,10 @@
 	route     atomic.Pointer[Route]
 	leader    string
 	term      uint64
+	// confirmedMs is the uptime at which the leader itself last said that it leads.
+	confirmedMs int64
+	// ignoredTerm is the last far term that was ignored.
+	ignoredTerm uint64
 }
 
 // New returns a membership that knows only its own process.
@@ -110,15 +114,9 @@
 			}
 		}
 	}
-	switch {
-	case h.Leader != "" && h.Term > m.term:
-		m.SetLeader(h.Leader, h.Term)
-	case h.Term == m.term && m.leader == "" && h.Leader == h.Self.Name:
-		// The lost leader itself says that it still leads.
-		m.SetLeader(h.Leader, h.Term)
-	case h.Self.Name == m.leader && h.Leader != h.Self.Name:
-		// The supposed leader itself says that it doesn't lead.
-		m.LoseLeader(m.term)
+	m.updateLeader(h, now)
+	if h.Self.Name == h.Leader && h.Leader == m.leader {
+		m.confirmedMs = now
 	}
 }
 
@@ -141,24 +139,6 @@
 	return k
 }
 
-// SetLeader records the leader of a term; earlier terms are ignored.
-func (m *Membership) SetLeader(leader string, term uint64) {
-	if term < m.term || (term == m.term && (leader == m.leader || leader == "")) {
-		return
-	}
-	m.leader, m.term = leader, term
-	m.publishRoute()
-}
-
-// LoseLeader forgets the leader of term because it can't be reached; it does nothing if another term is known by now or
-// this process leads.
-func (m *Membership) LoseLeader(term uint64) {
-	if term == m.term && m.leader != m.self.Name {
-		m.leader = ""
-		m.publishRoute()
-	}
-}
-
 func (m *Membership) publishRoute() {
 	route := &Route{Leader: m.leader, Term: m.term}
 	if k := m.processes[m.leader]; k != nil {
@@ -227,11 +207,11 @@
 }
 
 // Peers returns the addresses to which this process should send a hello: those of all processes with a replica if it has
-// one too or knows no leader, otherwise only the leader's.
-func (m *Membership) Peers() []string {
+// one too or no leader says that it leads, otherwise only the leader's; now is the uptime in milliseconds.
+func (m *Membership) Peers(now int64) []string {
 	var all []string
 	for _, p := range m.ReplicaProcesses() {
-		if p.Name != m.self.Name && (m.self.Replica != 0 || m.leader == "" || p.Name == m.leader) {
+		if p.Name != m.self.Name && (m.self.Replica != 0 || !m.confirmed(now) || p.Name == m.leader) {
 			all = append(all, p.Address)
 		}
 	}
--- a/internal/ctrl/member/script_test.go
+++ b/internal/ctrl/member/script_test.go
@@ -69,10 +69,23 @@
 					return "nobody\n"
 				}
 				return strings.Join(out, "\n") + "\n"
+			case "claim":
+				// claim RECEIVER SENDER LEADER TERM: a hello that names a leader and its term, true or not.
+				term, err := strconv.ParseUint(names[3], 10, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				all[names[0]].HandleHello(&member.Hello{Self: process(names[1]), Leader: names[2], Term: term}, now)
+				return "ok\n"
 			case "lead":
 				term, _ := strconv.ParseUint(names[1], 10, 64)
 				all[names[0]].SetLeader(names[0], term)
 				return "ok\n"
+			case "learn":
+				// learn PROCESS LEADER TERM: the process's own replica follows a leader.
+				term, _ := strconv.ParseUint(names[2], 10, 64)
+				all[names[0]].SetLeader(names[1], term)
+				return "ok\n"
 			case "lose-leader":
 				all[names[0]].LoseLeader(all[names[0]].Route().Term)
 				return "ok\n"
