Log the crash of a worker with what it was about to start

A worker that ended was seen only as attempts_lost, which names no task and looks the same whatever ended the worker, so the log couldn't tell a task that crashes its workers from workers that crash. worker_crashed says how the crash was seen, which tasks the worker had been ordered to start and hadn't listed since, how many others ran there, and why the crash shows nothing about them, if so. cowslip_worker_crashes_total counts them.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -51,6 +51,7 @@
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
+				w.noteOrdered(h)
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
 		})
@@ -78,7 +79,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.loseAttempts(other, other.incarnation, "address_taken_over")
+		s.handleCrash(other, "address_taken_over")
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -96,7 +97,7 @@
 // beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.loseAttempts(w, w.incarnation, "worker_restarted")
+		s.handleCrash(w, "worker_restarted")
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
@@ -105,24 +106,6 @@
 	}
 }
 
-// loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
-func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
-	lost := 0
-	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		_, t := s.findTask(id)
-		for _, r := range t.Attempts {
-			if r.Worker == w.id && r.Incarnation <= incarnation {
-				s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
-				lost++
-			}
-		}
-	}
-	if lost > 0 {
-		s.options.Logger.Info("attempts_lost", zap.String("worker", w.id), zap.Int64("incarnation", incarnation),
-			zap.Int("count", lost), zap.String("cause", cause), zap.Int64("silent_ms", s.now()-w.heardMs))
-	}
-}
-
 // endAttempt adds an attempt's end, as of now, to the next command.
 func (s *Scheduler) endAttempt(end batch.AttemptEnd) {
 	countEnd(end.Kind)
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -13,6 +13,7 @@
 	startsTotal        = metrics.NewCounter("cowslip_attempts_started_total")
 	copiesTotal        = metrics.NewCounter("cowslip_attempts_copied_total")
 	leaseExpiriesTotal = metrics.NewCounter("cowslip_worker_lapses_total")
+	crashesTotal       = metrics.NewCounter("cowslip_worker_crashes_total")
 	movesTotal         = metrics.NewCounter("cowslip_vm_moves_total")
 	maintainedTotal    = metrics.NewCounter("cowslip_vm_maintained_total")
 	callsShedTotal     = metrics.NewCounter("cowslip_calls_shed_total")
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -106,10 +106,15 @@
 		if w == nil || w.heardMs >= asked || w.inherited && id == v.Worker && v.State == VMUp {
 			continue
 		}
-		if v.State == VMDown || id != v.Worker {
-			s.loseAttempts(w, w.incarnation, "vm_listed_"+v.State.String())
-			w.left = true
+		switch cause := "vm_listed_" + v.State.String(); {
+		case v.State == VMDown || v.State == VMUp && id != v.Worker && v.Pool == w.pool:
+			s.handleCrash(w, cause)
+		case id != v.Worker:
+			s.loseAttempts(w, w.incarnation, cause)
+		default:
+			continue
 		}
+		w.left = true
 	}
 }
 
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -17,6 +17,8 @@
 	// clock.
 	heardMs    int64
 	leaseEndMs int64
+	// orderedIn is the highest heartbeat of this incarnation that this leader has answered with its orders.
+	orderedIn uint64
 	// inherited is set until this leader has received a heartbeat from it.
 	inherited bool
 	draining  bool
