Give up a task that crashes worker after worker

Cause: the loss of a worker was never evidence against a task. All that ran there ended as lost, which nothing counts, and was ready at once; the next worker with room got the guilty task and the same bystanders in one order.

The fix: attempts that were ordered in reply to the last heartbeat and not reported since are the possible causes when their worker crashes; what it had listed as running isn't. Such a task is a suspect: it starts only where nothing else is about to start, on an idle worker, or on any after 0.3 s; nothing else starts there until it is reported, and no other task of its step until one of the step has run. A task that has run is cleared. A task is given up, and its job fails, at the second crash if it was alone and its machine isn't one that crashes anyway; else, and for gangs and tasks that last, at the third. internal/plan/crash judges; no evidence are an expired lease, a worker that leaves, an order never sent, a VM that was ordered away, and what a former leader ordered.

Compatibility: the end keeps its kind, lost, with new fields; an older process ignores them and counts nothing.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -129,6 +129,9 @@
 	if end.Kind.ShowsBegun(step.Gang) {
 		m.markBegun(j)
 	}
+	if m.countCrash(j, t, end, nowMs); j.Phase.IsTerminal() {
+		return
+	}
 	switch {
 	case step.LongRunning:
 	case end.Kind == batch.EndDone:
@@ -226,7 +229,7 @@
 	if j.LiveAttempts > 0 {
 		return
 	}
-	j.Spec.Steps, j.Spec.Text, j.Tasks, j.GangFailures = nil, "", nil, nil
+	j.Spec.Steps, j.Spec.Text, j.Tasks, j.GangFailures, j.GangCrashes = nil, "", nil, nil, nil
 	j.derive()
 }
 
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -22,8 +22,17 @@
 	if w.onProbation(now) {
 		return s.assignProbation(w, sequence, now)
 	}
-	orders := s.assignGangs(w, sequence)
 	q := s.queueOf(w.pool)
+	if s.onTrial(w) {
+		return nil
+	}
+	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
+		return orders
+	}
+	orders := s.assignGangs(w, sequence)
+	if slices.ContainsFunc(orders, s.suspected) {
+		return orders
+	}
 	for _, job := range s.orderedJobs(q, now) {
 		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 || !w.free.Covers(q.leastNeed) {
 			break
@@ -98,6 +107,7 @@
 	if !w.free.Covers(job.leastNeed) {
 		return nil
 	}
+	hasSuspects := len(job.suspects)+len(job.onTrial) > 0
 	var orders []batch.StartOrder
 	// refused is the last step of which the worker may run no task.
 	var refused stepKey
@@ -106,7 +116,7 @@
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandonedUntilMs[id] <= now {
 			ticket, ok := s.mayRunStep(w, job, id, &job.state.Spec.Steps[id.Step], now)
-			if ok {
+			if ok && (!hasSuspects || !s.stepSuspected(job, key)) {
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
 				continue
 			}
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -3,31 +3,83 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/crash"
 )
 
-// maxLoggedTasks bounds the tasks that are named in one log line.
-const maxLoggedTasks = 32
+const (
+	// maxLoggedTasks bounds the tasks that are named in one log line.
+	maxLoggedTasks = 32
+	// unexplainedKeptMs is how long a crash for which no task was given up counts against the machine.
+	unexplainedKeptMs = 10_000
+)
 
-// handleCrash ends all attempts on a worker that has crashed or restarted.
+// handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
+// reported since count as the crash's possible causes.
 func (s *Scheduler) handleCrash(w *worker, cause string) {
-	unseen := s.unseenOn(w)
 	lost := len(s.options.Log.Batch().TasksOn(w.id))
 	if lost == 0 {
 		return
 	}
-	excuse := s.crashExcuse(w)
+	unseen, excuse := s.unseenOn(w), s.crashExcuse(w)
 	crashesTotal.Inc()
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
 		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.orderedIn),
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.String("excuse", excuse))
-	s.loseAttempts(w, w.incarnation, cause)
+	var blamed map[start]bool
+	if excuse == "" {
+		blamed = s.blameStarts(w, unseen)
+	}
+	s.endAttemptsOn(w, w.incarnation, cause, blamed)
+}
+
+// blameStarts returns the attempts that a worker was about to start when it crashed, and for each whether its task is given
+// up, because too many workers have crashed under it.
+func (s *Scheduler) blameStarts(w *worker, unseen []start) map[start]bool {
+	blamed := make(map[start]bool, len(unseen))
+	starts := make([]crash.Start, len(unseen))
+	for i, u := range unseen {
+		j, _ := s.findTask(u.task)
+		step := &j.Spec.Steps[u.task.Step]
+		starts[i] = crash.Start{Crashes: j.Crashes(u.task), LongRunning: step.LongRunning, Gang: step.Gang}
+	}
+	unexplained, explained := s.recentCrashes(w.address), false
+	for i, givenUp := range crash.GiveUp(crash.Input{Starts: starts, UnexplainedCrashes: len(unexplained)}) {
+		u := unseen[i]
+		explained = explained || givenUp
+		if givenUp {
+			givenUpTotal.Inc()
+		}
+		s.options.Logger.Info("task_suspected", zap.String("job", u.task.Job), zap.Int("occurrence", u.task.Occurrence),
+			zap.Int("step", u.task.Step), zap.Int("index", u.task.Index), zap.Int("attempt", u.attempt), zap.String("worker", w.id),
+			zap.Int("crashes", starts[i].Crashes+1), zap.Int("beside", len(unseen)-1), zap.Int("unexplained", len(unexplained)),
+			zap.Bool("given_up", givenUp))
+		blamed[u] = givenUp
+	}
+	if !explained {
+		s.unexplainedMs[w.address] = append(unexplained, s.now())
+	}
+	return blamed
+}
+
+// recentCrashes returns the uptimes of the crashes at an address that still count, and forgets all others.
+func (s *Scheduler) recentCrashes(address string) []int64 {
+	now := s.now()
+	for other, all := range s.unexplainedMs {
+		if all = slices.DeleteFunc(all, func(ms int64) bool { return now-ms > unexplainedKeptMs }); len(all) > 0 {
+			s.unexplainedMs[other] = all
+		} else {
+			delete(s.unexplainedMs, other)
+		}
+	}
+	return s.unexplainedMs[address]
 }
 
 // crashExcuse returns why the end of a worker shows nothing about the tasks that it ran, empty if it may.
@@ -47,21 +99,33 @@
 	return ""
 }
 
-// unseenOn returns the tasks that a worker was ordered to start and that it hasn't listed with progress since; members of a
-// gang wait at no progress until all are present.
-func (s *Scheduler) unseenOn(w *worker) []batch.TaskID {
-	var unseen []batch.TaskID
+// start is an attempt that a worker was ordered to start.
+type start struct {
+	task    batch.TaskID
+	attempt int
+}
+
+// unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since, one of each gang.
+// Members of a gang wait at no progress until all are present.
+func (s *Scheduler) unseenOn(w *worker) []start {
+	var unseen []start
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
+		if j.Phase.IsTerminal() {
+			continue
+		}
 		for i := range t.Attempts {
 			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.orderedIn && !w.hasBegun(j, id, r.Number) {
-				unseen = append(unseen, id)
+				unseen = append(unseen, start{task: id, attempt: r.Number})
 				break
 			}
 		}
 	}
-	slices.SortFunc(unseen, compareTasks)
-	return unseen
+	slices.SortFunc(unseen, func(a, b start) int { return compareTasks(a.task, b.task) })
+	return slices.CompactFunc(unseen, func(a, b start) bool {
+		j, _ := s.findTask(a.task)
+		return stepOf(a.task) == stepOf(b.task) && j.Spec.Steps[a.task.Step].Gang
+	})
 }
 
 // hasBegun reports whether a worker's last heartbeat shows that an attempt has begun.
@@ -81,10 +145,11 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
-// taskNames returns the first tasks as job.occurrence.step.index, for the log.
-func taskNames(ids []batch.TaskID) []string {
+// taskNames returns the tasks of the first starts as job.occurrence.step.index, for the log.
+func taskNames(starts []start) []string {
 	var names []string
-	for _, id := range ids[:min(len(ids), maxLoggedTasks)] {
+	for _, u := range starts[:min(len(starts), maxLoggedTasks)] {
+		id := u.task
 		names = append(names, fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index))
 	}
 	return names
@@ -92,12 +157,22 @@
 
 // loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
 func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
+	s.endAttemptsOn(w, incarnation, cause, nil)
+}
+
+// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost; blamed holds those that may have
+// crashed it, and whether they are given up.
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, blamed map[start]bool) {
 	lost := 0
-	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		_, t := s.findTask(id)
+	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
+		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
-				s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
+				givenUp, crashed := blamed[start{task: id, attempt: r.Number}]
+				s.endAttempt(batch.AttemptEnd{
+					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost,
+					Crashed: crashed, GivenUp: givenUp, Begun: w.hasBegun(j, id, r.Number),
+				})
 				lost++
 			}
 		}
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -279,7 +279,7 @@
 	switch {
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
-	case s.queueOf(w.pool).demand > 0:
+	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order) > 0:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
 		return max(minIntervalMs, busyHeartbeatMs)
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -14,6 +14,7 @@
 	copiesTotal        = metrics.NewCounter("cowslip_attempts_copied_total")
 	leaseExpiriesTotal = metrics.NewCounter("cowslip_worker_lapses_total")
 	crashesTotal       = metrics.NewCounter("cowslip_worker_crashes_total")
+	givenUpTotal       = metrics.NewCounter("cowslip_tasks_given_up_total")
 	movesTotal         = metrics.NewCounter("cowslip_vm_moves_total")
 	maintainedTotal    = metrics.NewCounter("cowslip_vm_maintained_total")
 	callsShedTotal     = metrics.NewCounter("cowslip_calls_shed_total")
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -20,6 +20,9 @@
 	item    order.Item
 	// ready are the tasks that could start now, except those of gangs.
 	ready []batch.TaskID
+	// suspects are the tasks that could start under which a worker has crashed, and onTrial those that have started since;
+	// none of them is in ready, nor of a gang.
+	suspects, onTrial []batch.TaskID
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
 	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -48,6 +51,7 @@
 	leastNeed batch.Resources
 	// demand is the number of ready tasks, and copyable the number of tasks of which a speculative copy may run.
 	demand, copyable int
+	suspects         suspectQueue
 }
 
 // sortIntervalMs is how long a sorted order of jobs is used, in milliseconds.
@@ -108,6 +112,9 @@
 		s.queueOf(pool).copyable += len(updated.copyable)
 	}
 	s.enqueue(s.jobs[id])
+	for _, suspect := range s.jobs[id].suspects {
+		s.queueOf(pool).suspects.add(suspect, s.now())
+	}
 	s.trackJob(s.jobs[id])
 }
 
@@ -204,26 +211,36 @@
 	job.minVMs = max(job.minVMs, minVMs(step, left))
 	first := j.FirstTask(occurrence, stepIndex)
 	for i := range step.Count {
-		t := &j.Tasks[first+i]
-		if t.Done {
-			continue
-		}
-		id := batch.TaskID{Job: j.Spec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}
-		if len(t.Attempts) > 0 || s.starting[id] {
-			job.runningResources = job.runningResources.Add(resourcesOf(step, 1))
-			if step.Speculative && !step.Gang && !step.LongRunning && len(t.Attempts) == 1 {
-				job.copyable = append(job.copyable, id)
-			}
-			continue
-		}
-		job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
-		if !step.Gang {
-			job.addReady(id, step.ReservedResources())
+		if t := &j.Tasks[first+i]; !t.Done {
+			s.describeTask(job, t, batch.TaskID{Job: j.Spec.ID, Occurrence: occurrence, Step: stepIndex, Index: i})
 		}
 	}
 	return dependenciesMs + taskMs
 }
 
+// describeTask adds a task that isn't done to the job's view.
+func (s *Scheduler) describeTask(job *activeJob, t *jobs.Task, id batch.TaskID) {
+	step := &job.state.Spec.Steps[id.Step]
+	suspect := t.Crashes > 0 && !step.Gang
+	if len(t.Attempts) > 0 || s.starting[id] {
+		job.runningResources = job.runningResources.Add(resourcesOf(step, 1))
+		if suspect {
+			job.onTrial = append(job.onTrial, id)
+		} else if step.Speculative && !step.Gang && !step.LongRunning && len(t.Attempts) == 1 {
+			job.copyable = append(job.copyable, id)
+		}
+		return
+	}
+	job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
+	switch {
+	case step.Gang:
+	case suspect:
+		job.suspects = append(job.suspects, id)
+	default:
+		job.addReady(id, step.ReservedResources())
+	}
+}
+
 // addReady adds a task that could start and what it reserves.
 func (job *activeJob) addReady(id batch.TaskID, need batch.Resources) {
 	if len(job.ready) == 0 {
--- /dev/null
+++ b/internal/ctrl/sched/suspects.go
@@ -0,0 +1,153 @@
+package sched
+
+import (
+	"slices"
+
+	"cowslipstack/internal/model/batch"
+)
+
+const (
+	// suspectWaitMs is how long a suspect waits for a worker that runs nothing before any worker may start it.
+	suspectWaitMs = 300
+	// maxSuspectsTried bounds the suspects that one heartbeat looks at.
+	maxSuspectsTried = 16
+)
+
+// suspectQueue holds a pool's suspects that wait to start again: tasks under which a worker has crashed.
+type suspectQueue struct {
+	order []batch.TaskID
+	// sinceMs holds the uptime since which each of them waits.
+	sinceMs map[batch.TaskID]int64
+}
+
+func (q *suspectQueue) add(id batch.TaskID, now int64) {
+	if _, waits := q.sinceMs[id]; waits {
+		return
+	}
+	if q.sinceMs == nil {
+		q.sinceMs = map[batch.TaskID]int64{}
+	}
+	q.sinceMs[id] = now
+	q.order = append(q.order, id)
+}
+
+// next moves the first suspect to the end and returns it.
+func (q *suspectQueue) next() batch.TaskID {
+	id := q.order[0]
+	q.order = append(q.order[1:], id)
+	return id
+}
+
+// removeLast removes the suspect that next has returned last.
+func (q *suspectQueue) removeLast() {
+	last := len(q.order) - 1
+	delete(q.sinceMs, q.order[last])
+	q.order = q.order[:last]
+}
+
+// trial is the start of a suspect on a worker that starts nothing else until it has reported it.
+type trial struct {
+	task    batch.TaskID
+	attempt int
+}
+
+// onTrial reports whether a worker has yet to report the suspect that it was last ordered to start.
+func (s *Scheduler) onTrial(w *worker) bool {
+	if w.trial == (trial{}) {
+		return false
+	}
+	j, t := s.findTask(w.trial.task)
+	goes := t != nil && (s.starting[w.trial.task] || t.FindAttempt(w.trial.attempt) != nil) && !w.hasBegun(j, w.trial.task, w.trial.attempt)
+	if !goes {
+		w.trial = trial{}
+	}
+	return goes
+}
+
+// assignSuspect starts one suspect on a worker that has reported all that it was ordered to start, so that a crash can only
+// be the suspect's.
+func (s *Scheduler) assignSuspect(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
+	if len(q.suspects.order) == 0 || s.startsAny(w) {
+		return nil
+	}
+	for range min(len(q.suspects.order), maxSuspectsTried) {
+		id := q.suspects.next()
+		job := s.jobs[id.Job]
+		if job == nil || job.pool != w.pool || !slices.Contains(job.suspects, id) {
+			q.suspects.removeLast()
+			continue
+		}
+		if len(w.running) > 0 && now-q.suspects.sinceMs[id] < suspectWaitMs || s.stepHeld(job, stepOf(id)) {
+			continue
+		}
+		ticket, ok := s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now)
+		if !ok {
+			continue
+		}
+		q.suspects.removeLast()
+		job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
+		job.onTrial = append(job.onTrial, id)
+		start := s.startAttempt(w, job.state, id, ticket, sequence)
+		w.trial = trial{task: id, attempt: start.Attempt}
+		return []batch.StartOrder{start}
+	}
+	return nil
+}
+
+// startsAny reports whether a worker was ordered to start anything that it hasn't reported.
+func (s *Scheduler) startsAny(w *worker) bool {
+	if w.starting > 0 {
+		return true
+	}
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		j, t := s.findTask(id)
+		for i := range t.Attempts {
+			if r := &t.Attempts[i]; r.Worker == w.id && !w.hasBegun(j, id, r.Number) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stepHeld reports whether nothing of a step may start because one of its tasks is on trial and none has shown that such
+// tasks run.
+func (s *Scheduler) stepHeld(job *activeJob, step stepKey) bool {
+	tried := slices.ContainsFunc(job.onTrial, func(id batch.TaskID) bool { return stepOf(id) == step && !s.begun(job, id) })
+	return tried && !s.stepProven(job, step)
+}
+
+// stepSuspected reports whether no new task of a step may start because one of its tasks is a suspect and none has shown that
+// such tasks run.
+func (s *Scheduler) stepSuspected(job *activeJob, step stepKey) bool {
+	isOf := func(id batch.TaskID) bool { return stepOf(id) == step }
+	return (slices.ContainsFunc(job.suspects, isOf) || slices.ContainsFunc(job.onTrial, isOf)) && !s.stepProven(job, step)
+}
+
+// stepProven reports whether a task of a step is done or has begun.
+func (s *Scheduler) stepProven(job *activeJob, step stepKey) bool {
+	first := job.state.FirstTask(step.occurrence, step.step)
+	for i := range job.state.Spec.Steps[step.step].Count {
+		id := batch.TaskID{Job: step.job, Occurrence: step.occurrence, Step: step.step, Index: i}
+		if job.state.Tasks[first+i].Done || s.begun(job, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// begun reports whether a worker lists an attempt of a task.
+func (s *Scheduler) begun(job *activeJob, id batch.TaskID) bool {
+	for _, r := range job.state.Task(id).Attempts {
+		if w := s.workers[r.Worker]; w != nil && w.incarnation == r.Incarnation && w.hasBegun(job.state, id, r.Number) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspected reports whether an order starts a task or gang under which a worker has crashed.
+func (s *Scheduler) suspected(start batch.StartOrder) bool {
+	j, t := s.findTask(start.Task)
+	return t != nil && j.Crashes(start.Task) > 0
+}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -19,6 +19,8 @@
 	leaseEndMs int64
 	// orderedIn is the highest heartbeat of this incarnation that this leader has answered with its orders.
 	orderedIn uint64
+	// trial is the suspect that it was last ordered to start; zero once that has ended.
+	trial trial
 	// inherited is set until this leader has received a heartbeat from it.
 	inherited bool
 	draining  bool
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -66,6 +66,12 @@
 	TimeMs int64
 	// Reported is set if the worker reported the end: a task is then done even if its attempt was given up before.
 	Reported bool
+	// Crashed is set if the worker crashed before it reported the attempt as running; Kind is then EndWorkerLost.
+	Crashed bool
+	// GivenUp is set if too many workers have crashed under the task: its job fails.
+	GivenUp bool
+	// Begun is set if the worker had listed the attempt as running, where the leader gave it up.
+	Begun bool
 }
 
 // Wave is an operator's maintenance wave: a list of VMs that are maintained within a time limit.
--- /dev/null
+++ b/internal/plan/crash/doc.go
@@ -0,0 +1,3 @@
+// Package crash attributes the crash of a worker to the tasks that it had just been ordered to start: pure functions over
+// plain structs.
+package crash
--- /dev/null
+++ b/internal/plan/crash/script_test.go
@@ -0,0 +1,37 @@
+package crash_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipstack/internal/base/tests"
+	"cowslipstack/internal/plan/crash"
+)
+
+// TestScripts judges the crashes under testdata; each line is a start: how many workers have crashed under it before, and
+// "lasts" for a task that lasts, or "gang" for a gang.
+func TestScripts(t *testing.T) {
+	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
+		var in crash.Input
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			count, kind, _ := strings.Cut(line, " ")
+			crashes, err := strconv.Atoi(count)
+			if err != nil {
+				t.Fatalf("%s: %v", d.Pos, err)
+			}
+			in.Starts = append(in.Starts, crash.Start{Crashes: crashes, LongRunning: kind == "lasts", Gang: kind == "gang"})
+		}
+		if d.HasArg("unexplained") {
+			d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
+		}
+		var out strings.Builder
+		for _, givenUp := range crash.GiveUp(in) {
+			fmt.Fprintln(&out, map[bool]string{true: "given up", false: "suspect"}[givenUp])
+		}
+		return out.String()
+	})
+}
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -21,7 +21,7 @@
 	for _, e := range c.Ends {
 		w.Ends = append(w.Ends, &peer.BatchEnd{
 			Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
-			Reported: e.Reported,
+			Reported: e.Reported, Crashed: e.Crashed, GivenUp: e.GivenUp, Begun: e.Begun,
 		})
 	}
 	for _, s := range c.Starts {
@@ -52,6 +52,7 @@
 		c.Ends = append(c.Ends, batch.AttemptEnd{
 			Task: taskIDFromWire(e.GetTask()), Attempt: int(e.GetAttempt()), Kind: batch.EndKind(e.GetKind()),
 			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(), Reported: e.GetReported(),
+			Crashed: e.GetCrashed(), GivenUp: e.GetGivenUp(), Begun: e.GetBegun(),
 		})
 	}
 	for _, s := range w.GetStarts() {
@@ -192,10 +193,14 @@
 		for _, f := range j.GangFailures {
 			job.GangFailures = append(job.GangFailures, intToWire(f))
 		}
+		for _, n := range j.GangCrashes {
+			job.GangCrashes = append(job.GangCrashes, intToWire(n))
+		}
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
 				Attempt: intToWire(t.LastAttempt), Failures: intToWire(t.Failures), Done: t.Done, Checkpoint: t.Checkpoint,
+				Crashes: intToWire(t.Crashes),
 			}
 			for _, r := range t.Attempts {
 				task.Runs = append(task.Runs, &peer.BatchRun{
@@ -228,9 +233,13 @@
 		for _, f := range job.GetGangFailures() {
 			j.GangFailures = append(j.GangFailures, int(f))
 		}
+		for _, n := range job.GetGangCrashes() {
+			j.GangCrashes = append(j.GangCrashes, int(n))
+		}
 		for _, t := range job.GetTasks() {
 			task := jobs.Task{
 				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Checkpoint: t.GetCheckpoint(),
+				Crashes: int(t.GetCrashes()),
 			}
 			for _, r := range t.GetRuns() {
 				task.Attempts = append(task.Attempts, jobs.Attempt{
