A heartbeat that overtakes a crash doesn't clear the task

A worker may send a heartbeat just after it has begun what it was ordered, for instance as another task ends, and crash after it. That heartbeat lists the guilty task as running: it counted as proven, was cleared of former crashes, and what was ordered next was blamed. A task now has outlived its start once it is listed 50 ms after its order; one that was listed sooner is neither blamed nor cleared when its worker crashes, and its trial goes on.

The script crash-after-heartbeat-that-lists-the-task fails without this. The other scripts on crashes let time pass before a heartbeat that lists a task; what they expect is the same.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -16,6 +16,8 @@
 const (
 	// maxLoggedTasks bounds the tasks that are named in one log line.
 	maxLoggedTasks = 32
+	// startMs is how long after the order a task may still crash its worker by being started; a heartbeat may list it before.
+	startMs = 50
 	// unexplainedKeptMs is how long a crash for which no task was given up counts against the machine.
 	unexplainedKeptMs = 10_000
 )
@@ -134,10 +136,19 @@
 	return a != nil && a.number == number && (a.percent > 0 || !j.Spec.Steps[id.Step].Gang)
 }
 
-// noteOrdered notes that the reply to a heartbeat is sent with its orders.
-func (w *worker) noteOrdered(h *batch.Heartbeat) {
-	if w.incarnation == h.Incarnation {
-		w.orderedIn = max(w.orderedIn, h.Sequence)
+// hasOutlivedStart reports whether a worker's last heartbeat shows that an attempt has begun long enough after its order.
+func (w *worker) hasOutlivedStart(j *jobs.Job, id batch.TaskID, number int) bool {
+	return w.hasBegun(j, id, number) && w.heardMs-w.running[id].orderedMs >= startMs
+}
+
+// noteOrdered notes that the reply to a heartbeat is sent with its orders now.
+func (w *worker) noteOrdered(h *batch.Heartbeat, o *batch.Orders, now int64) {
+	if w.incarnation != h.Incarnation {
+		return
+	}
+	w.orderedIn = max(w.orderedIn, h.Sequence)
+	if len(o.Start) > 0 {
+		w.startedMs = now
 	}
 }
 
@@ -170,8 +181,9 @@
 			if r.Worker == w.id && r.Incarnation <= incarnation {
 				givenUp, crashed := blamed[start{task: id, attempt: r.Number}]
 				s.endAttempt(batch.AttemptEnd{
-					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost,
-					Crashed: crashed, GivenUp: givenUp, Begun: w.hasBegun(j, id, r.Number),
+					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, GivenUp: givenUp,
+					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
+					Begun: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
 				})
 				lost++
 			}
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -51,7 +51,7 @@
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
-				w.noteOrdered(h)
+				w.noteOrdered(h, &orders, s.now())
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
 		})
@@ -198,7 +198,7 @@
 func (s *Scheduler) trackAttempt(w *worker, r *batch.Running, now int64) *attempt {
 	a := w.running[r.Task]
 	if a == nil || a.number != r.Attempt {
-		a = &attempt{number: r.Attempt, sinceMs: now, progressMs: now, share: fullSharePercent}
+		a = &attempt{number: r.Attempt, orderedMs: w.startedMs, sinceMs: now, progressMs: now, share: fullSharePercent}
 	}
 	if a.percent != r.Percent {
 		a.percent, a.progressMs = r.Percent, now
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	j, t := s.findTask(w.trial.task)
-	goes := t != nil && (s.starting[w.trial.task] || t.FindAttempt(w.trial.attempt) != nil) && !w.hasBegun(j, w.trial.task, w.trial.attempt)
+	goes := t != nil && (s.starting[w.trial.task] || t.FindAttempt(w.trial.attempt) != nil) && !w.hasOutlivedStart(j, w.trial.task, w.trial.attempt)
 	if !goes {
 		w.trial = trial{}
 	}
@@ -102,7 +102,7 @@
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
 		for i := range t.Attempts {
-			if r := &t.Attempts[i]; r.Worker == w.id && !w.hasBegun(j, id, r.Number) {
+			if r := &t.Attempts[i]; r.Worker == w.id && !w.hasOutlivedStart(j, id, r.Number) {
 				return true
 			}
 		}
@@ -139,7 +139,7 @@
 // begun reports whether a worker lists an attempt of a task.
 func (s *Scheduler) begun(job *activeJob, id batch.TaskID) bool {
 	for _, r := range job.state.Task(id).Attempts {
-		if w := s.workers[r.Worker]; w != nil && w.incarnation == r.Incarnation && w.hasBegun(job.state, id, r.Number) {
+		if w := s.workers[r.Worker]; w != nil && w.incarnation == r.Incarnation && w.hasOutlivedStart(job.state, id, r.Number) {
 			return true
 		}
 	}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -17,8 +17,10 @@
 	// clock.
 	heardMs    int64
 	leaseEndMs int64
-	// orderedIn is the highest heartbeat of this incarnation that this leader has answered with its orders.
+	// orderedIn is the highest heartbeat of this incarnation that this leader has answered with its orders, and startedMs the
+	// uptime at which it last sent one with a start.
 	orderedIn uint64
+	startedMs int64
 	// trial is the suspect that it was last ordered to start; zero once that has ended.
 	trial trial
 	// inherited is set until this leader has received a heartbeat from it.
@@ -55,6 +57,8 @@
 	percent int
 	// load is the tail latency in milliseconds of a long-running task, and the CPU use in millicores of any other.
 	load float64
+	// orderedMs is the uptime by which its start was ordered; 0 if a former leader may have ordered it.
+	orderedMs int64
 	// sinceMs and progressMs are the uptimes at which it was first listed and at which its progress last changed.
 	sinceMs    int64
 	progressMs int64
