Suspects don't wait behind what has just ended

Suspects waited up to 2.3 s to start again, and one per worker and 100 ms at best, though each was only to be shown not to crash its worker.

Cause: a worker takes a suspect only if all else there has outlived its start. What had ended in the same heartbeat counted as not yet reported, since its end isn't committed then; a busy worker reports an end with nearly each heartbeat, so it hardly ever took one, and the normal work went past. Now what the last heartbeat lists decides. A worker that starts a suspect sends its next heartbeat after 60 ms, and any worker may take a suspect after 0.2 s instead of 0.3 s.

The script crash-suspect-waits-behind-steady-starts fails without this (c.0.0.0 starts in place of the suspect); in crash-of-unsound-machine the suspect starts one heartbeat earlier, what the script guards against is unchanged.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -27,10 +27,11 @@
 	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
-	orders := batch.Orders{Stop: stops, Pace: s.pace(w), NextHeartbeatMs: s.nextHeartbeatMs(w, now)}
+	orders := batch.Orders{Stop: stops, Pace: s.pace(w)}
 	if w.usable(now) {
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
+	orders.NextHeartbeatMs = s.nextHeartbeatMs(w, now)
 	lease := withClockDrift(s.workerLeaseMs())
 	if len(orders.Start) > 0 {
 		w.leaseEndMs = max(w.leaseEndMs, now+lease)
@@ -279,6 +280,8 @@
 	switch {
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
+	case w.trial != (trial{}):
+		return max(minIntervalMs, trialHeartbeatMs)
 	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order) > 0:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -28,6 +28,9 @@
 	// of others that run tasks.
 	demandHeartbeatMs = 100
 	busyHeartbeatMs   = 150
+	// trialHeartbeatMs is the heartbeat interval of workers that start a suspect: long enough to show that it has outlived its
+	// start.
+	trialHeartbeatMs = 60
 	// idleHeartbeatMs is the heartbeat interval of workers that run nothing, in pools without ready tasks.
 	idleHeartbeatMs = 250
 	// unusableHeartbeatMs is the heartbeat interval of workers that take no new tasks.
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -8,7 +8,7 @@
 
 const (
 	// suspectWaitMs is how long a suspect waits for a worker that runs nothing before any worker may start it.
-	suspectWaitMs = 300
+	suspectWaitMs = 200
 	// maxSuspectsTried bounds the suspects that one heartbeat looks at.
 	maxSuspectsTried = 16
 )
@@ -56,22 +56,41 @@
 	if w.trial == (trial{}) {
 		return false
 	}
-	j, t := s.findTask(w.trial.task)
-	goes := t != nil && (s.starting[w.trial.task] || t.FindAttempt(w.trial.attempt) != nil) && !w.hasOutlivedStart(j, w.trial.task, w.trial.attempt)
-	if !goes {
-		w.trial = trial{}
+	id := w.trial.task
+	if s.starting[id] && s.startingWorker[id] == w.id {
+		return true
+	}
+	if j, t := s.findTask(id); t != nil && w.hasBegun(j, id, w.trial.attempt) && !w.hasOutlivedStart(j, id, w.trial.attempt) {
+		return true
 	}
-	return goes
+	// The last heartbeat shows that it runs, has ended or was never begun.
+	w.trial = trial{}
+	return false
 }
 
-// assignSuspect starts one suspect on a worker that has reported all that it was ordered to start, so that a crash can only
-// be the suspect's.
+// assignSuspect starts one suspect on a worker on which all else has outlived its start, so that a crash can only be the
+// suspect's.
 func (s *Scheduler) assignSuspect(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
 	if len(q.suspects.order) == 0 || s.startsAny(w) {
 		return nil
 	}
+	id, ticket, ok := s.findSuspect(w, q, now)
+	if !ok {
+		return nil
+	}
+	q.suspects.removeLast()
+	job := s.jobs[id.Job]
+	job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
+	job.onTrial = append(job.onTrial, id)
+	start := s.startAttempt(w, job.state, id, ticket, sequence)
+	w.trial = trial{task: id, attempt: start.Attempt}
+	return []batch.StartOrder{start}
+}
+
+// findSuspect moves a suspect that may start on a worker now to the end of its queue and returns it, with its ticket.
+func (s *Scheduler) findSuspect(w *worker, q *poolQueue, now int64) (id batch.TaskID, ticket string, ok bool) {
 	for range min(len(q.suspects.order), maxSuspectsTried) {
-		id := q.suspects.next()
+		id = q.suspects.next()
 		job := s.jobs[id.Job]
 		if job == nil || job.pool != w.pool || !slices.Contains(job.suspects, id) {
 			q.suspects.removeLast()
@@ -80,31 +99,21 @@
 		if len(w.running) > 0 && now-q.suspects.sinceMs[id] < suspectWaitMs || s.stepHeld(job, stepOf(id)) {
 			continue
 		}
-		ticket, ok := s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now)
-		if !ok {
-			continue
+		if ticket, ok = s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now); ok {
+			return id, ticket, true
 		}
-		q.suspects.removeLast()
-		job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
-		job.onTrial = append(job.onTrial, id)
-		start := s.startAttempt(w, job.state, id, ticket, sequence)
-		w.trial = trial{task: id, attempt: start.Attempt}
-		return []batch.StartOrder{start}
 	}
-	return nil
+	return batch.TaskID{}, "", false
 }
 
-// startsAny reports whether a worker was ordered to start anything that it hasn't reported.
+// startsAny reports whether a worker was ordered to start anything that hasn't outlived its start, as of its last heartbeat.
 func (s *Scheduler) startsAny(w *worker) bool {
 	if w.starting > 0 {
 		return true
 	}
-	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		j, t := s.findTask(id)
-		for i := range t.Attempts {
-			if r := &t.Attempts[i]; r.Worker == w.id && !w.hasOutlivedStart(j, id, r.Number) {
-				return true
-			}
+	for id, a := range w.running {
+		if j, t := s.findTask(id); t != nil && !w.hasOutlivedStart(j, id, a.number) {
+			return true
 		}
 	}
 	return false
