While workers crash, order nothing to a worker whose VM isn't known

A worker that crashed on its first order was noticed after 3 s, when it was back: the VM list ties a crash to a worker only by the VM that it had listed the worker on before. All its tasks waited meanwhile, up to 19.

For 30 s after a crash in its pool a worker that joins gets its first order once the VM list shows its VM, at most 0.3 s later; the list is asked for at once.

The script crash-before-vm-is-listed fails without this: the worker gets an order with its first heartbeat.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -23,7 +23,7 @@
 		return s.assignProbation(w, sequence, now)
 	}
 	q := s.queueOf(w.pool)
-	if s.onTrial(w) {
+	if s.onTrial(w) || s.awaitsVM(w, now) {
 		return nil
 	}
 	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -18,6 +18,10 @@
 	maxLoggedTasks = 32
 	// startMs is how long after the order a task may still crash its worker by being started; a heartbeat may list it before.
 	startMs = 50
+	// crashedKeptMs is how long after a crash workers that join the pool wait for the VM list, and maxVMWaitMs is how long each
+	// of them waits at most.
+	crashedKeptMs = 30_000
+	maxVMWaitMs   = 300
 	// unexplainedKeptMs is how long a crash for which no task was given up counts against the machine.
 	unexplainedKeptMs = 10_000
 )
@@ -37,6 +41,7 @@
 		zap.String("excuse", excuse))
 	var blamed map[start]bool
 	if excuse == "" {
+		s.crashedMs[w.pool] = s.now()
 		blamed = s.blameStarts(w, unseen)
 	}
 	s.endAttemptsOn(w, w.incarnation, cause, blamed)
@@ -84,6 +89,17 @@
 	return s.unexplainedMs[address]
 }
 
+// awaitsVM reports whether a worker that has just joined gets no orders yet because the VM list doesn't show on which VM it
+// runs: if it crashed, nothing would tell so until it is back. It matters while workers of its pool crash.
+func (s *Scheduler) awaitsVM(w *worker, now int64) bool {
+	crashedMs, crashed := s.crashedMs[w.pool]
+	if !crashed || now-crashedMs > crashedKeptMs || now-w.joinedMs > maxVMWaitMs || !s.fleet.listComplete || s.fleet.byWorker[w.id] != "" {
+		return false
+	}
+	s.fleet.listWanted = true
+	return true
+}
+
 // crashExcuse returns why the end of a worker shows nothing about the tasks that it ran, empty if it may.
 func (s *Scheduler) crashExcuse(w *worker) string {
 	name := s.fleet.byWorker[w.id]
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -104,6 +104,7 @@
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
+		joinedMs: s.now(),
 	}
 }
 
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -98,6 +98,8 @@
 	estimates      estimates
 	// unexplainedMs holds, by address, the uptimes of recent crashes for which no task was given up.
 	unexplainedMs map[string][]int64
+	// crashedMs holds, by pool, the uptime at which a worker was last found to have crashed.
+	crashedMs map[string]int64
 	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
 	waitingCountedMs int64
 }
@@ -118,6 +120,7 @@
 	s.stopping, s.abandonedUntilMs = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
+	s.crashedMs = map[string]int64{}
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -21,6 +21,8 @@
 	// uptime at which it last sent one with a start.
 	orderedIn uint64
 	startedMs int64
+	// joinedMs is the uptime at which this leader first heard this incarnation.
+	joinedMs int64
 	// trial is the suspect that it was last ordered to start; zero once that has ended.
 	trial trial
 	// inherited is set until this leader has received a heartbeat from it.
