--- /dev/null
+++ b/internal/ctrl/sched/crash.go
@@ -0,0 +1,212 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/crash"
+)
+
+const (
+	// maxLoggedTasks bounds the tasks that are named in one log line.
+	maxLoggedTasks = 32
+	// startMs is how long after the order a task may still crash its worker by being started; a heartbeat may list it before.
+	startMs = 50
+	// crashedKeptMs is how long after a crash workers that join the pool wait for the VM list, and maxVMWaitMs is how long each
+	// of them waits at most.
+	crashedKeptMs = 30_000
+	maxVMWaitMs   = 300
+	// unexplainedKeptMs is how long a crash for which no task was given up counts against the machine.
+	unexplainedKeptMs = 10_000
+)
+
+// handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
+// reported since count as the crash's possible causes.
+func (s *Scheduler) handleCrash(w *worker, cause string) {
+	lost := len(s.options.Log.Batch().TasksOn(w.id))
+	if lost == 0 {
+		return
+	}
+	unseen, excuse := s.unseenOn(w), s.crashExcuse(w)
+	crashesTotal.Inc()
+	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
+		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.orderedIn),
+		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
+		zap.String("excuse", excuse))
+	var blamed map[start]bool
+	if excuse == "" {
+		s.crashedMs[w.pool] = s.now()
+		blamed = s.blameStarts(w, unseen)
+	}
+	s.endAttemptsOn(w, w.incarnation, cause, blamed)
+}
+
+// blameStarts returns the attempts that a worker was about to start when it crashed, and for each whether its task is given
+// up, because too many workers have crashed under it.
+func (s *Scheduler) blameStarts(w *worker, unseen []start) map[start]bool {
+	blamed := make(map[start]bool, len(unseen))
+	starts := make([]crash.Start, len(unseen))
+	for i, u := range unseen {
+		j, _ := s.findTask(u.task)
+		step := &j.Spec.Steps[u.task.Step]
+		starts[i] = crash.Start{Crashes: j.Crashes(u.task), LongRunning: step.LongRunning, Gang: step.Gang}
+	}
+	unexplained, explained := s.recentCrashes(w.address), false
+	for i, givenUp := range crash.GiveUp(crash.Input{Starts: starts, UnexplainedCrashes: len(unexplained)}) {
+		u := unseen[i]
+		explained = explained || givenUp
+		if givenUp {
+			givenUpTotal.Inc()
+		}
+		s.options.Logger.Info("task_suspected", zap.String("job", u.task.Job), zap.Int("occurrence", u.task.Occurrence),
+			zap.Int("step", u.task.Step), zap.Int("index", u.task.Index), zap.Int("attempt", u.attempt), zap.String("worker", w.id),
+			zap.Int("crashes", starts[i].Crashes+1), zap.Int("beside", len(unseen)-1), zap.Int("unexplained", len(unexplained)),
+			zap.Bool("given_up", givenUp))
+		blamed[u] = givenUp
+	}
+	if !explained {
+		s.unexplainedMs[w.address] = append(unexplained, s.now())
+	}
+	return blamed
+}
+
+// recentCrashes returns the uptimes of the crashes at an address that still count, and forgets all others.
+func (s *Scheduler) recentCrashes(address string) []int64 {
+	now := s.now()
+	for other, all := range s.unexplainedMs {
+		if all = slices.DeleteFunc(all, func(ms int64) bool { return now-ms > unexplainedKeptMs }); len(all) > 0 {
+			s.unexplainedMs[other] = all
+		} else {
+			delete(s.unexplainedMs, other)
+		}
+	}
+	return s.unexplainedMs[address]
+}
+
+// awaitsVM reports whether a worker that has just joined gets no orders yet because the VM list doesn't show on which VM it
+// runs: if it crashed, nothing would tell so until it is back. It matters while workers of its pool crash.
+func (s *Scheduler) awaitsVM(w *worker, now int64) bool {
+	crashedMs, crashed := s.crashedMs[w.pool]
+	if !crashed || now-crashedMs > crashedKeptMs || now-w.joinedMs > maxVMWaitMs || !s.fleet.listComplete || s.fleet.byWorker[w.id] != "" {
+		return false
+	}
+	s.fleet.listWanted = true
+	return true
+}
+
+// crashExcuse returns why the end of a worker shows nothing about the tasks that it ran, empty if it may.
+func (s *Scheduler) crashExcuse(w *worker) string {
+	name := s.fleet.byWorker[w.id]
+	v := s.fleet.vms[name]
+	switch {
+	case w.draining:
+		return "draining"
+	case w.inherited:
+		return "not heard by this leader"
+	case v != nil && (v.orderPending || v.unverifiedMs > 0 || v.awayUntilMs > w.heardMs):
+		return "ordered away"
+	case s.fleet.maybeDownUntilMs[name] > s.now():
+		return "ordered away by a former leader"
+	}
+	return ""
+}
+
+// start is an attempt that a worker was ordered to start.
+type start struct {
+	task    batch.TaskID
+	attempt int
+}
+
+// unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since, one of each gang.
+// Members of a gang wait at no progress until all are present.
+func (s *Scheduler) unseenOn(w *worker) []start {
+	var unseen []start
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		j, t := s.findTask(id)
+		if j.Phase.IsTerminal() {
+			continue
+		}
+		for i := range t.Attempts {
+			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.orderedIn && !w.hasBegun(j, id, r.Number) {
+				unseen = append(unseen, start{task: id, attempt: r.Number})
+				break
+			}
+		}
+	}
+	slices.SortFunc(unseen, func(a, b start) int { return compareTasks(a.task, b.task) })
+	return slices.CompactFunc(unseen, func(a, b start) bool {
+		j, _ := s.findTask(a.task)
+		return stepOf(a.task) == stepOf(b.task) && j.Spec.Steps[a.task.Step].Gang
+	})
+}
+
+// hasBegun reports whether a worker's last heartbeat shows that an attempt has begun.
+func (w *worker) hasBegun(j *jobs.Job, id batch.TaskID, number int) bool {
+	a := w.running[id]
+	return a != nil && a.number == number && (a.percent > 0 || !j.Spec.Steps[id.Step].Gang)
+}
+
+// hasOutlivedStart reports whether a worker's last heartbeat shows that an attempt has begun long enough after its order.
+func (w *worker) hasOutlivedStart(j *jobs.Job, id batch.TaskID, number int) bool {
+	return w.hasBegun(j, id, number) && w.heardMs-w.running[id].orderedMs >= startMs
+}
+
+// noteOrdered notes that the reply to a heartbeat is sent with its orders now.
+func (w *worker) noteOrdered(h *batch.Heartbeat, o *batch.Orders, now int64) {
+	if w.incarnation != h.Incarnation {
+		return
+	}
+	w.orderedIn = max(w.orderedIn, h.Sequence)
+	if len(o.Start) > 0 {
+		w.startedMs = now
+	}
+}
+
+func compareTasks(a, b batch.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// taskNames returns the tasks of the first starts as job.occurrence.step.index, for the log.
+func taskNames(starts []start) []string {
+	var names []string
+	for _, u := range starts[:min(len(starts), maxLoggedTasks)] {
+		id := u.task
+		names = append(names, fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index))
+	}
+	return names
+}
+
+// loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
+func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
+	s.endAttemptsOn(w, incarnation, cause, nil)
+}
+
+// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost; blamed holds those that may have
+// crashed it, and whether they are given up.
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, blamed map[start]bool) {
+	lost := 0
+	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
+		j, t := s.findTask(id)
+		for _, r := range t.Attempts {
+			if r.Worker == w.id && r.Incarnation <= incarnation {
+				givenUp, crashed := blamed[start{task: id, attempt: r.Number}]
+				s.endAttempt(batch.AttemptEnd{
+					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, GivenUp: givenUp,
+					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
+					Begun: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
+				})
+				lost++
+			}
+		}
+	}
+	if lost > 0 {
+		s.options.Logger.Info("attempts_lost", zap.String("worker", w.id), zap.Int64("incarnation", incarnation),
+			zap.Int("count", lost), zap.String("cause", cause), zap.Int64("silent_ms", s.now()-w.heardMs))
+	}
+}
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -27,10 +27,11 @@
 	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
-	orders := batch.Orders{Stop: stops, Pace: s.pace(w), NextHeartbeatMs: s.nextHeartbeatMs(w, now)}
+	orders := batch.Orders{Stop: stops, Pace: s.pace(w)}
 	if w.usable(now) {
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
+	orders.NextHeartbeatMs = s.nextHeartbeatMs(w, now)
 	lease := withClockDrift(s.workerLeaseMs())
 	if len(orders.Start) > 0 {
 		w.leaseEndMs = max(w.leaseEndMs, now+lease)
@@ -52,6 +53,7 @@
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
+				w.noteOrdered(h, &orders, s.now())
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
 		})
@@ -79,7 +81,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.loseAttempts(other, other.incarnation, "address_taken_over")
+		s.handleCrash(other, "address_taken_over")
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -97,30 +99,13 @@
 // beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.loseAttempts(w, w.incarnation, "worker_restarted")
+		s.handleCrash(w, "worker_restarted")
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
-	}
-}
-
-// loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
-func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
-	lost := 0
-	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		_, t := s.findTask(id)
-		for _, r := range t.Attempts {
-			if r.Worker == w.id && r.Incarnation <= incarnation {
-				s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
-				lost++
-			}
-		}
-	}
-	if lost > 0 {
-		s.options.Logger.Info("attempts_lost", zap.String("worker", w.id), zap.Int64("incarnation", incarnation),
-			zap.Int("count", lost), zap.String("cause", cause), zap.Int64("silent_ms", s.now()-w.heardMs))
+		joinedMs: s.now(),
 	}
 }
 
@@ -221,7 +206,7 @@
 func (s *Scheduler) trackAttempt(w *worker, r *batch.Running, now int64) *attempt {
 	a := w.running[r.Task]
 	if a == nil || a.number != r.Attempt {
-		a = &attempt{number: r.Attempt, sinceMs: now, progressMs: now, share: fullSharePercent}
+		a = &attempt{number: r.Attempt, orderedMs: w.startedMs, sinceMs: now, progressMs: now, share: fullSharePercent}
 	}
 	if a.percent != r.Percent {
 		a.percent, a.progressMs = r.Percent, now
@@ -302,7 +287,9 @@
 	switch {
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
-	case s.queueOf(w.pool).demand > 0:
+	case w.trial != (trial{}):
+		return max(minIntervalMs, trialHeartbeatMs)
+	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order) > 0:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
 		return max(minIntervalMs, busyHeartbeatMs)
