Check the count of waiting jobs after worker crashes, and failed confirmations

waiting-jobs-worker-crashes: jobs that were ordered on a worker which crashes before it lists them go on waiting, through a second crash and through a configuration without their queue.

confirmations-that-fail: a confirmation that ends with an error leaves no call without an answer, and the process answers when it leads again. The fake log got the failing confirmation and the return of the same process for it, and parse_test.go the argument prefix.

--- a/internal/ctrl/sched/parse_test.go
+++ b/internal/ctrl/sched/parse_test.go
@@ -18,7 +18,7 @@
 	c := &batch.Configuration{
 		Version: uint64(version), Text: []byte("text-" + strconv.FormatInt(version, 10)),
 		Queues: []batch.Queue{{
-			Host: "h", Prefix: "/q/", Pool: pool, MaxAttempts: int(intArg(t, d, "attempts", 2)), SlackFactor: 2,
+			Host: "h", Prefix: stringArg(d, "prefix", "/q/"), Pool: pool, MaxAttempts: int(intArg(t, d, "attempts", 2)), SlackFactor: 2,
 			TargetLatencyMs: 3000, TimeoutMs: intArg(t, d, "timeout", 3000), RequiresPermit: stringArg(d, "requires_permit", "") != "",
 		}},
 		Pools: []batch.Pool{{Name: "p", AdmissionCheck: true}, {Name: "spare", Standby: true}},
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -13,6 +13,7 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/ctrl/node"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/model/batch"
@@ -73,6 +74,15 @@
 	}
 }
 
+// failConfirmations fails what was asked so far, as the log does when its replica loses the leadership.
+func (l *fakeLog) failConfirmations() {
+	confirmations := l.confirmations
+	l.confirmations = nil
+	for _, confirm := range confirmations {
+		confirm(node.ErrUnknown)
+	}
+}
+
 // uptime is a monotonic clock that the script advances.
 type uptime struct{ ms int64 }
 
@@ -251,6 +261,8 @@
 		h.log.busy = d.Cmd == "refuse-records"
 	case "answer-confirmations":
 		h.log.answerConfirmations()
+	case "fail-confirmations":
+		h.log.failConfirmations()
 	case "lose-leadership":
 		h.log.leads, h.log.proposals, h.log.confirmations = false, nil, nil
 		h.log.term++
@@ -258,6 +270,11 @@
 	case "lead":
 		h.log.paused = false
 		h.start(stringArg(d, "as", "leader-b"))
+	case "lead-again":
+		h.log.paused, h.log.leads = false, true
+		h.log.term++
+		h.scheduler.HandleLogChange()
+		h.log.commitAll()
 	case "advance":
 		h.advance(intArg(t, d, "ms", 1000))
 	case "orders":
