Give up an order that is committed after its worker restarted under its identity

Cause: a worker that returns under its identity has all attempts of its former incarnation ended as lost. An order that is still on its way through the log then isn't among them. When it is applied it belongs to a former incarnation, which endMissing passed over at each heartbeat, and the lease of the worker never ends.

Evidence: TestScripts/restart-before-orders-commit fails before: the third heartbeat of the new incarnation starts nothing.

Why this works: once a heartbeat of the present incarnation was answered with its orders, the ends that its start proposed are applied. What is left of a former incarnation came later, was sent to nobody, and ends as not begun.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -231,17 +231,17 @@
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
-			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence || lists(w, h, id, r.Number) {
+			if r.Worker != w.id || !isMissing(w, h, id, &r) {
 				continue
 			}
-			found = true
-			if mayBeUnread {
+			if mayBeUnread && r.Incarnation == h.Incarnation {
+				found = true
 				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 				continue
 			}
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
 				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
-				zap.Uint64("sequence", h.Sequence))
+				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation))
 			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 		}
 	}
@@ -250,6 +250,15 @@
 	}
 }
 
+// isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
+// a former incarnation that still stands once this one was answered was committed after the restart.
+func isMissing(w *worker, h *batch.Heartbeat, id batch.TaskID, r *jobs.Attempt) bool {
+	if r.Incarnation != h.Incarnation {
+		return r.Incarnation < h.Incarnation && w.orderedIn > 0
+	}
+	return r.Sequence < h.Sequence && !lists(w, h, id, r.Number)
+}
+
 // lists reports whether a heartbeat lists an attempt as running or as ended.
 func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
 	if a := w.running[id]; a != nil && a.number == number {
