--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -14,7 +14,7 @@
 	PhaseRunning // running
 	// PhaseCompleted means that all tasks are done.
 	PhaseCompleted // completed
-	// PhaseFailed means that a task or gang has failed as often as the queue allows.
+	// PhaseFailed means that a task or gang has failed as often as the queue allows, or that workers crashed under it.
 	PhaseFailed // failed
 	// PhaseCancelled means that a caller or an operator cancelled the job.
 	PhaseCancelled // cancelled
