A crash that is seen twice counts once against its machine

A crash shows in the VM list and again as the worker is back at its address. If the second came before the ends of the first were committed, the crash was judged and logged twice, and two unexplained crashes in 10 s mark a machine that crashes whatever it runs: a task that crashed its next worker alone there wasn't given up and took a third worker.

By reading; the script crash-seen-twice-counts-once fails without this (the job is queued still, not failed). A worker that has left before, by a crash that was seen or by its own word, is no evidence now, and isn't counted in cowslip_worker_crashes_total.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -34,13 +34,13 @@
 		return
 	}
 	unseen, excuse := s.unseenOn(w), s.crashExcuse(w)
-	crashesTotal.Inc()
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
 		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.orderedIn),
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.String("excuse", excuse))
 	var blamed map[start]bool
 	if excuse == "" {
+		crashesTotal.Inc()
 		s.crashedMs[w.pool] = s.now()
 		blamed = s.blameStarts(w, unseen)
 	}
@@ -105,6 +105,8 @@
 	name := s.fleet.byWorker[w.id]
 	v := s.fleet.vms[name]
 	switch {
+	case w.left:
+		return "left before"
 	case w.draining:
 		return "draining"
 	case w.inherited:
