Judge a step with a suspect once for each heartbeat

Whether a step with a suspect may start more was looked up for each of its ready tasks, over all tasks of the step: with 64 orders and a step of 20,000 tasks that is a million steps for one heartbeat.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -109,14 +109,15 @@
 	}
 	hasSuspects := len(job.suspects)+len(job.onTrial) > 0
 	var orders []batch.StartOrder
-	// refused is the last step of which the worker may run no task.
-	var refused stepKey
+	// refused is the last step of which the worker may run no task, allowed the last one of which it may.
+	var refused, allowed stepKey
 	left := 0
 	for _, id := range job.ready {
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandonedUntilMs[id] <= now {
 			ticket, ok := s.mayRunStep(w, job, id, &job.state.Spec.Steps[id.Step], now)
-			if ok && (!hasSuspects || !s.stepSuspected(job, key)) {
+			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
+				allowed = key
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
 				continue
 			}
