Count crashes under the member of a gang, not under the gang

What callers saw: nothing yet; by reading. A job with a gang was shown as failed though no task of it had two workers crash under it: one rack that goes down while three members wait for the others is enough.

Cause: crashes under the members were summed for the gang, and members wait at no progress until all are present, so that each of their workers counted, in the same attempt, whatever crashed it. Beside deadly tasks three crashes of different workers in up to three attempts did the same.

The fix: each member has its own count, as any task has. A member that crashes its worker is still given up at the third crash, since it is the same member each time; the others reach no limit by crashes elsewhere. All members on the crashed worker count, not the first of them only.

Evidence: crash-of-several-workers-under-one-gang shows the job as failed without this. crash-under-gang held the sum as right: its crashes were those of a.0.0.0, a.0.0.1 and a.0.0.1, on one machine. Its crashes now follow a.0.0.0, which is given up at the third as before, is queued after the second, and starts with nothing else each time.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -229,7 +229,7 @@
 	if j.LiveAttempts > 0 {
 		return
 	}
-	j.Spec.Steps, j.Spec.Text, j.Tasks, j.GangFailures, j.GangCrashes = nil, "", nil, nil, nil
+	j.Spec.Steps, j.Spec.Text, j.Tasks, j.GangFailures = nil, "", nil, nil
 	j.derive()
 }
 
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -54,8 +54,6 @@
 	Tasks []Task
 	// GangFailures counts the failures of each gang, by occurrence and step.
 	GangFailures []int
-	// GangCrashes counts the workers that have crashed under each gang, by occurrence and step; empty before the first.
-	GangCrashes []int
 }
 
 // Job is a job's record with values derived from it.
@@ -76,8 +74,7 @@
 	LastAttempt int
 	// Failures is the number of attempts that failed; those of gangs are counted in JobRecord.GangFailures.
 	Failures int
-	// Crashes is the number of workers that have crashed under it since it was last known to run; those of gangs are
-	// counted in JobRecord.GangCrashes.
+	// Crashes is the number of workers that have crashed under it since it was last known to run.
 	Crashes int
 	// Done is set once an attempt has finished the work.
 	Done bool
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -53,9 +53,9 @@
 	blamed := make(map[start]bool, len(unseen))
 	starts := make([]crash.Start, len(unseen))
 	for i, u := range unseen {
-		j, _ := s.findTask(u.task)
+		j, t := s.findTask(u.task)
 		step := &j.Spec.Steps[u.task.Step]
-		starts[i] = crash.Start{Crashes: j.Crashes(u.task), LongRunning: step.LongRunning, Gang: step.Gang}
+		starts[i] = crash.Start{Crashes: t.Crashes, LongRunning: step.LongRunning, Gang: step.Gang}
 	}
 	unexplained, explained := s.recentCrashes(w.address), false
 	for i, givenUp := range crash.GiveUp(crash.Input{Starts: starts, UnexplainedCrashes: len(unexplained)}) {
@@ -123,7 +123,7 @@
 	attempt int
 }
 
-// unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since, one of each gang.
+// unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since.
 // Members of a gang wait at no progress until all are present.
 func (s *Scheduler) unseenOn(w *worker) []start {
 	var unseen []start
@@ -140,10 +140,7 @@
 		}
 	}
 	slices.SortFunc(unseen, func(a, b start) int { return compareTasks(a.task, b.task) })
-	return slices.CompactFunc(unseen, func(a, b start) bool {
-		j, _ := s.findTask(a.task)
-		return stepOf(a.task) == stepOf(b.task) && j.Spec.Steps[a.task.Step].Gang
-	})
+	return unseen
 }
 
 // hasBegun reports whether a worker's last heartbeat shows that an attempt has begun.
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -155,8 +155,8 @@
 	return false
 }
 
-// suspected reports whether an order starts a task or gang under which a worker has crashed.
+// suspected reports whether an order starts a task under which a worker has crashed.
 func (s *Scheduler) suspected(start batch.StartOrder) bool {
-	j, t := s.findTask(start.Task)
-	return t != nil && j.Crashes(start.Task) > 0
+	_, t := s.findTask(start.Task)
+	return t != nil && t.Crashes > 0
 }
--- a/internal/plan/crash/judge.go
+++ b/internal/plan/crash/judge.go
@@ -5,19 +5,19 @@
 	// nothing else.
 	crashesToGiveUp = 2
 	// crashesToGiveUpDoubtful is the same where the last worker also crashes without the task, where the task wasn't alone,
-	// and for a gang or a task that lasts.
+	// and for a member of a gang or a task that lasts.
 	crashesToGiveUpDoubtful = 3
 	// crashesToDoubt is how many recent crashes that no task explains make a worker one that crashes whatever it runs.
 	crashesToDoubt = 2
 )
 
-// Start is a task or gang that a worker was ordered to start and that it hadn't reported since when it crashed.
+// Start is a task that a worker was ordered to start and that it hadn't reported since when it crashed.
 type Start struct {
 	// Crashes is how many workers have crashed under it before.
 	Crashes int
 	// LongRunning is set for a task that lasts: its job would go on for long.
 	LongRunning bool
-	// Gang is set for a gang, whose members may wait for each other long after the order.
+	// Gang is set for a member of a gang: it may wait for the others long after the order.
 	Gang bool
 }
 
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -193,9 +193,6 @@
 		for _, f := range j.GangFailures {
 			job.GangFailures = append(job.GangFailures, intToWire(f))
 		}
-		for _, n := range j.GangCrashes {
-			job.GangCrashes = append(job.GangCrashes, intToWire(n))
-		}
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
@@ -233,9 +230,6 @@
 		for _, f := range job.GetGangFailures() {
 			j.GangFailures = append(j.GangFailures, int(f))
 		}
-		for _, n := range job.GetGangCrashes() {
-			j.GangCrashes = append(j.GangCrashes, int(n))
-		}
 		for _, t := range job.GetTasks() {
 			task := jobs.Task{
 				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Checkpoint: t.GetCheckpoint(),
