Give up an order that is committed after its worker is gone

What callers saw: a task stands still though its turn has come and there is room: as long as the worker lives that has restarted under its identity, and 4.7 s, until the lease has lapsed, where the worker left or another took its address.

Cause: attempts are ended when their worker restarts, leaves or is replaced, but only those that are applied by then. A start that was proposed and is committed later belonged to an incarnation that had ended; the next incarnation's heartbeats pass over it (endMissing), and the lease by which it would lapse is renewed for the new incarnation. To a worker that had left the order was even sent.

The fix: once starts are applied, those of an incarnation that has ended end as lost, and nothing is sent to a worker that has left. Such an order was never sent, so that nothing can run.

--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -50,6 +50,7 @@
 	err := s.options.Log.ProposeNow(record.Command{Time: s.options.Clock.Now(), Batch: &change}, func(err error) {
 		if s.term == term && s.active {
 			s.proposals.inFlight--
+			s.endUnsentStarts(change.Starts)
 			s.refreshChangedJobs()
 		}
 		if err != nil {
@@ -138,6 +139,21 @@
 	}
 }
 
+// endUnsentStarts ends attempts that were committed after the incarnation of their worker had ended: their orders aren't sent.
+func (s *Scheduler) endUnsentStarts(starts []batch.AttemptStart) {
+	for _, start := range starts {
+		if w := s.workers[start.Worker]; w != nil && !w.left && w.incarnation == start.Incarnation {
+			continue
+		}
+		if _, t := s.findTask(start.Task); t == nil || t.FindAttempt(start.Attempt) == nil {
+			continue
+		}
+		s.options.Logger.Info("attempt_not_sent", zap.String("job", start.Task.Job), zap.Int("step", start.Task.Step),
+			zap.Int("index", start.Task.Index), zap.Int("attempt", start.Attempt), zap.String("worker", start.Worker))
+		s.endAttempt(batch.AttemptEnd{Task: start.Task, Attempt: start.Attempt, Kind: batch.EndWorkerLost})
+	}
+}
+
 // clearStarting removes starts from the tasks that are starting: they are applied or never will be.
 func (s *Scheduler) clearStarting(starts []batch.AttemptStart) {
 	for _, start := range starts {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -47,9 +47,9 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence {
-				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed, or where
-				// a newer heartbeat shows no room for it.
+			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence || w.left {
+				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
+				// or where a newer heartbeat shows no room for it.
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
