A worker that returns in another pool hasn't crashed

What callers saw: nothing yet; by reading. A job is shown as failed after its task was twice about to start on a worker that was replaced by one of another pool (runners end and their addresses go to another service), or that was moved by an order whose answer was lost.

Cause: the VM list takes another worker on the same VM as a crash only if the pool is the same (endIfGone); a heartbeat from the new worker, which often comes first, counted as one whatever its pool.

The fix: both ask for the same pool. A worker that crashes comes back in its pool, so that tasks that crash workers are found as before.

Evidence: in crash-blames-no-task-of-replaced-worker job a is failed without this.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -81,7 +81,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.handleCrash(other, "address_taken_over")
+		s.handleSuccessor(other, h, "address_taken_over")
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -96,10 +96,20 @@
 	return true
 }
 
+// handleSuccessor ends all attempts on a worker in whose place another incarnation has sent a heartbeat. In its pool it has
+// crashed; in another pool it was replaced or moved.
+func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string) {
+	if h.Pool == w.pool {
+		s.handleCrash(w, cause)
+		return
+	}
+	s.loseAttempts(w, w.incarnation, cause)
+}
+
 // beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.handleCrash(w, "worker_restarted")
+		s.handleSuccessor(w, h, "worker_restarted")
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
