Start a suspect that lasts on a worker about to leave

What callers saw: nothing yet; by reading. A task that lasts and that was ordered to a worker just before it crashed waits, while every worker of its pool that could take it is emptied for maintenance or a move, until they are back; another task of its kind starts there at once.

Cause: such workers take the ready tasks that last (assignWhileDraining), and suspects aren't among the ready tasks.

The fix: such a worker takes a suspect that lasts, alone as elsewhere, if no worker that stays can take it. All other suspects still start only on workers that stay.

Evidence: crash-suspect-that-lasts-starts-on-leaving-worker gets no order with the second heartbeat of w1 after the wave without this.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -73,6 +73,12 @@
 		return nil
 	}
 	q := s.queueOf(w.pool)
+	if s.onTrial(w) {
+		return nil
+	}
+	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
+		return orders
+	}
 	var orders []batch.StartOrder
 	for _, job := range s.orderedJobs(q, now) {
 		if job.item.LongRunning && !s.fitsElsewhere(w, job, now) {
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -99,6 +99,9 @@
 		if len(w.running) > 0 && now-q.suspects.sinceMs[id] < suspectWaitMs || s.stepHeld(job, stepOf(id)) {
 			continue
 		}
+		if s.fleet.leaving(w) && !s.onlyHere(w, job, id, now) {
+			continue
+		}
 		if ticket, ok = s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now); ok {
 			return id, ticket, true
 		}
@@ -106,6 +109,11 @@
 	return batch.TaskID{}, "", false
 }
 
+// onlyHere reports whether a suspect lasts and no worker but one that is about to leave can take it.
+func (s *Scheduler) onlyHere(w *worker, job *activeJob, id batch.TaskID, now int64) bool {
+	return job.item.LongRunning && !s.fitsElsewhere(w, &activeJob{state: job.state, ready: []batch.TaskID{id}}, now)
+}
+
 // startsAny reports whether a worker was ordered to start anything that hasn't outlived its start, as of its last heartbeat.
 func (s *Scheduler) startsAny(w *worker) bool {
 	if w.starting > 0 {
