Order planned members of a gang before suspects

What callers saw: nothing yet; by reading. A gang has begun on some of its workers, and waits for the member that is planned on another: if no other worker has room, its members end as alone when the time for gangs is over.

Cause: a worker took a suspect first, and nothing beside it, so that the room that the plan had kept for the member went to the suspect.

The fix: planned members go first, as before suspects were introduced. With one in the order no suspect starts; it waits for the next worker.

Evidence: in crash-suspect-takes-no-planned-room w2 gets the suspect in place of the gang's second member without this.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -26,13 +26,13 @@
 	if s.onTrial(w) || s.awaitsVM(w, now) {
 		return nil
 	}
-	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
-		return orders
-	}
 	orders := s.assignGangs(w, sequence)
 	if slices.ContainsFunc(orders, s.suspected) {
 		return orders
 	}
+	if suspects := s.assignSuspect(w, q, sequence, now); len(suspects) > 0 {
+		return suspects
+	}
 	for _, job := range s.orderedJobs(q, now) {
 		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 || !w.free.Covers(q.leastNeed) {
 			break
