Ask the new leader as soon as it is known, not once the former one's time is up

Cause: the leader falls silent. A question that an entry has sent to it waits its 700 ms although another process leads after 200 to 400, and is then asked again: its answer, 0.85 s after it came, follows a configuration of that moment. A question that came 250 ms later went to the new leader at once and was answered by the configuration before. In the order in which they were sent, the entry goes back.

Change: an attempt ends as soon as another leader than the one asked can be reached, and the call is made there. Calls are safe to repeat as they were; heartbeats aren't repeated, as before. Callers wait less for a leader that has fallen silent.

Evidence: proxy TestScripts/former-leader-holds-calls fails with the wait left out ("answered by a former leader"); member TestScripts/waits-for-former-leader holds when a wait ends.

--- a/internal/app/site/local.go
+++ b/internal/app/site/local.go
@@ -74,6 +74,11 @@
 	return proxy.Leader{Here: route.Leader != "" && route.Leader == t.membership.Self().Name, Address: route.Address, Control: route.ControlAddress, Term: route.Term}
 }
 
+// OnSuperseded calls f once another leader can be reached than that of a term; stop ends the wait.
+func (t *leaderTracker) OnSuperseded(term uint64, f func()) (stop func() bool) {
+	return t.membership.OnSuperseded(term, f)
+}
+
 // ReportLost reports that the leader of a term could not be reached. If the loop is full, the next hello detects it.
 func (t *leaderTracker) ReportLost(term uint64) {
 	if err := t.loop.TryPost(func() { t.membership.LoseLeader(term) }); err != nil {
--- a/internal/ctrl/member/membership.go
+++ b/internal/ctrl/member/membership.go
@@ -71,8 +71,10 @@
 	processes map[string]*knownProcess
 	bootstrap bootstrap
 	route     atomic.Pointer[Route]
-	leader    string
-	term      uint64
+	// followed is the last known leader.
+	followed atomic.Pointer[followed]
+	leader   string
+	term     uint64
 	// confirmedMs is the uptime at which the leader itself last said that it leads.
 	confirmedMs int64
 	// ignoredTerm is the last far term that was ignored.
@@ -83,6 +85,7 @@
 func New(self Process, logger *zap.Logger) *Membership {
 	m := &Membership{self: self, logger: logger, processes: map[string]*knownProcess{}}
 	m.route.Store(&Route{})
+	m.followed.Store(newFollowed("", 0))
 	return m
 }
 
@@ -150,6 +153,7 @@
 	if old := m.route.Load(); *old != *route {
 		m.logger.Info("route_changed", zap.String("leader", route.Leader), zap.String("address", route.Address),
 			zap.Uint64("term", route.Term), zap.String("former", old.Leader))
+		m.follow(route)
 		m.route.Store(route)
 	}
 }
--- a/internal/ctrl/member/script_test.go
+++ b/internal/ctrl/member/script_test.go
@@ -28,6 +28,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		all := map[string]*member.Membership{}
 		now := int64(10_000)
+		waits := map[string]func() bool{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var names []string
 			for _, a := range d.CmdArgs {
@@ -92,6 +93,15 @@
 			case "route":
 				r := all[names[0]].Route()
 				return fmt.Sprintf("%q at %q in term %d\n", r.Leader, r.Address, r.Term)
+			case "wait":
+				// wait PROCESS: something waits for an answer of the leader that the process knows.
+				waits[names[0]] = all[names[0]].OnSuperseded(all[names[0]].Route().Term, func() {})
+				return "ok\n"
+			case "end-wait":
+				if waits[names[0]]() {
+					return "still waited\n"
+				}
+				return "had ended for another leader\n"
 			case "next-change":
 				return showChange(all[names[0]], d.Input, now)
 			default:
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -46,6 +46,8 @@
 	Leader() Leader
 	// ReportLost reports that the leader of a term could not be reached or no longer leads.
 	ReportLost(term uint64)
+	// OnSuperseded calls f once another leader can be reached than that of a term; stop ends the wait.
+	OnSuperseded(term uint64, f func()) (stop func() bool)
 }
 
 // Options configures a Proxy; all fields are required.
@@ -140,6 +142,10 @@
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	l := p.options.Tracker.Leader()
+	if c.Heartbeat == nil {
+		// An answer of a former leader can't be relied on, and the caller waits for the present one.
+		defer p.options.Tracker.OnSuperseded(l.Term, cancel)()
+	}
 	var err error
 	switch {
 	case l.Here:
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -22,9 +22,11 @@
 	attempts []string
 	lost     []uint64
 	leader   proxy.Leader
+	// supersede ends the wait of the present attempt.
+	supersede func()
 }
 
-func (f *fakeControl) attempt(where string) (batch.Reply, error) {
+func (f *fakeControl) attempt(ctx context.Context, where string) (batch.Reply, error) {
 	f.attempts = append(f.attempts, where)
 	outcome := f.outcomes[0]
 	if len(f.outcomes) > 1 {
@@ -39,6 +41,13 @@
 		return batch.Reply{Code: batch.CodeOverloaded, Detail: "the leader is behind"}, nil
 	case "not_sent":
 		return batch.Reply{}, errors.Mark(errors.New("no connection"), proxy.ErrNotSent)
+	case "superseded":
+		f.leader.Term++
+		f.supersede()
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return batch.Reply{}, errors.New("given up for another leader")
+		}
+		return batch.Reply{Code: batch.CodeOK, Detail: "answered by a former leader"}, nil
 	default:
 		return batch.Reply{}, errors.New("no answer")
 	}
@@ -46,6 +55,10 @@
 
 func (f *fakeControl) Leader() proxy.Leader   { return f.leader }
 func (f *fakeControl) ReportLost(term uint64) { f.lost = append(f.lost, term) }
+func (f *fakeControl) OnSuperseded(_ uint64, stop func()) func() bool {
+	f.supersede = stop
+	return func() bool { f.supersede = func() {}; return true }
+}
 
 // local and remote make the same fakeControl reachable in process and by address.
 type (
@@ -53,23 +66,26 @@
 	remote struct{ *fakeControl }
 )
 
-func (l local) Do(context.Context, *batch.Call) (batch.Reply, error) { return l.attempt("local") }
+func (l local) Do(ctx context.Context, _ *batch.Call) (batch.Reply, error) {
+	return l.attempt(ctx, "local")
+}
 
-func (r remote) Do(_ context.Context, address string, _ *batch.Call) (batch.Reply, error) {
-	return r.attempt(address)
+func (r remote) Do(ctx context.Context, address string, _ *batch.Call) (batch.Reply, error) {
+	return r.attempt(ctx, address)
 }
 
 // calls maps the names in scripts to calls.
 var calls = map[string]*batch.Call{
 	"submit":    {Submit: &batch.Submission{Path: "/q/1"}},
 	"heartbeat": {Heartbeat: &batch.Heartbeat{Worker: "w"}},
+	"pending":   {Pending: &batch.RequestTarget{Path: "/q/"}},
 }
 
 // TestScripts makes the calls in testdata, such as "call submit outcomes=(not_sent,ok)", and prints the reply and the
 // address of each attempt.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		f := &fakeControl{}
+		f := &fakeControl{supersede: func() {}}
 		p := proxy.New(proxy.Options{Local: local{f}, Remote: remote{f}, Tracker: f, Clock: clock.System{}, Logger: zap.NewNop()})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
