Give up a task that crashes its workers late, too

Found by reading, shown by a script; no caller has reported it. A task that crashes its worker half a second or three seconds after its start was started for ever, and took what ran beside it along each time.

Cause: only attempts that their worker hadn't yet listed, or had listed for less than 50 ms, counted as a crash's possible cause; one that was listed longer even cleared its task. That ties the fix to one moment of crashing.

A second counter holds the crashes of workers that started or ran a task, whatever ran beside it and whenever in its first 10 s. Only an attempt that ended by itself or ran for 10 s clears it: that one has begun shows nothing about what it does later. After three, the task runs alone: on a worker on which all else has run for 10 s, and where nothing else starts meanwhile. At most two workers of a pool are kept free for that. A crash then can only be the task's or the machine's, and the task is given up; a machine that has crashed lately without explanation, or that fell silent with others of its rack, and a task that lasts need one crash more: so at most two starts follow the third crash that counts. A task that only ran beside three crashes clears itself by running alone to its end.

Who runs alone follows from the replicated counters, so a new leader keeps its worker free too; it takes what runs beside for young until it has seen it run for 10 s, so it convicts later, never sooner. A crash of a worker that a leader has never heard still counts against nobody: each change of leader may excuse one crash under a task. Older processes ignore the counter and older data has none.

Gangs are left as they were: a gang needs several workers free at once.

Of the crash-late-* scripts all but two fail before; that of what excuses a crash and that of a rack guard the new code: they fail with the excuse or the rack's check taken out. The crash-* scripts that existed pass unchanged.

--- a/internal/ctrl/jobs/crash.go
+++ b/internal/ctrl/jobs/crash.go
@@ -33,6 +33,9 @@
 // countCrash counts the crash of a worker under a task, and fails the job if the task is given up. An attempt that has run
 // clears its task.
 func (m *StateMachine) countCrash(j *Job, t *Task, end *batch.AttemptEnd, nowMs int64) {
+	if !j.Spec.Steps[end.Task.Step].Gang {
+		t.countCrashBeside(end)
+	}
 	switch crashes := j.Crashes(end.Task); {
 	case end.Crashed:
 		j.setCrashes(end.Task, crashes+1)
@@ -43,3 +46,14 @@
 		m.endJob(j, batch.PhaseFailed, nowMs)
 	}
 }
+
+// countCrashBeside counts the crash of a worker while it started or ran a task. Only an attempt that ended by itself or has
+// run for long clears its task: one that has begun may crash its worker later.
+func (t *Task) countCrashBeside(end *batch.AttemptEnd) {
+	switch {
+	case end.Crashed || end.CrashedLater:
+		t.CrashesBeside++
+	case end.RanLong || end.Kind == batch.EndDone || end.Kind == batch.EndFailed:
+		t.CrashesBeside = 0
+	}
+}
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -79,6 +79,9 @@
 	// Crashes is the number of workers that have crashed under it since it was last known to run; those of gangs are
 	// counted in JobRecord.GangCrashes.
 	Crashes int
+	// CrashesBeside is the number of workers that have crashed while they started or ran it, whatever ran beside it, since it
+	// last ended by itself or ran for long; 0 for members of gangs.
+	CrashesBeside int
 	// Done is set once an attempt has finished the work.
 	Done bool
 	// Checkpoint is passed to the next attempt to resume from; empty for none.
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -26,6 +26,9 @@
 	if s.onTrial(w) || s.awaitsVM(w, now) {
 		return nil
 	}
+	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
+		return orders
+	}
 	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
 		return orders
 	}
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -29,6 +29,7 @@
 // handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
 // reported since count as the crash's possible causes.
 func (s *Scheduler) handleCrash(w *worker, cause string) {
+	w.crashed = true
 	lost := len(s.options.Log.Batch().TasksOn(w.id))
 	if lost == 0 {
 		return
@@ -196,8 +197,10 @@
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
 				givenUp, crashed := blamed[start{task: id, attempt: r.Number}]
+				later := !crashed && blamed != nil && w.mayCrashOn(j, id, r.Number)
 				s.endAttempt(batch.AttemptEnd{
-					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, GivenUp: givenUp,
+					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
+					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id), RanLong: w.hasRunLong(id, r.Number),
 					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
 					Begun: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
 				})
--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -123,7 +123,7 @@
 func (s *Scheduler) roomOf(pool string, now int64) *poolRoom {
 	room := &poolRoom{workers: map[string]*worker{}, free: map[string]batch.Resources{}}
 	for id, w := range s.workers {
-		if w.pool == pool && w.usable(now) && !w.onProbation(now) && now-w.heardMs < leaseMs && !s.fleet.leaving(w) {
+		if w.pool == pool && w.usable(now) && !w.onProbation(now) && !w.keptFree && now-w.heardMs < leaseMs && !s.fleet.leaving(w) {
 			room.ids, room.workers[id], room.free[id] = append(room.ids, id), w, w.free
 		}
 	}
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -142,6 +142,7 @@
 		}
 		s.endAttempt(batch.AttemptEnd{
 			Task: report.Task, Attempt: report.Attempt, Kind: report.Kind, Checkpoint: report.Checkpoint, Reported: true,
+			RanLong: tracked != nil && tracked.number == report.Attempt && s.now()-tracked.sinceMs >= ranLongMs,
 		})
 		s.noteOutcome(w, report)
 		if report.Kind == batch.EndDone && tracked != nil {
@@ -289,7 +290,7 @@
 		return max(minIntervalMs, unusableHeartbeatMs)
 	case w.trial != (trial{}):
 		return max(minIntervalMs, trialHeartbeatMs)
-	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order) > 0:
+	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order)+len(s.queueOf(w.pool).alone.order) > 0:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
 		return max(minIntervalMs, busyHeartbeatMs)
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -23,6 +23,8 @@
 	// suspects are the tasks that could start under which a worker has crashed, and onTrial those that have started since;
 	// none of them is in ready, nor of a gang.
 	suspects, onTrial []batch.TaskID
+	// alone are the tasks that could start where nothing else can be the cause of a crash; none of them is in the lists above.
+	alone []batch.TaskID
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
 	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -51,7 +53,8 @@
 	leastNeed batch.Resources
 	// demand is the number of ready tasks, and copyable the number of tasks of which a speculative copy may run.
 	demand, copyable int
-	suspects         suspectQueue
+	// suspects and alone hold the tasks that start only on certain workers.
+	suspects, alone suspectQueue
 }
 
 // sortIntervalMs is how long a sorted order of jobs is used, in milliseconds.
@@ -115,6 +118,9 @@
 	for _, suspect := range s.jobs[id].suspects {
 		s.queueOf(pool).suspects.add(suspect, s.now())
 	}
+	for _, id := range s.jobs[id].alone {
+		s.queueOf(pool).alone.add(id, s.now())
+	}
 	s.trackJob(s.jobs[id])
 }
 
@@ -221,7 +227,7 @@
 // describeTask adds a task that isn't done to the job's view.
 func (s *Scheduler) describeTask(job *activeJob, t *jobs.Task, id batch.TaskID) {
 	step := &job.state.Spec.Steps[id.Step]
-	suspect := t.Crashes > 0 && !step.Gang
+	suspect := (t.Crashes > 0 || runsAlone(job.state, t)) && !step.Gang
 	if len(t.Attempts) > 0 || s.starting[id] {
 		job.runningResources = job.runningResources.Add(resourcesOf(step, 1))
 		if suspect {
@@ -234,6 +240,8 @@
 	job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
 	switch {
 	case step.Gang:
+	case runsAlone(job.state, t):
+		job.alone = append(job.alone, id)
 	case suspect:
 		job.suspects = append(job.suspects, id)
 	default:
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -25,13 +25,19 @@
 	joinedMs int64
 	// trial is the suspect that it was last ordered to start; zero once that has ended.
 	trial trial
+	// keptFree is set while it runs a task alone, or gets no orders so that it can.
+	keptFree bool
+	// alone is the last task that it was ordered to run alone.
+	alone batch.TaskID
 	// inherited is set until this leader has received a heartbeat from it.
 	inherited bool
 	draining  bool
 	left      bool
-	capacity  batch.Resources
-	labels    []string
-	rack      string
+	// crashed is set once it was found to have crashed or restarted.
+	crashed  bool
+	capacity batch.Resources
+	labels   []string
+	rack     string
 	// free are the resources left after the last heartbeat and the starts assigned since.
 	free batch.Resources
 	// overfullMs is the uptime of its last heartbeat that listed more than its capacity.
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -72,6 +72,10 @@
 	GivenUp bool
 	// Begun is set if the worker had listed the attempt as running, where the leader gave it up.
 	Begun bool
+	// CrashedLater is set if the worker crashed while it ran the attempt that hadn't run for long; Kind is then EndWorkerLost.
+	CrashedLater bool
+	// RanLong is set if the attempt had run for so long that no later crash of its worker shows anything about its task.
+	RanLong bool
 }
 
 // Wave is an operator's maintenance wave: a list of VMs that are maintained within a time limit.
--- /dev/null
+++ b/internal/plan/crash/alone.go
@@ -0,0 +1,40 @@
+package crash
+
+const (
+	// crashesToRunAlone is how many workers have to crash while they start or run a task before it runs alone.
+	crashesToRunAlone = 3
+	// crashesAloneToGiveUp is how many workers have to crash so before a task is given up, the last one while it ran alone.
+	crashesAloneToGiveUp = 4
+	// crashesAloneToGiveUpDoubtful is the same where the last worker also crashes without the task or fell silent with others
+	// of its rack, and for a task that lasts.
+	crashesAloneToGiveUpDoubtful = 5
+	// crashesToDoubtAlone is how many other recent crashes that no task explains make a worker doubtful for a task alone.
+	crashesToDoubtAlone = 1
+)
+
+// RunsAlone reports whether a task runs next where nothing else can be the cause of a crash, after a number of workers have
+// crashed while they started or ran it.
+func RunsAlone(crashes int) bool {
+	return crashes >= crashesToRunAlone
+}
+
+// Alone is the crash of a worker that ran a task alone: all else on it had run for long.
+type Alone struct {
+	// Crashes is how many workers have crashed before while they started or ran the task.
+	Crashes int
+	// LongRunning is set for a task that lasts: its job would go on for long.
+	LongRunning bool
+	// UnexplainedCrashes is how often the machine crashed lately before this with no task given up for it.
+	UnexplainedCrashes int
+	// RackSilent is set if other workers of its rack fell silent at about the same time.
+	RackSilent bool
+}
+
+// GiveUpAlone reports whether the task is given up.
+func GiveUpAlone(in Alone) bool {
+	needed := crashesAloneToGiveUp
+	if in.LongRunning || in.RackSilent || in.UnexplainedCrashes >= crashesToDoubtAlone {
+		needed = crashesAloneToGiveUpDoubtful
+	}
+	return in.Crashes+1 >= needed
+}
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -16,6 +16,9 @@
 // "lasts" for a task that lasts, or "gang" for a gang.
 func TestScripts(t *testing.T) {
 	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "alone" {
+			return judgeAlone(t, d)
+		}
 		var in crash.Input
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			count, kind, _ := strings.Cut(line, " ")
@@ -35,3 +38,14 @@
 		return out.String()
 	})
 }
+
+// judgeAlone judges a task that ran or would run alone: how many workers have crashed under it before.
+func judgeAlone(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	in := crash.Alone{LongRunning: d.HasArg("lasts"), RackSilent: d.HasArg("rack_silent")}
+	d.ScanArgs(t, "crashes", &in.Crashes)
+	if d.HasArg("unexplained") {
+		d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
+	}
+	return fmt.Sprintf("runs alone: %t; given up: %t\n", crash.RunsAlone(in.Crashes), crash.GiveUpAlone(in))
+}
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -22,6 +22,7 @@
 		w.Ends = append(w.Ends, &peer.BatchEnd{
 			Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
 			Reported: e.Reported, Crashed: e.Crashed, GivenUp: e.GivenUp, Begun: e.Begun,
+			CrashedLater: e.CrashedLater, RanLong: e.RanLong,
 		})
 	}
 	for _, s := range c.Starts {
@@ -53,6 +54,7 @@
 			Task: taskIDFromWire(e.GetTask()), Attempt: int(e.GetAttempt()), Kind: batch.EndKind(e.GetKind()),
 			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(), Reported: e.GetReported(),
 			Crashed: e.GetCrashed(), GivenUp: e.GetGivenUp(), Begun: e.GetBegun(),
+			CrashedLater: e.GetCrashedLater(), RanLong: e.GetRanLong(),
 		})
 	}
 	for _, s := range w.GetStarts() {
@@ -200,7 +202,7 @@
 			t := &j.Tasks[i]
 			task := &peer.BatchTaskState{
 				Attempt: intToWire(t.LastAttempt), Failures: intToWire(t.Failures), Done: t.Done, Checkpoint: t.Checkpoint,
-				Crashes: intToWire(t.Crashes),
+				Crashes: intToWire(t.Crashes), CrashesBeside: intToWire(t.CrashesBeside),
 			}
 			for _, r := range t.Attempts {
 				task.Runs = append(task.Runs, &peer.BatchRun{
@@ -239,7 +241,7 @@
 		for _, t := range job.GetTasks() {
 			task := jobs.Task{
 				LastAttempt: int(t.GetAttempt()), Failures: int(t.GetFailures()), Done: t.GetDone(), Checkpoint: t.GetCheckpoint(),
-				Crashes: int(t.GetCrashes()),
+				Crashes: int(t.GetCrashes()), CrashesBeside: int(t.GetCrashesBeside()),
 			}
 			for _, r := range t.GetRuns() {
 				task.Attempts = append(task.Attempts, jobs.Attempt{
