--- a/internal/ctrl/sched/alone.go
+++ b/internal/ctrl/sched/alone.go
@@ -100,7 +100,7 @@
 // reports whether the worker gets no other orders.
 func (s *Scheduler) assignAlone(w *worker, q *poolQueue, sequence uint64, now int64) (orders []batch.StartOrder, kept bool) {
 	w.keptFree = s.runsOneAlone(w)
-	if w.keptFree || len(q.alone.order) == 0 || s.countKeptFree(w, now) >= maxAloneWorkers {
+	if w.keptFree || len(q.alone.order) == 0 || s.plansMembersOn(w) || s.countKeptFree(w, now) >= maxAloneWorkers {
 		return nil, w.keptFree
 	}
 	id, ticket, ok := s.findAlone(w, q, now)
@@ -123,6 +123,16 @@
 	return []batch.StartOrder{s.startAttempt(w, job.state, id, ticket, sequence)}, true
 }
 
+// plansMembersOn reports whether members of a gang are planned on a worker.
+func (s *Scheduler) plansMembersOn(w *worker) bool {
+	for _, g := range s.gangs {
+		if g.plannedOn(w.id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // runsOneAlone reports whether a worker runs a task alone that hasn't run for long there.
 func (s *Scheduler) runsOneAlone(w *worker) bool {
 	if s.starting[w.alone] && s.startingWorker[w.alone] == w.id {
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -29,13 +29,13 @@
 	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
 		return orders
 	}
-	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
-		return orders
-	}
 	orders := s.assignGangs(w, sequence)
 	if slices.ContainsFunc(orders, s.suspected) {
 		return orders
 	}
+	if suspects := s.assignSuspect(w, q, sequence, now); len(suspects) > 0 {
+		return suspects
+	}
 	for _, job := range s.orderedJobs(q, now) {
 		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 || !w.free.Covers(q.leastNeed) {
 			break
@@ -76,6 +76,12 @@
 		return nil
 	}
 	q := s.queueOf(w.pool)
+	if s.onTrial(w) {
+		return nil
+	}
+	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
+		return orders
+	}
 	var orders []batch.StartOrder
 	for _, job := range s.orderedJobs(q, now) {
 		if job.item.LongRunning && !s.fitsElsewhere(w, job, now) {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -47,9 +47,9 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence {
-				// The worker has given up on this reply, or soon will; a task started in it would run unnoticed, or where
-				// a newer heartbeat shows no room for it.
+			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence || w.left {
+				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
+				// or where a newer heartbeat shows no room for it.
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
@@ -81,7 +81,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.handleCrash(other, "address_taken_over")
+		s.handleSuccessor(other, h, "address_taken_over")
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -96,10 +96,20 @@
 	return true
 }
 
+// handleSuccessor ends all attempts on a worker in whose place another incarnation has sent a heartbeat. In its pool it has
+// crashed; in another pool it was replaced or moved.
+func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string) {
+	if h.Pool == w.pool {
+		s.handleCrash(w, cause)
+		return
+	}
+	s.loseAttempts(w, w.incarnation, cause)
+}
+
 // beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.handleCrash(w, "worker_restarted")
+		s.handleSuccessor(w, h, "worker_restarted")
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
@@ -232,17 +242,17 @@
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
-			if r.Worker != w.id || r.Incarnation != h.Incarnation || r.Sequence >= h.Sequence || lists(w, h, id, r.Number) {
+			if r.Worker != w.id || !isMissing(w, h, id, &r) {
 				continue
 			}
-			found = true
-			if mayBeUnread {
+			if mayBeUnread && r.Incarnation == h.Incarnation {
+				found = true
 				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 				continue
 			}
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
 				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
-				zap.Uint64("sequence", h.Sequence))
+				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation))
 			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 		}
 	}
@@ -251,6 +261,15 @@
 	}
 }
 
+// isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
+// a former incarnation that still stands once this one was answered was committed after the restart.
+func isMissing(w *worker, h *batch.Heartbeat, id batch.TaskID, r *jobs.Attempt) bool {
+	if r.Incarnation != h.Incarnation {
+		return r.Incarnation < h.Incarnation && w.orderedIn > 0
+	}
+	return r.Sequence < h.Sequence && !lists(w, h, id, r.Number)
+}
+
 // lists reports whether a heartbeat lists an attempt as running or as ended.
 func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
 	if a := w.running[id]; a != nil && a.number == number {
