--- a/internal/ctrl/jobs/crash.go
+++ b/internal/ctrl/jobs/crash.go
@@ -7,6 +7,9 @@
 // countCrash counts the crash of a worker under a task, and fails the job if the task is given up. An attempt that has run
 // clears its task.
 func (m *StateMachine) countCrash(j *Job, t *Task, end *batch.AttemptEnd, nowMs int64) {
+	if !j.Spec.Steps[end.Task.Step].Gang {
+		t.countCrashBeside(end)
+	}
 	switch {
 	case end.Crashed:
 		t.Crashes++
@@ -17,3 +20,14 @@
 		m.endJob(j, batch.PhaseFailed, nowMs)
 	}
 }
+
+// countCrashBeside counts the crash of a worker while it started or ran a task. Only an attempt that ended by itself or has
+// run for long clears its task: one that has begun may crash its worker later.
+func (t *Task) countCrashBeside(end *batch.AttemptEnd) {
+	switch {
+	case end.Crashed || end.CrashedLater:
+		t.CrashesBeside++
+	case end.RanLong || end.Kind == batch.EndDone || end.Kind == batch.EndFailed:
+		t.CrashesBeside = 0
+	}
+}
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -26,6 +26,9 @@
 	if s.onTrial(w) || s.awaitsVM(w, now) {
 		return nil
 	}
+	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
+		return orders
+	}
 	orders := s.assignGangs(w, sequence)
 	if slices.ContainsFunc(orders, s.suspected) {
 		return orders
