--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -1,5 +1,8 @@
 package sched
 
+// milli is the number of thousandths in a unit: millicores in a core, milliseconds in a second.
+const milli = 1000
+
 // Durations are in milliseconds.
 const (
 	// TickMs is the interval between calls of Scheduler.Tick.
--- /dev/null
+++ b/internal/ctrl/sched/running.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+)
+
+// reconcileRunning compares the attempts that a worker lists with the replicated state; it updates the worker's
+// free resources and returns the attempts to stop.
+func (s *Scheduler) reconcileRunning(w *worker, h *batch.Heartbeat, now int64) []batch.StopOrder {
+	var stops []batch.StopOrder
+	seen := make(map[batch.TaskID]*attempt, len(h.Running))
+	w.free = w.capacity
+	for i := range h.Running {
+		r := &h.Running[i]
+		a := s.trackAttempt(w, r, now)
+		seen[r.Task] = a
+		j, t := s.findTask(r.Task)
+		if t == nil {
+			// The resources that it uses aren't known: the worker counts as full until it is gone.
+			w.free = batch.Resources{}
+			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
+			continue
+		}
+		step := &j.Spec.Steps[r.Task.Step]
+		w.free = w.free.Sub(step.ReservedResources())
+		s.noteBegun(j, t, r)
+		if t.FindAttempt(r.Attempt) == nil {
+			s.abandonedUntilMs[r.Task] = now + abandonedHoldMs
+		}
+		switch {
+		case j.Phase.IsTerminal() || t.Done || t.FindAttempt(r.Attempt) == nil || step.Gang && gangBroken(j, r.Task, r.Attempt),
+			s.stopping[r.Task] == r.Attempt:
+			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
+		case s.stalled(step, a, now):
+			s.options.Logger.Info("attempt_stands_still", zap.String("job", r.Task.Job), zap.Int("step", r.Task.Step),
+				zap.Int("index", r.Task.Index), zap.Int("attempt", r.Attempt), zap.String("worker", w.id),
+				zap.Int("percent", a.percent), zap.Int64("for_ms", now-a.progressMs))
+			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
+			if a.progressMs > w.overfullMs {
+				s.countFailure(w, "attempts_stand_still")
+			}
+			a.progressMs = now
+		}
+	}
+	if !w.free.Covers(batch.Resources{}) {
+		w.overfullMs = now
+	}
+	w.running = seen
+	s.endMissing(w, h)
+	return stops
+}
+
+// trackAttempt returns the progress record of a listed attempt, with the report applied.
+func (s *Scheduler) trackAttempt(w *worker, r *batch.Running, now int64) *attempt {
+	a := w.running[r.Task]
+	if a == nil || a.number != r.Attempt {
+		a = &attempt{number: r.Attempt, orderedMs: w.startedMs, sinceMs: now, progressMs: now, share: fullSharePercent}
+	}
+	if a.percent != r.Percent {
+		a.percent, a.progressMs = r.Percent, now
+	}
+	a.load = r.Load
+	return a
+}
+
+// stalled reports whether an attempt that should make progress makes none.
+func (s *Scheduler) stalled(step *batch.Step, a *attempt, now int64) bool {
+	if step.LongRunning || step.Gang || step.BestEffort || a.share < fullSharePercent {
+		return false
+	}
+	return now-a.progressMs > max(stalledMs, step.EstimateMs/stalledEstimateDivisor)
+}
+
+// endMissing ends attempts that were ordered before this heartbeat was sent and that the worker lists neither as
+// running nor as ended. If the heartbeat has more rows that can't be read than before, the attempts may be among them:
+// they go on, and hold their resources.
+func (s *Scheduler) endMissing(w *worker, h *batch.Heartbeat) {
+	mayBeUnread, found := h.UnreadRunning > w.unreadRunning, false
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		j, t := s.findTask(id)
+		for _, r := range t.Attempts {
+			if r.Worker != w.id || !isMissing(w, h, id, &r) {
+				continue
+			}
+			if mayBeUnread && r.Incarnation == h.Incarnation {
+				found = true
+				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
+				continue
+			}
+			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
+				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
+				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation))
+			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
+		}
+	}
+	if !mayBeUnread || !found {
+		w.unreadRunning = h.UnreadRunning
+	}
+}
+
+// isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
+// a former incarnation that still stands once this one was answered was committed after the restart.
+func isMissing(w *worker, h *batch.Heartbeat, id batch.TaskID, r *jobs.Attempt) bool {
+	if r.Incarnation != h.Incarnation {
+		return r.Incarnation < h.Incarnation && w.orderedIn > 0
+	}
+	return r.Sequence < h.Sequence && !lists(w, h, id, r.Number)
+}
+
+// lists reports whether a heartbeat lists an attempt as running or as ended.
+func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
+	if a := w.running[id]; a != nil && a.number == number {
+		return true
+	}
+	return slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == number })
+}
