Let a task run alone beside what has run for a while

A task under which three workers have crashed waited until all else on a worker had run for 10 s. That takes long where tasks run for long, and after each change of leader, since a new leader doesn't know how long what it finds has run. Now 2 s are enough; where something else hasn't run for 10 s, one crash more is needed to give the task up, as on a machine that crashed lately.

--- a/internal/ctrl/sched/alone.go
+++ b/internal/ctrl/sched/alone.go
@@ -13,6 +13,8 @@
 const (
 	// ranLongMs is how long after its start a task may be the cause of a crash of its worker.
 	ranLongMs = 10_000
+	// settledMs is how long all else on a worker must have run before a task starts alone there.
+	settledMs = 2_000
 	// maxAloneWorkers bounds the workers of a pool that run a task alone or are kept free for one.
 	maxAloneWorkers = 2
 	// soundMachineWaitMs is how long a task that runs alone waits for a machine that hasn't crashed lately.
@@ -30,13 +32,18 @@
 
 // hasRunLong reports whether a worker's last heartbeat lists an attempt that has run for long.
 func (w *worker) hasRunLong(id batch.TaskID, number int) bool {
+	return w.hasRun(id, number, ranLongMs)
+}
+
+// hasRun reports whether a worker's last heartbeat lists an attempt that has run for some time.
+func (w *worker) hasRun(id batch.TaskID, number int, ms int64) bool {
 	a := w.running[id]
-	return a != nil && a.number == number && w.heardMs-a.sinceMs >= ranLongMs
+	return a != nil && a.number == number && w.heardMs-a.sinceMs >= ms
 }
 
-// hasRecent reports whether a worker has an attempt of a task that hasn't run for long there.
-func (w *worker) hasRecent(t *jobs.Task, id batch.TaskID) bool {
-	return slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool { return r.Worker == w.id && !w.hasRunLong(id, r.Number) })
+// hasRecent reports whether a worker has an attempt of a task that hasn't run for some time there.
+func (w *worker) hasRecent(t *jobs.Task, id batch.TaskID, ms int64) bool {
+	return slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool { return r.Worker == w.id && !w.hasRun(id, r.Number, ms) })
 }
 
 // mayCrashOn reports whether a worker's crash may be due to an attempt that its last heartbeat lists.
@@ -45,17 +52,17 @@
 	return a != nil && a.number == number && !w.hasRunLong(id, number) && !j.Spec.Steps[id.Step].Gang
 }
 
-// recentOn returns the tasks on a worker that haven't run for long there.
-func (s *Scheduler) recentOn(w *worker) []batch.TaskID {
+// recentOn returns the tasks on a worker that haven't run for some time there.
+func (s *Scheduler) recentOn(w *worker, ms int64) []batch.TaskID {
 	var recent []batch.TaskID
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		if _, t := s.findTask(id); w.hasRecent(t, id) {
+		if _, t := s.findTask(id); w.hasRecent(t, id, ms) {
 			recent = append(recent, id)
 		}
 	}
 	for id, a := range w.running {
 		// One that was given up still runs.
-		if _, t := s.findTask(id); (t == nil || t.FindAttempt(a.number) == nil) && !w.hasRunLong(id, a.number) {
+		if _, t := s.findTask(id); (t == nil || t.FindAttempt(a.number) == nil) && !w.hasRun(id, a.number, ms) {
 			recent = append(recent, id)
 		}
 	}
@@ -68,13 +75,15 @@
 	if !runsAlone(j, t) {
 		return false
 	}
-	if recent := s.recentOn(w); len(recent) != 1 || recent[0] != id {
+	other := func(other batch.TaskID) bool { return other != id }
+	if slices.ContainsFunc(s.recentOn(w, settledMs), other) {
 		return false
 	}
 	givenUp := crash.GiveUpAlone(crash.Alone{
 		Crashes: t.CrashesBeside, LongRunning: j.Spec.Steps[id.Step].LongRunning,
 		// The last of them is this crash.
 		UnexplainedCrashes: len(s.recentCrashes(w.address)) - 1, RackSilent: s.rackSilent(w),
+		OthersRecent: slices.ContainsFunc(s.recentOn(w, ranLongMs), other),
 	})
 	if givenUp {
 		givenUpTotal.Inc()
@@ -96,7 +105,7 @@
 	return false
 }
 
-// assignAlone starts a task alone on a worker on which all else has run for long, or keeps the worker free for it. It
+// assignAlone starts a task alone on a worker on which all else has run for a while, or keeps the worker free for it. It
 // reports whether the worker gets no other orders.
 func (s *Scheduler) assignAlone(w *worker, q *poolQueue, sequence uint64, now int64) (orders []batch.StartOrder, kept bool) {
 	w.keptFree = s.runsOneAlone(w)
@@ -108,7 +117,7 @@
 		return nil, false
 	}
 	w.keptFree = true
-	if w.starting > 0 || len(slices.DeleteFunc(s.recentOn(w), s.endsNow)) > 0 {
+	if w.starting > 0 || len(slices.DeleteFunc(s.recentOn(w, settledMs), s.endsNow)) > 0 {
 		return nil, true
 	}
 	waitedMs := now - q.alone.sinceMs[id]
@@ -139,7 +148,7 @@
 		return true
 	}
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		if j, t := s.findTask(id); runsAlone(j, t) && w.hasRecent(t, id) && !s.endsNow(id) {
+		if j, t := s.findTask(id); runsAlone(j, t) && w.hasRecent(t, id, ranLongMs) && !s.endsNow(id) {
 			return true
 		}
 	}
@@ -163,7 +172,7 @@
 	return count
 }
 
-// findAlone moves a task that a worker may run alone, once all else there has ended or run for long, to the end of its queue
+// findAlone moves a task that a worker may run alone, once all else there has ended or run for a while, to the end of its queue
 // and returns it, with its ticket.
 func (s *Scheduler) findAlone(w *worker, q *poolQueue, now int64) (id batch.TaskID, ticket string, ok bool) {
 	free, betterElsewhere := s.freeAlone(w), len(s.recentCrashes(w.address)) > 0 && s.soundElsewhere(w, now)
@@ -194,11 +203,11 @@
 	return false
 }
 
-// freeAlone returns what a worker has free beside the attempts that have run for long.
+// freeAlone returns what a worker has free beside the attempts that have run for a while.
 func (s *Scheduler) freeAlone(w *worker) batch.Resources {
 	free := w.capacity
 	for id, a := range w.running {
-		if j, t := s.findTask(id); t != nil && w.hasRunLong(id, a.number) {
+		if j, t := s.findTask(id); t != nil && w.hasRun(id, a.number, settledMs) {
 			free = free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 		}
 	}
--- a/internal/plan/crash/alone.go
+++ b/internal/plan/crash/alone.go
@@ -6,7 +6,7 @@
 	// crashesAloneToGiveUp is how many workers have to crash so before a task is given up, the last one while it ran alone.
 	crashesAloneToGiveUp = 4
 	// crashesAloneToGiveUpDoubtful is the same where the last worker also crashes without the task or fell silent with others
-	// of its rack, and for a task that lasts.
+	// of its rack, where something else hadn't run for long, and for a task that lasts.
 	crashesAloneToGiveUpDoubtful = 5
 	// crashesToDoubtAlone is how many other recent crashes that no task explains make a worker doubtful for a task alone.
 	crashesToDoubtAlone = 1
@@ -18,7 +18,7 @@
 	return crashes >= crashesToRunAlone
 }
 
-// Alone is the crash of a worker that ran a task alone: all else on it had run for long.
+// Alone is the crash of a worker that ran a task alone: all else on it had run for a while when the task started.
 type Alone struct {
 	// Crashes is how many workers have crashed before while they started or ran the task.
 	Crashes int
@@ -28,12 +28,14 @@
 	UnexplainedCrashes int
 	// RackSilent is set if other workers of its rack fell silent at about the same time.
 	RackSilent bool
+	// OthersRecent is set if something else on it hadn't run for long.
+	OthersRecent bool
 }
 
 // GiveUpAlone reports whether the task is given up.
 func GiveUpAlone(in Alone) bool {
 	needed := crashesAloneToGiveUp
-	if in.LongRunning || in.RackSilent || in.UnexplainedCrashes >= crashesToDoubtAlone {
+	if in.LongRunning || in.RackSilent || in.OthersRecent || in.UnexplainedCrashes >= crashesToDoubtAlone {
 		needed = crashesAloneToGiveUpDoubtful
 	}
 	return in.Crashes+1 >= needed
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -42,7 +42,7 @@
 // judgeAlone judges a task that ran or would run alone: how many workers have crashed under it before.
 func judgeAlone(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	in := crash.Alone{LongRunning: d.HasArg("lasts"), RackSilent: d.HasArg("rack_silent")}
+	in := crash.Alone{LongRunning: d.HasArg("lasts"), RackSilent: d.HasArg("rack_silent"), OthersRecent: d.HasArg("others_recent")}
 	d.ScanArgs(t, "crashes", &in.Crashes)
 	if d.HasArg("unexplained") {
 		d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
