Let idle workers take the tasks that have to run alone

The bound now holds for workers that have to be kept free: one that runs nothing takes such a task at once.

TestScripts/crash-late-fills-idle-workers fails before: the third idle worker gets nothing.

--- a/internal/ctrl/sched/alone.go
+++ b/internal/ctrl/sched/alone.go
@@ -15,7 +15,8 @@
 	ranLongMs = 10_000
 	// settledMs is how long all else on a worker must have run before a task starts alone there.
 	settledMs = 2_000
-	// maxAloneWorkers bounds the workers of a pool that run a task alone or are kept free for one.
+	// maxAloneWorkers is the number of workers of a pool that run a task alone, or are kept free for one, at which only those
+	// that run nothing may still take one.
 	maxAloneWorkers = 2
 	// soundMachineWaitMs is how long a task that runs alone waits for a machine that hasn't crashed lately.
 	soundMachineWaitMs = 2_000
@@ -109,7 +110,8 @@
 // reports whether the worker gets no other orders.
 func (s *Scheduler) assignAlone(w *worker, q *poolQueue, sequence uint64, now int64) (orders []batch.StartOrder, kept bool) {
 	w.keptFree = s.runsOneAlone(w)
-	if w.keptFree || len(q.alone.order) == 0 || s.plansMembersOn(w) || s.countKeptFree(w, now) >= maxAloneWorkers {
+	idle := len(w.running) == 0 && w.starting == 0
+	if w.keptFree || len(q.alone.order) == 0 || s.plansMembersOn(w) || !idle && s.countKeptFree(w, now) >= maxAloneWorkers {
 		return nil, w.keptFree
 	}
 	id, ticket, ok := s.findAlone(w, q, now)
