Name what the crash of a worker is judged by

start (crash.go) is attemptID, orderedIn answeredSequence, startedMs lastOrderMs, givenUp (commit.go) unreported, onTrial(worker) awaitsSuspect, begun hasOutlivingAttempt, and AttemptEnd.Begun OutlivedStart, which it means since. Why a crash shows nothing is an enum; the log's text is the same, with none where it was empty. No logic is changed.

--- a/internal/ctrl/jobs/crash.go
+++ b/internal/ctrl/jobs/crash.go
@@ -13,7 +13,7 @@
 	switch {
 	case end.Crashed:
 		t.Crashes++
-	case end.Begun || end.Kind.ShowsBegun(j.Spec.Steps[end.Task.Step].Gang):
+	case end.OutlivedStart || end.Kind.ShowsBegun(j.Spec.Steps[end.Task.Step].Gang):
 		t.Crashes = 0
 	}
 	if end.GivenUp && !t.Done {
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -23,7 +23,7 @@
 		return s.assignProbation(w, sequence, now)
 	}
 	q := s.queueOf(w.pool)
-	if s.onTrial(w) || s.awaitsVM(w, now) {
+	if s.awaitsSuspect(w) || s.awaitsVM(w, now) {
 		return nil
 	}
 	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
@@ -76,7 +76,7 @@
 		return nil
 	}
 	q := s.queueOf(w.pool)
-	if s.onTrial(w) {
+	if s.awaitsSuspect(w) {
 		return nil
 	}
 	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -68,7 +68,7 @@
 	}
 	s.options.Logger.Info("record_refused", zap.Uint64("term", term), zap.Error(err))
 	c.inFlight--
-	c.pending.Ends = append(c.pending.Ends, givenUp(change.Ends)...)
+	c.pending.Ends = append(c.pending.Ends, unreported(change.Ends)...)
 	s.clearStarting(change.Starts)
 	for _, start := range change.Starts {
 		s.refreshJob(start.Task.Job)
@@ -76,9 +76,9 @@
 	notifyAll(waiting, false)
 }
 
-// givenUp returns the ends of attempts that the leader gave up; it does so once, while a worker reports an end until it is
+// unreported returns the ends of attempts that the leader gave up; it does so once, while a worker reports an end until it is
 // acknowledged.
-func givenUp(ends []batch.AttemptEnd) []batch.AttemptEnd {
+func unreported(ends []batch.AttemptEnd) []batch.AttemptEnd {
 	return slices.DeleteFunc(ends, func(end batch.AttemptEnd) bool { return end.Reported })
 }
 
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -34,13 +34,13 @@
 	if lost == 0 {
 		return
 	}
-	unseen, excuse := s.unseenOn(w), s.crashExcuse(w)
+	unseen, excuse := s.unseenOn(w), s.excuseOf(w)
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
-		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.orderedIn),
+		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.answeredSequence),
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
-		zap.String("excuse", excuse))
-	var blamed map[start]bool
-	if excuse == "" {
+		zap.Stringer("excuse", excuse))
+	var blamed map[attemptID]bool
+	if excuse == excuseNone {
 		crashesTotal.Inc()
 		s.crashedMs[w.pool] = s.now()
 		blamed = s.blameStarts(w, unseen)
@@ -50,8 +50,8 @@
 
 // blameStarts returns the attempts that a worker was about to start when it crashed, and for each whether its task is given
 // up, because too many workers have crashed under it.
-func (s *Scheduler) blameStarts(w *worker, unseen []start) map[start]bool {
-	blamed := make(map[start]bool, len(unseen))
+func (s *Scheduler) blameStarts(w *worker, unseen []attemptID) map[attemptID]bool {
+	blamed := make(map[attemptID]bool, len(unseen))
 	starts := make([]crash.Start, len(unseen))
 	for i, u := range unseen {
 		j, t := s.findTask(u.task)
@@ -101,48 +101,59 @@
 	return true
 }
 
-// crashExcuse returns why the end of a worker shows nothing about the tasks that it ran, empty if it may.
-func (s *Scheduler) crashExcuse(w *worker) string {
+// crashExcuse is why the end of a worker shows nothing about the tasks that it ran; the zero value means that it may.
+type crashExcuse int
+
+const (
+	excuseNone            crashExcuse = iota // none
+	excuseLeft                               // left before
+	excuseDraining                           // draining
+	excuseNotHeard                           // not heard by this leader
+	excuseOrdered                            // ordered away
+	excuseOrderedFormerly                    // ordered away by a former leader
+)
+
+func (s *Scheduler) excuseOf(w *worker) crashExcuse {
 	name := s.fleet.byWorker[w.id]
 	v := s.fleet.vms[name]
 	switch {
 	case w.left:
-		return "left before"
+		return excuseLeft
 	case w.draining:
-		return "draining"
+		return excuseDraining
 	case w.inherited:
-		return "not heard by this leader"
+		return excuseNotHeard
 	case v != nil && (v.orderPending || v.unverifiedMs > 0 || v.awayUntilMs > w.heardMs):
-		return "ordered away"
+		return excuseOrdered
 	case s.fleet.maybeDownUntilMs[name] > s.now():
-		return "ordered away by a former leader"
+		return excuseOrderedFormerly
 	}
-	return ""
+	return excuseNone
 }
 
-// start is an attempt that a worker was ordered to start.
-type start struct {
+// attemptID identifies an attempt.
+type attemptID struct {
 	task    batch.TaskID
 	attempt int
 }
 
 // unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since.
 // Members of a gang wait at no progress until all are present.
-func (s *Scheduler) unseenOn(w *worker) []start {
-	var unseen []start
+func (s *Scheduler) unseenOn(w *worker) []attemptID {
+	var unseen []attemptID
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
 		if j.Phase.IsTerminal() {
 			continue
 		}
 		for i := range t.Attempts {
-			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.orderedIn && !w.hasBegun(j, id, r.Number) {
-				unseen = append(unseen, start{task: id, attempt: r.Number})
+			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.answeredSequence && !w.hasBegun(j, id, r.Number) {
+				unseen = append(unseen, attemptID{task: id, attempt: r.Number})
 				break
 			}
 		}
 	}
-	slices.SortFunc(unseen, func(a, b start) int { return compareTasks(a.task, b.task) })
+	slices.SortFunc(unseen, func(a, b attemptID) int { return compareTasks(a.task, b.task) })
 	return unseen
 }
 
@@ -162,9 +173,9 @@
 	if w.incarnation != h.Incarnation {
 		return
 	}
-	w.orderedIn = max(w.orderedIn, h.Sequence)
+	w.answeredSequence = max(w.answeredSequence, h.Sequence)
 	if len(o.Start) > 0 {
-		w.startedMs = now
+		w.lastOrderMs = now
 	}
 }
 
@@ -173,7 +184,7 @@
 }
 
 // taskNames returns the tasks of the first starts as job.occurrence.step.index, for the log.
-func taskNames(starts []start) []string {
+func taskNames(starts []attemptID) []string {
 	var names []string
 	for _, u := range starts[:min(len(starts), maxLoggedTasks)] {
 		id := u.task
@@ -189,19 +200,19 @@
 
 // endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost; blamed holds those that may have
 // crashed it, and whether they are given up.
-func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, blamed map[start]bool) {
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, blamed map[attemptID]bool) {
 	lost := 0
 	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
-				givenUp, crashed := blamed[start{task: id, attempt: r.Number}]
+				givenUp, crashed := blamed[attemptID{task: id, attempt: r.Number}]
 				later := !crashed && blamed != nil && w.mayCrashOn(j, id, r.Number)
 				s.endAttempt(batch.AttemptEnd{
 					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
 					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id), RanLong: w.hasRunLong(id, r.Number),
 					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
-					Begun: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
+					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
 				})
 				lost++
 			}
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -59,7 +59,7 @@
 func (s *Scheduler) trackAttempt(w *worker, r *batch.Running, now int64) *attempt {
 	a := w.running[r.Task]
 	if a == nil || a.number != r.Attempt {
-		a = &attempt{number: r.Attempt, orderedMs: w.startedMs, sinceMs: now, progressMs: now, share: fullSharePercent}
+		a = &attempt{number: r.Attempt, orderedMs: w.lastOrderMs, sinceMs: now, progressMs: now, share: fullSharePercent}
 	}
 	if a.percent != r.Percent {
 		a.percent, a.progressMs = r.Percent, now
@@ -107,7 +107,7 @@
 // a former incarnation that still stands once this one was answered was committed after the restart.
 func isMissing(w *worker, h *batch.Heartbeat, id batch.TaskID, r *jobs.Attempt) bool {
 	if r.Incarnation != h.Incarnation {
-		return r.Incarnation < h.Incarnation && w.orderedIn > 0
+		return r.Incarnation < h.Incarnation && w.answeredSequence > 0
 	}
 	return r.Sequence < h.Sequence && !lists(w, h, id, r.Number)
 }
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -51,8 +51,8 @@
 	attempt int
 }
 
-// onTrial reports whether a worker has yet to report the suspect that it was last ordered to start.
-func (s *Scheduler) onTrial(w *worker) bool {
+// awaitsSuspect reports whether a worker has yet to report the suspect that it was last ordered to start.
+func (s *Scheduler) awaitsSuspect(w *worker) bool {
 	if w.trial == (trial{}) {
 		return false
 	}
@@ -130,7 +130,7 @@
 // stepHeld reports whether nothing of a step may start because one of its tasks is on trial and none has shown that such
 // tasks run.
 func (s *Scheduler) stepHeld(job *activeJob, step stepKey) bool {
-	tried := slices.ContainsFunc(job.onTrial, func(id batch.TaskID) bool { return stepOf(id) == step && !s.begun(job, id) })
+	tried := slices.ContainsFunc(job.onTrial, func(id batch.TaskID) bool { return stepOf(id) == step && !s.hasOutlivingAttempt(job, id) })
 	return tried && !s.stepProven(job, step)
 }
 
@@ -146,15 +146,15 @@
 	first := job.state.FirstTask(step.occurrence, step.step)
 	for i := range job.state.Spec.Steps[step.step].Count {
 		id := batch.TaskID{Job: step.job, Occurrence: step.occurrence, Step: step.step, Index: i}
-		if job.state.Tasks[first+i].Done || s.begun(job, id) {
+		if job.state.Tasks[first+i].Done || s.hasOutlivingAttempt(job, id) {
 			return true
 		}
 	}
 	return false
 }
 
-// begun reports whether a worker lists an attempt of a task.
-func (s *Scheduler) begun(job *activeJob, id batch.TaskID) bool {
+// hasOutlivingAttempt reports whether a worker lists an attempt of a task that has outlived its start.
+func (s *Scheduler) hasOutlivingAttempt(job *activeJob, id batch.TaskID) bool {
 	for _, r := range job.state.Task(id).Attempts {
 		if w := s.workers[r.Worker]; w != nil && w.incarnation == r.Incarnation && w.hasOutlivedStart(job.state, id, r.Number) {
 			return true
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -17,10 +17,10 @@
 	// clock.
 	heardMs    int64
 	leaseEndMs int64
-	// orderedIn is the highest heartbeat of this incarnation that this leader has answered with its orders, and startedMs the
-	// uptime at which it last sent one with a start.
-	orderedIn uint64
-	startedMs int64
+	// answeredSequence is the highest heartbeat of this incarnation that this leader has answered with its orders, and
+	// lastOrderMs the uptime at which it last ordered a start.
+	answeredSequence uint64
+	lastOrderMs      int64
 	// joinedMs is the uptime at which this leader first heard this incarnation.
 	joinedMs int64
 	// trial is the suspect that it was last ordered to start; zero once that has ended.
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -66,12 +66,12 @@
 	TimeMs int64
 	// Reported is set if the worker reported the end: a task is then done even if its attempt was given up before.
 	Reported bool
-	// Crashed is set if the worker crashed before it reported the attempt as running; Kind is then EndWorkerLost.
+	// Crashed is set if the worker crashed while it started the attempt; Kind is then EndWorkerLost.
 	Crashed bool
 	// GivenUp is set if too many workers have crashed under the task: its job fails.
 	GivenUp bool
-	// Begun is set if the worker had listed the attempt as running, where the leader gave it up.
-	Begun bool
+	// OutlivedStart is set if the worker had listed the attempt as running after its start, where the leader gave it up.
+	OutlivedStart bool
 	// CrashedLater is set if the worker crashed while it ran the attempt that hadn't run for long; Kind is then EndWorkerLost.
 	CrashedLater bool
 	// RanLong is set if the attempt had run for so long that no later crash of its worker shows anything about its task.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -21,7 +21,7 @@
 	for _, e := range c.Ends {
 		w.Ends = append(w.Ends, &peer.BatchEnd{
 			Task: taskIDToWire(e.Task), Attempt: intToWire(e.Attempt), Kind: uint32(e.Kind), Checkpoint: e.Checkpoint, TimeMs: e.TimeMs,
-			Reported: e.Reported, Crashed: e.Crashed, GivenUp: e.GivenUp, Begun: e.Begun,
+			Reported: e.Reported, Crashed: e.Crashed, GivenUp: e.GivenUp, OutlivedStart: e.OutlivedStart,
 			CrashedLater: e.CrashedLater, RanLong: e.RanLong,
 		})
 	}
@@ -53,7 +53,7 @@
 		c.Ends = append(c.Ends, batch.AttemptEnd{
 			Task: taskIDFromWire(e.GetTask()), Attempt: int(e.GetAttempt()), Kind: batch.EndKind(e.GetKind()),
 			Checkpoint: e.GetCheckpoint(), TimeMs: e.GetTimeMs(), Reported: e.GetReported(),
-			Crashed: e.GetCrashed(), GivenUp: e.GetGivenUp(), Begun: e.GetBegun(),
+			Crashed: e.GetCrashed(), GivenUp: e.GetGivenUp(), OutlivedStart: e.GetOutlivedStart(),
 			CrashedLater: e.GetCrashedLater(), RanLong: e.GetRanLong(),
 		})
 	}
