Log why a lasting task waits, and what the workers of its pool do

The questions awaitsSuspect and awaitsVM are split from what they change, so that the log asks without deciding. No order changes: the scripts of ctrl/sched pass unchanged.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -23,7 +23,11 @@
 		return s.assignProbation(w, sequence, now)
 	}
 	q := s.queueOf(w.pool)
-	if s.awaitsSuspect(w) || s.awaitsVM(w, now) {
+	if s.awaitsSuspect(w) {
+		return nil
+	}
+	if s.awaitsVM(w, now) {
+		s.fleet.listWanted = true
 		return nil
 	}
 	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
@@ -124,7 +128,7 @@
 	for _, id := range job.ready {
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandonedUntilMs[id] <= now {
-			ticket, ok := s.mayRunStep(w, job, id, &job.state.Spec.Steps[id.Step], now)
+			ticket, ok := s.mayRunStep(w, job, id, now)
 			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
 				allowed = key
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
@@ -141,24 +145,17 @@
 }
 
 // mayRun reports whether a worker may run a task now, and with which ticket.
-func (s *Scheduler) mayRun(w *worker, job *activeJob, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
+func (s *Scheduler) mayRun(w *worker, job *activeJob, id batch.TaskID, now int64) (ticket string, ok bool) {
 	if s.abandonedUntilMs[id] > now {
 		return "", false
 	}
-	return s.mayRunStep(w, job, id, step, now)
+	return s.mayRunStep(w, job, id, now)
 }
 
 // mayRunStep reports whether a worker may run one more task of a step now, and with which ticket; it holds for any
 // task of the step.
-func (s *Scheduler) mayRunStep(w *worker, job *activeJob, id batch.TaskID, step *batch.Step, now int64) (ticket string, ok bool) {
-	switch {
-	case !w.free.Covers(step.ReservedResources()):
-		return "", false
-	case step.RequiredLabel != "" && !slices.Contains(w.labels, step.RequiredLabel):
-		return "", false
-	case step.MaxPerWorker > 0 && s.countOn(w, job.state, id) >= step.MaxPerWorker:
-		return "", false
-	case step.DataRack != "" && step.DataRack != w.rack && !s.remoteAllowed(job, step):
+func (s *Scheduler) mayRunStep(w *worker, job *activeJob, id batch.TaskID, now int64) (ticket string, ok bool) {
+	if s.unfitRoomFor(w, job, id) != fit {
 		return "", false
 	}
 	if !s.needsPermit(job.state) {
--- a/internal/ctrl/sched/copies.go
+++ b/internal/ctrl/sched/copies.go
@@ -34,8 +34,7 @@
 			if t == nil || s.starting[id] || len(t.Attempts) != 1 || t.Attempts[0].Worker == w.id || !s.isStraggler(job, id, now) {
 				continue
 			}
-			step := &job.state.Spec.Steps[id.Step]
-			ticket, ok := s.mayRun(w, job, id, step, now)
+			ticket, ok := s.mayRun(w, job, id, now)
 			if !ok {
 				continue
 			}
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -101,11 +101,7 @@
 	}
 	crashedMs, crashed := s.crashedMs[w.pool]
 	takenOver := s.tookOver && now-s.activeSinceMs <= lateHeartbeatMs
-	if !takenOver && (!crashed || now-crashedMs > crashedKeptMs) {
-		return false
-	}
-	s.fleet.listWanted = true
-	return true
+	return takenOver || crashed && now-crashedMs <= crashedKeptMs
 }
 
 // crashExcuse is why the end of a worker shows nothing about the tasks that it ran; the zero value means that it may.
--- a/internal/ctrl/sched/harness_test.go
+++ b/internal/ctrl/sched/harness_test.go
@@ -100,7 +100,14 @@
 }
 
 func newHarness() *harness {
-	h := &harness{uptime: &uptime{ms: 100_000}, clock: clock.NewManual(time.Unix(1_000, 0)), sequence: map[string]uint64{}, hasEnoughVoters: true, planner: pools.Planner{}, logger: zap.NewNop()}
+	return newLoggedHarness(zap.NewNop())
+}
+
+func newLoggedHarness(logger *zap.Logger) *harness {
+	h := &harness{
+		uptime: &uptime{ms: 100_000}, clock: clock.NewManual(time.Unix(1_000, 0)), sequence: map[string]uint64{}, hasEnoughVoters: true,
+		planner: pools.Planner{}, logger: logger,
+	}
 	h.log = &fakeLog{batch: jobs.New(), wallMs: func() int64 { return h.clock.Now().UnixMilli() }}
 	h.start("leader-a")
 	return h
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -25,6 +25,8 @@
 	suspects, onTrial []batch.TaskID
 	// alone are the tasks that could start where nothing else can be the cause of a crash; none of them is in the lists above.
 	alone []batch.TaskID
+	// unplacedSinceMs holds, for the tasks that last and wait for a worker, the uptime since which they do.
+	unplacedSinceMs map[batch.TaskID]int64
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
 	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -104,6 +106,7 @@
 	}
 	updated := s.describeJob(j)
 	updated.noteAllRunning(old, s.now())
+	updated.noteUnplaced(old, s.now())
 	pool := s.poolOf(j)
 	if old != nil && old.pool == pool {
 		s.queueOf(pool).demand += len(updated.ready) - len(old.ready)
--- a/internal/ctrl/sched/replan.go
+++ b/internal/ctrl/sched/replan.go
@@ -11,7 +11,7 @@
 func (s *Scheduler) mayRunIn(free batch.Resources, w *worker, job *activeJob, id batch.TaskID, now int64) (ticket string, ok bool) {
 	saved := w.free
 	w.free = free
-	ticket, ok = s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now)
+	ticket, ok = s.mayRun(w, job, id, now)
 	w.free = saved
 	return ticket, ok
 }
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/model/batch"
@@ -71,9 +73,13 @@
 		if filepath.Dir(path) == filepath.FromSlash(loadsFolder) {
 			return
 		}
-		h := newHarness()
+		core, logs := observer.New(zap.InfoLevel)
+		h := newLoggedHarness(zap.New(core))
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			h.replies = nil
+			if d.Cmd == "logged" {
+				return describeLogged(logs.FilterMessage(stringArg(d, "event", "")).All())
+			}
 			h.runCommand(t, d)
 			if len(h.replies) == 0 {
 				return "ok\n"
@@ -83,6 +89,16 @@
 	})
 }
 
+// describeLogged prints the last line of the log among entries, without what each line of the scheduler has.
+func describeLogged(entries []observer.LoggedEntry) string {
+	if len(entries) == 0 {
+		return "nothing\n"
+	}
+	fields := entries[len(entries)-1].ContextMap()
+	delete(fields, "term")
+	return fmt.Sprintln(fields)
+}
+
 // stringArg returns an argument of the command, or fallback without it.
 func stringArg(d *datadriven.TestData, key, fallback string) string {
 	for _, a := range d.CmdArgs {
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -51,8 +51,8 @@
 	attempt int
 }
 
-// awaitsSuspect reports whether a worker has yet to report the suspect that it was last ordered to start.
-func (s *Scheduler) awaitsSuspect(w *worker) bool {
+// startsSuspect reports whether a worker has yet to report the suspect that it was last ordered to start.
+func (s *Scheduler) startsSuspect(w *worker) bool {
 	if w.trial == (trial{}) {
 		return false
 	}
@@ -60,10 +60,16 @@
 	if s.starting[id] && s.startingWorker[id] == w.id {
 		return true
 	}
-	if j, t := s.findTask(id); t != nil && w.hasBegun(j, id, w.trial.attempt) && !w.hasOutlivedStart(j, id, w.trial.attempt) {
+	j, t := s.findTask(id)
+	return t != nil && w.hasBegun(j, id, w.trial.attempt) && !w.hasOutlivedStart(j, id, w.trial.attempt)
+}
+
+// awaitsSuspect is startsSuspect for a worker whose heartbeat was just taken; it forgets a suspect that runs, has ended or was
+// never begun by that heartbeat.
+func (s *Scheduler) awaitsSuspect(w *worker) bool {
+	if s.startsSuspect(w) {
 		return true
 	}
-	// The last heartbeat shows that it runs, has ended or was never begun.
 	w.trial = trial{}
 	return false
 }
@@ -102,7 +108,7 @@
 		if s.fleet.leaving(w) && !s.onlyHere(w, job, id, now) {
 			continue
 		}
-		if ticket, ok = s.mayRun(w, job, id, &job.state.Spec.Steps[id.Step], now); ok {
+		if ticket, ok = s.mayRun(w, job, id, now); ok {
 			return id, ticket, true
 		}
 	}
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -81,7 +81,7 @@
 	return waiting.count()
 }
 
-// observeWaitingJobs sets the metrics of waiting jobs, by pool.
+// observeWaitingJobs sets the metrics of waiting jobs, by pool, and logs what tasks wait for.
 func (s *Scheduler) observeWaitingJobs(now int64) {
 	if now-s.waitingCountedMs < waitingIntervalMs {
 		return
@@ -95,6 +95,7 @@
 		}
 		setWaitingGauges(p.Name, waiting)
 	}
+	s.logUnplaced(now)
 }
 
 // clearWaitingGauges sets the metrics of waiting jobs to 0: only the leader counts them.
