Bound the workers of a pool that trials keep from all other tasks

Cause: a task under which three workers have crashed runs alone on a worker; the bound of two such workers held only for those that ran something, and each worker comes back from a crash with nothing. In a crash with 20 tasks most are innocent, so that hundreds of them held the pool: at 36.1 s all 22 workers that were heard, with 4,732 ready tasks, one of them lasting, behind them. The class: a preference for a better place without a bound on the room that it holds.

The bound is a share of the pool, whatever its workers run (crash.MaxHeld); what ran there without the bound, under a new leader, counts too. So that the queue for it doesn't grow, tasks with three crashes are tried in groups of up to eight, and one by one only after the group's worker has crashed. The verdicts and their bounds stay; TestLateCrashesConvictNoSoundTask passes unchanged.

Three scripts change with the groups, none in what it asks: tasks that fit one worker are tried together at the first heartbeat (crash-late-fills-idle-workers), a guilty task is found one crash later and still by its fifth start (task-crashes-workers-late), and the tasks of crash-late-keeps-few-workers-free are so large that each fills a worker, so that its orders stay. plan/crash names the kind of trial where it said whether the task runs alone.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -30,7 +30,7 @@
 		s.fleet.listWanted = true
 		return nil
 	}
-	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
+	if orders, kept := s.assignTrial(w, q, sequence, now); kept {
 		return orders
 	}
 	orders := s.assignGangs(w, sequence)
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -45,23 +45,31 @@
 	q.order = q.order[:last]
 }
 
-// trial is the start of a suspect on a worker that starts nothing else until it has reported it.
-type trial struct {
+// remove removes a suspect, if it waits.
+func (q *suspectQueue) remove(id batch.TaskID) {
+	if _, waits := q.sinceMs[id]; waits {
+		delete(q.sinceMs, id)
+		q.order = slices.DeleteFunc(q.order, func(other batch.TaskID) bool { return other == id })
+	}
+}
+
+// suspectStart is the start of a suspect on a worker that starts nothing else until it has reported it.
+type suspectStart struct {
 	task    batch.TaskID
 	attempt int
 }
 
 // startsSuspect reports whether a worker has yet to report the suspect that it was last ordered to start.
 func (s *Scheduler) startsSuspect(w *worker) bool {
-	if w.trial == (trial{}) {
+	if w.suspect == (suspectStart{}) {
 		return false
 	}
-	id := w.trial.task
+	id := w.suspect.task
 	if s.starting[id] && s.startingWorker[id] == w.id {
 		return true
 	}
 	j, t := s.findTask(id)
-	return t != nil && w.hasBegun(j, id, w.trial.attempt) && !w.hasOutlivedStart(j, id, w.trial.attempt)
+	return t != nil && w.hasBegun(j, id, w.suspect.attempt) && !w.hasOutlivedStart(j, id, w.suspect.attempt)
 }
 
 // awaitsSuspect is startsSuspect for a worker whose heartbeat was just taken; it forgets a suspect that runs, has ended or was
@@ -70,7 +78,7 @@
 	if s.startsSuspect(w) {
 		return true
 	}
-	w.trial = trial{}
+	w.suspect = suspectStart{}
 	return false
 }
 
@@ -89,7 +97,7 @@
 	job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
 	job.onTrial = append(job.onTrial, id)
 	start := s.startAttempt(w, job.state, id, ticket, sequence)
-	w.trial = trial{task: id, attempt: start.Attempt}
+	w.suspect = suspectStart{task: id, attempt: start.Attempt}
 	return []batch.StartOrder{start}
 }
 
--- a/internal/ctrl/sched/unplaced.go
+++ b/internal/ctrl/sched/unplaced.go
@@ -17,7 +17,7 @@
 
 // unplaced returns the tasks of a job that could start.
 func (job *activeJob) unplaced() []batch.TaskID {
-	return slices.Concat(job.ready, job.suspects, job.alone)
+	return slices.Concat(job.ready, job.suspects, job.trials)
 }
 
 // noteUnplaced notes since when the job's tasks that last wait for a worker, given the former view of the job, nil for none.
@@ -46,7 +46,7 @@
 	left := maxUnplacedLogged
 	for _, p := range s.currentConfiguration().Pools {
 		q := s.queueOf(p.Name)
-		if q.demand+len(q.suspects.order)+len(q.alone.order) == 0 {
+		if q.demand+len(q.suspects.order)+len(q.trials.order) == 0 {
 			continue
 		}
 		s.logPoolWaits(p.Name, q, now)
@@ -71,7 +71,7 @@
 		}
 	}
 	s.options.Logger.Info("pool_waits", zap.String("pool", pool), zap.Int("ready", q.demand), zap.Int("suspects", len(q.suspects.order)),
-		zap.Int("alone", len(q.alone.order)), zap.Any("workers", workers), zap.Uint64("term", s.term))
+		zap.Int("trials", len(q.trials.order)), zap.Any("workers", workers), zap.Uint64("term", s.term))
 }
 
 // logUnplacedTask logs how many workers of a task's pool don't take it, by reason.
@@ -84,7 +84,7 @@
 	}
 	s.options.Logger.Info("task_unplaced", zap.String("job", id.Job), zap.Int("occurrence", id.Occurrence), zap.Int("step", id.Step),
 		zap.Int("index", id.Index), zap.Int64("waited_ms", waitedMs), zap.Bool("suspect", slices.Contains(job.suspects, id)),
-		zap.Bool("alone", slices.Contains(job.alone, id)), zap.Bool("step_suspected", s.stepSuspected(job, stepOf(id))),
+		zap.Bool("trial", slices.Contains(job.trials, id)), zap.Bool("step_suspected", s.stepSuspected(job, stepOf(id))),
 		zap.Bool("abandoned_runs", s.abandonedUntilMs[id] > now), zap.Any("workers", workers), zap.String("pool", job.pool),
 		zap.Uint64("term", s.term))
 }
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -23,12 +23,12 @@
 	lastOrderMs      int64
 	// joinedMs is the uptime at which this leader first heard this incarnation.
 	joinedMs int64
-	// trial is the suspect that it was last ordered to start; zero once that has ended.
-	trial trial
-	// keptFree is set while it runs a task alone, or gets no orders so that it can.
+	// suspect is the suspect that it was last ordered to start; zero once that has ended.
+	suspect suspectStart
+	// keptFree is set while it runs tasks on trial, or gets no orders so that it can.
 	keptFree bool
-	// alone is the last task that it was ordered to run alone.
-	alone batch.TaskID
+	// trials are the tasks that it was last ordered to start on trial: one alone, or a group.
+	trials []batch.TaskID
 	// inherited is set until this leader has received a heartbeat from it.
 	inherited bool
 	draining  bool
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -19,6 +19,11 @@
 		if d.Cmd == "alone" {
 			return judgeAlone(t, d)
 		}
+		if d.Cmd == "held" {
+			var workers int
+			d.ScanArgs(t, "workers", &workers)
+			return fmt.Sprintln(crash.MaxHeld(workers))
+		}
 		var in crash.Input
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			count, kind, _ := strings.Cut(line, " ")
@@ -47,5 +52,5 @@
 	if d.HasArg("unexplained") {
 		d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
 	}
-	return fmt.Sprintf("runs alone: %t; given up: %t\n", crash.RunsAlone(in.Crashes), crash.GiveUpAlone(in))
+	return fmt.Sprintf("trial: %s; given up: %t\n", crash.TrialOf(in.Crashes), crash.GiveUpAlone(in))
 }
--- /dev/null
+++ b/internal/plan/crash/trial.go
@@ -0,0 +1,74 @@
+package crash
+
+// Trial is how a task starts next, by the crashes of workers that started or ran it.
+type Trial int
+
+const (
+	// TrialNone means beside all others.
+	TrialNone Trial = iota // none
+	// TrialGroup means beside no others but tasks that are tried in the same way: if one of them crashes the worker, each is
+	// tried alone.
+	TrialGroup // group
+	// TrialAlone means where nothing else can be the cause of a crash.
+	TrialAlone // alone
+)
+
+const (
+	// crashesToTry is how many workers have to crash while they start or run a task before it is tried in a group, and
+	// crashesToRunAlone before it is tried alone.
+	crashesToTry      = 3
+	crashesToRunAlone = 4
+	// crashesAloneToGiveUp is how many workers have to crash so before a task is given up, the last one while it ran alone.
+	crashesAloneToGiveUp = 4
+	// crashesAloneToGiveUpDoubtful is the same where the last worker also crashes without the task or fell silent with others
+	// of its rack, where something else hadn't run for long, and for a task that lasts.
+	crashesAloneToGiveUpDoubtful = 5
+	// crashesToDoubtAlone is how many other recent crashes that no task explains make a worker doubtful for a task alone.
+	crashesToDoubtAlone = 1
+	// MaxGroup is how many tasks are tried together.
+	MaxGroup = 8
+	// heldShare is the part of a pool's workers, as its divisor, that trials may keep from all other tasks, and minHeld what
+	// they may keep of a small pool.
+	heldShare = 4
+	minHeld   = 2
+)
+
+// TrialOf returns how a task is tried next, after a number of workers have crashed while they started or ran it.
+func TrialOf(crashes int) Trial {
+	switch {
+	case crashes >= crashesToRunAlone:
+		return TrialAlone
+	case crashes >= crashesToTry:
+		return TrialGroup
+	default:
+		return TrialNone
+	}
+}
+
+// MaxHeld returns how many workers of a pool trials may keep from all other tasks: never all of them, but for a pool of one.
+func MaxHeld(workers int) int {
+	return max(1, min(workers-1, max(minHeld, workers/heldShare)))
+}
+
+// Alone is the crash of a worker that ran a task on trial: all else on it had run for a while when the task started.
+type Alone struct {
+	// Crashes is how many workers have crashed before while they started or ran the task.
+	Crashes int
+	// LongRunning is set for a task that lasts: its job would go on for long.
+	LongRunning bool
+	// UnexplainedCrashes is how often the machine crashed lately before this with no task given up for it.
+	UnexplainedCrashes int
+	// RackSilent is set if other workers of its rack fell silent at about the same time.
+	RackSilent bool
+	// OthersRecent is set if something else on it hadn't run for long.
+	OthersRecent bool
+}
+
+// GiveUpAlone reports whether the task is given up.
+func GiveUpAlone(in Alone) bool {
+	needed := crashesAloneToGiveUp
+	if in.LongRunning || in.RackSilent || in.OthersRecent || in.UnexplainedCrashes >= crashesToDoubtAlone {
+		needed = crashesAloneToGiveUpDoubtful
+	}
+	return in.Crashes+1 >= needed
+}
