Start a lasting task that has waited for 2 s on any worker with room

Three paths, one class: a preference for a better place without a bound on the wait. Workers in quarantine took none, and those on probation left it to each other for 4 s more. And fitsElsewhere, by which a worker that is due for maintenance or leaves leaves a lasting task to another, wasn't what that other one decides by: it counted workers on probation, kept free, without the label or outside the rack, and skipped the whole job if one of its tasks fitted.

A lasting task that has waited for 2 s takes any worker that meets its own requirements.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -16,12 +16,6 @@
 	if pool == nil || pool.Standby {
 		return nil
 	}
-	if s.fleet.leaving(w) {
-		return s.assignWhileDraining(w, sequence, now)
-	}
-	if w.onProbation(now) {
-		return s.assignProbation(w, sequence, now)
-	}
 	q := s.queueOf(w.pool)
 	if s.awaitsSuspect(w) {
 		return nil
@@ -30,6 +24,17 @@
 		s.fleet.listWanted = true
 		return nil
 	}
+	if orders := s.assignOverdue(w, q, sequence, now); len(orders) > 0 {
+		return orders
+	}
+	switch {
+	case now < w.quarantineUntilMs:
+		return nil
+	case s.fleet.leaving(w):
+		return s.assignWhileDraining(w, q, sequence, now)
+	case w.onProbation(now):
+		return s.assignProbation(w, q, sequence, now)
+	}
 	if orders, kept := s.assignTrial(w, q, sequence, now); kept {
 		return orders
 	}
@@ -40,11 +45,13 @@
 	if suspects := s.assignSuspect(w, q, sequence, now); len(suspects) > 0 {
 		return suspects
 	}
+	maintenanceDue := s.fleet.maintenanceDue(w)
 	for _, job := range s.orderedJobs(q, now) {
 		if len(orders) >= maxStartsPerReply || w.free.MemoryMB <= 0 || !w.free.Covers(q.leastNeed) {
 			break
 		}
-		if job.item.LongRunning && s.fleet.maintenanceDue(w) && s.fitsElsewhere(w, job, now) {
+		if job.item.LongRunning && maintenanceDue {
+			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, job, now), sequence, now)...)
 			continue
 		}
 		orders = append(orders, s.assignJob(w, q, job, sequence, now)...)
@@ -53,20 +60,15 @@
 }
 
 // assignProbation assigns one task to a worker on probation, if it runs nothing.
-func (s *Scheduler) assignProbation(w *worker, sequence uint64, now int64) []batch.StartOrder {
+func (s *Scheduler) assignProbation(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
 	if len(w.running)+w.starting > 0 {
 		return nil
 	}
-	q := s.queueOf(w.pool)
 	for _, job := range s.orderedJobs(q, now) {
-		if len(job.ready) == 0 || job.item.LongRunning && s.fitsElsewhere(w, job, now) {
+		if len(job.ready) == 0 || job.item.LongRunning && s.fitsElsewhere(w, job, job.ready[0], now) {
 			continue
 		}
-		rest := job.ready[1:]
-		job.ready = job.ready[:1:1]
-		orders := s.assignJob(w, q, job, sequence, now)
-		job.ready = append(job.ready, rest...)
-		if len(orders) > 0 {
+		if orders := s.assignOnly(w, q, job, job.ready[:1], sequence, now); len(orders) > 0 {
 			return orders
 		}
 	}
@@ -75,12 +77,8 @@
 
 // assignWhileDraining assigns long-running tasks to a worker whose VM is draining, if no other worker of its pool
 // can take them.
-func (s *Scheduler) assignWhileDraining(w *worker, sequence uint64, now int64) []batch.StartOrder {
-	if v := s.fleet.vms[s.fleet.byWorker[w.id]]; v.orderPending || v.unverifiedMs > 0 {
-		return nil
-	}
-	q := s.queueOf(w.pool)
-	if s.awaitsSuspect(w) {
+func (s *Scheduler) assignWhileDraining(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
+	if s.isOrdered(w) {
 		return nil
 	}
 	if orders := s.assignSuspect(w, q, sequence, now); len(orders) > 0 {
@@ -88,25 +86,54 @@
 	}
 	var orders []batch.StartOrder
 	for _, job := range s.orderedJobs(q, now) {
-		if job.item.LongRunning && !s.fitsElsewhere(w, job, now) {
-			orders = append(orders, s.assignJob(w, q, job, sequence, now)...)
+		if job.item.LongRunning {
+			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, job, now), sequence, now)...)
 		}
 	}
 	return orders
 }
 
-// fitsElsewhere reports whether another worker of the pool that isn't about to leave can take a ready task of a
-// job.
-func (s *Scheduler) fitsElsewhere(except *worker, job *activeJob, now int64) bool {
+// isOrdered reports whether an order for a worker's VM is in flight, or was answered and isn't verified yet.
+func (s *Scheduler) isOrdered(w *worker) bool {
+	v := s.fleet.vms[s.fleet.byWorker[w.id]]
+	return v != nil && (v.orderPending || v.unverifiedMs > 0)
+}
+
+// onlyHere returns the ready tasks of a job that no other worker of a worker's pool takes.
+func (s *Scheduler) onlyHere(w *worker, job *activeJob, now int64) []batch.TaskID {
+	var here []batch.TaskID
+	// last is the last step that was asked about: its tasks differ in nothing that matters here.
+	var last stepKey
+	elsewhere := false
 	for _, id := range job.ready {
-		step := &job.state.Spec.Steps[id.Step]
-		for _, other := range s.workers {
-			if other != except && other.pool == except.pool && other.usable(now) && now-other.heardMs < maxSilenceMs &&
-				!s.fleet.leaving(other) &&
-				!s.fleet.maintenanceDue(other) && other.free.Covers(step.ReservedResources()) &&
-				(step.MaxPerWorker == 0 || s.countOn(other, job.state, id) < step.MaxPerWorker) {
-				return true
-			}
+		if key := stepOf(id); key != last {
+			last, elsewhere = key, s.fitsElsewhere(w, job, id, now)
+		}
+		if !elsewhere {
+			here = append(here, id)
+		}
+	}
+	return here
+}
+
+// assignOnly assigns those of some ready tasks of a job that fit a worker.
+func (s *Scheduler) assignOnly(w *worker, q *poolQueue, job *activeJob, ids []batch.TaskID, sequence uint64, now int64) []batch.StartOrder {
+	if len(ids) == 0 {
+		return nil
+	}
+	rest := slices.DeleteFunc(slices.Clone(job.ready), func(id batch.TaskID) bool { return slices.Contains(ids, id) })
+	job.ready = slices.Clone(ids)
+	orders := s.assignJob(w, q, job, sequence, now)
+	job.ready = append(job.ready, rest...)
+	return orders
+}
+
+// fitsElsewhere reports whether another worker of a worker's pool, whose VM isn't due for maintenance, takes a task of a job now
+// or in a moment.
+func (s *Scheduler) fitsElsewhere(except *worker, job *activeJob, id batch.TaskID, now int64) bool {
+	for _, other := range s.workers {
+		if other != except && other.pool == except.pool && !s.fleet.maintenanceDue(other) && s.unfitFor(other, job, id, now).isBrief() {
+			return true
 		}
 	}
 	return false
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -28,7 +28,7 @@
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
 	orders := batch.Orders{Stop: stops, Pace: s.pace(w)}
-	if w.usable(now) {
+	if w.takesOrders() {
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
 	w.intervalMs = s.nextHeartbeatMs(w, now)
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -63,6 +63,8 @@
 	demand, copyable int
 	// suspects and trials hold the tasks that start only on certain workers.
 	suspects, trials suspectQueue
+	// unplaced are the jobs with tasks that last and wait for a worker.
+	unplaced map[string]*activeJob
 }
 
 // sortIntervalMs is how long a sorted order of jobs is used, in milliseconds.
@@ -71,7 +73,7 @@
 func (s *Scheduler) queueOf(pool string) *poolQueue {
 	q := s.queues[pool]
 	if q == nil {
-		q = &poolQueue{jobs: map[string]*activeJob{}}
+		q = &poolQueue{jobs: map[string]*activeJob{}, unplaced: map[string]*activeJob{}}
 		s.queues[pool] = q
 	}
 	return q
@@ -132,6 +134,11 @@
 		s.queueOf(pool).trials.add(id, s.now())
 	}
 	s.trackJob(s.jobs[id])
+	if len(updated.unplacedSinceMs) > 0 {
+		s.queueOf(pool).unplaced[id] = s.jobs[id]
+	} else {
+		delete(s.queueOf(pool).unplaced, id)
+	}
 }
 
 // trackJob notes whether a job has gangs to plan, or an occurrence that is still to become due.
@@ -151,6 +158,7 @@
 func (s *Scheduler) removeJob(job *activeJob) {
 	q := s.queueOf(job.pool)
 	delete(q.jobs, job.state.Spec.ID)
+	delete(q.unplaced, job.state.Spec.ID)
 	q.demand -= len(job.ready)
 	q.copyable -= len(job.copyable)
 }
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -93,12 +93,17 @@
 		return nil
 	}
 	q.suspects.removeLast()
-	job := s.jobs[id.Job]
+	return []batch.StartOrder{s.startSuspect(w, s.jobs[id.Job], id, ticket, sequence)}
+}
+
+// startSuspect starts a suspect, so that the worker starts nothing else until it has reported it.
+func (s *Scheduler) startSuspect(w *worker, job *activeJob, id batch.TaskID, ticket string, sequence uint64) batch.StartOrder {
 	job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
+	job.trials = slices.DeleteFunc(job.trials, func(other batch.TaskID) bool { return other == id })
 	job.onTrial = append(job.onTrial, id)
 	start := s.startAttempt(w, job.state, id, ticket, sequence)
 	w.suspect = suspectStart{task: id, attempt: start.Attempt}
-	return []batch.StartOrder{start}
+	return start
 }
 
 // findSuspect moves a suspect that may start on a worker now to the end of its queue and returns it, with its ticket.
@@ -113,7 +118,7 @@
 		if len(w.running) > 0 && now-q.suspects.sinceMs[id] < suspectWaitMs || s.stepHeld(job, stepOf(id)) {
 			continue
 		}
-		if s.fleet.leaving(w) && !s.onlyHere(w, job, id, now) {
+		if s.fleet.leaving(w) && (!job.item.LongRunning || s.fitsElsewhere(w, job, id, now)) {
 			continue
 		}
 		if ticket, ok = s.mayRun(w, job, id, now); ok {
@@ -123,11 +128,6 @@
 	return batch.TaskID{}, "", false
 }
 
-// onlyHere reports whether a suspect lasts and no worker but one that is about to leave can take it.
-func (s *Scheduler) onlyHere(w *worker, job *activeJob, id batch.TaskID, now int64) bool {
-	return job.item.LongRunning && !s.fitsElsewhere(w, &activeJob{state: job.state, ready: []batch.TaskID{id}}, now)
-}
-
 // startsAny reports whether a worker was ordered to start anything that hasn't outlived its start, as of its last heartbeat.
 func (s *Scheduler) startsAny(w *worker) bool {
 	if w.starting > 0 {
--- a/internal/ctrl/sched/trials.go
+++ b/internal/ctrl/sched/trials.go
@@ -98,7 +98,8 @@
 	return held < crash.MaxHeld(workers)
 }
 
-// findTrial returns a task that a worker may try, once all else there has ended or run for a while, with its ticket. It looks for those of one kind of trial, or of any for TrialNone.
+// findTrial returns a task that a worker may try, once all else there has ended or run for a while, with its ticket: one that
+// lasts before all others. It looks for those of one kind of trial, or of any for TrialNone.
 func (s *Scheduler) findTrial(w *worker, q *poolQueue, kind crash.Trial, now int64) (id batch.TaskID, ticket string, ok bool) {
 	free, betterElsewhere := s.freeAlone(w), len(s.recentCrashes(w.address)) > 0 && s.soundElsewhere(w, now)
 	mayTry := func(job *activeJob, id batch.TaskID) (string, bool) {
@@ -108,6 +109,9 @@
 		}
 		return s.mayRunIn(free, w, job, id, now)
 	}
+	if job, id, ticket := q.longestUnplaced(0, now, mayTry); job != nil {
+		return id, ticket, true
+	}
 	for range min(len(q.trials.order), maxSuspectsTried) {
 		id = q.trials.next()
 		job := s.jobs[id.Job]
--- a/internal/ctrl/sched/unfit.go
+++ b/internal/ctrl/sched/unfit.go
@@ -25,6 +25,11 @@
 	unfitRack                           // rack
 )
 
+// isBrief reports whether a worker takes a task now, or will as soon as it has reported.
+func (r unfitReason) isBrief() bool {
+	return r == fit || r == unfitTrial || r == unfitVM
+}
+
 // closedTo returns why a worker takes no tasks at all, or only certain ones.
 func (s *Scheduler) closedTo(w *worker, now int64) unfitReason {
 	switch {
--- a/internal/ctrl/sched/unplaced.go
+++ b/internal/ctrl/sched/unplaced.go
@@ -11,6 +11,8 @@
 const (
 	// unplacedMs is how long a task that lasts has to wait before the log says why, in milliseconds.
 	unplacedMs = 2000
+	// overdueMs is how long a task that lasts waits at most for a worker that is better than others, in milliseconds.
+	overdueMs = 2000
 	// maxUnplacedLogged bounds the tasks of which the log says so at a time.
 	maxUnplacedLogged = 8
 )
@@ -40,6 +42,57 @@
 	}
 }
 
+// longestUnplaced returns the task that lasts and has waited longest among those of a pool that wait at least for a time and that
+// a worker may take, with its ticket; the job is nil if there is none.
+func (q *poolQueue) longestUnplaced(minMs, now int64, mayTake func(job *activeJob, id batch.TaskID) (ticket string, ok bool)) (job *activeJob, id batch.TaskID, ticket string) {
+	sinceMs := now - minMs
+	for _, other := range q.unplaced {
+		for _, otherID := range other.unplaced() {
+			otherMs, lasts := other.unplacedSinceMs[otherID]
+			if !lasts || otherMs > sinceMs || job != nil && otherMs == sinceMs && compareTasks(otherID, id) > 0 {
+				continue
+			}
+			if t, ok := mayTake(other, otherID); ok {
+				job, id, ticket, sinceMs = other, otherID, t, otherMs
+			}
+		}
+	}
+	return job, id, ticket
+}
+
+// assignOverdue starts on a worker the task that lasts and has waited longest, if it has waited for so long that it takes any
+// worker that meets its own requirements: one on which others failed, that is kept free for trials or that leaves too.
+func (s *Scheduler) assignOverdue(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
+	if len(q.unplaced) == 0 || s.isOrdered(w) || w.starting > 0 {
+		return nil
+	}
+	job, id, ticket := q.longestUnplaced(overdueMs, now, func(job *activeJob, id batch.TaskID) (string, bool) {
+		if s.stepHeld(job, stepOf(id)) {
+			return "", false
+		}
+		return s.mayRun(w, job, id, now)
+	})
+	if job == nil {
+		return nil
+	}
+	s.options.Logger.Info("task_overdue", zap.String("job", id.Job), zap.Int("occurrence", id.Occurrence), zap.Int("step", id.Step),
+		zap.Int("index", id.Index), zap.String("worker", w.id), zap.Int64("waited_ms", now-job.unplacedSinceMs[id]),
+		zap.Stringer("otherwise", s.closedTo(w, now)), zap.Uint64("term", s.term))
+	return []batch.StartOrder{s.startOverdue(w, q, job, id, ticket, sequence)}
+}
+
+// startOverdue starts a task that lasts, whichever of a job's lists it waits in.
+func (s *Scheduler) startOverdue(w *worker, q *poolQueue, job *activeJob, id batch.TaskID, ticket string, sequence uint64) batch.StartOrder {
+	if i := slices.Index(job.ready, id); i >= 0 {
+		job.ready = slices.Delete(job.ready, i, i+1)
+		q.demand--
+		return s.startAttempt(w, job.state, id, ticket, sequence)
+	}
+	q.suspects.remove(id)
+	q.trials.remove(id)
+	return s.startSuspect(w, job, id, ticket, sequence)
+}
+
 // logUnplaced logs for tasks that last and have waited for long why no worker takes them, and for each pool with tasks that
 // wait what its workers do.
 func (s *Scheduler) logUnplaced(now int64) {
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -70,8 +70,7 @@
 			continue
 		}
 		key := stepOf(id)
-		job := &activeJob{state: j, ready: []batch.TaskID{id}}
-		if s.countUnavailable(j, key)+moved[key] >= j.Spec.Steps[id.Step].MaxUnavailable || !s.fitsElsewhere(source, job, now) {
+		if s.countUnavailable(j, key)+moved[key] >= j.Spec.Steps[id.Step].MaxUnavailable || !s.fitsElsewhere(source, &activeJob{state: j}, id, now) {
 			continue
 		}
 		a := source.running[id]
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -101,9 +101,14 @@
 	return labels[rackLabel]
 }
 
-// usable reports whether a worker takes new tasks.
+// takesOrders reports whether a worker may be ordered to start tasks.
+func (w *worker) takesOrders() bool {
+	return !w.draining && !w.left && !w.inherited
+}
+
+// usable reports whether a worker takes new tasks of any kind.
 func (w *worker) usable(now int64) bool {
-	return !w.draining && !w.left && !w.inherited && now >= w.quarantineUntilMs
+	return w.takesOrders() && now >= w.quarantineUntilMs
 }
 
 // onProbation reports whether a worker whose quarantine ended recently has yet to finish a task: it gets one at a
