--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -53,9 +53,10 @@
 	// overdueMarginMs is how long after the requested interval a heartbeat may come before its worker counts as silent.
 	overdueMarginMs = 400
 	// quarantineMs is how long a worker on which tasks fail gets none, and quarantineFailures the number of
-	// consecutive failures that starts it.
+	// consecutive failures that starts it. probationMs is how long it gets one at a time after that.
 	quarantineMs       = 4000
 	quarantineFailures = 3
+	probationMs        = 4000
 	// abandonedHoldMs is how long after an abandoned attempt was last listed no other attempt of its task starts;
 	// it is longer than the heartbeat interval.
 	abandonedHoldMs = 500
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -54,9 +54,10 @@
 	// starting is the number of starts that are proposed and not yet applied.
 	starting int
 	// failures counts the attempts that failed or stalled there since the last one that was done; no tasks are
-	// assigned before uptime quarantineUntilMs.
+	// assigned before uptime quarantineUntilMs, and one at a time before uptime probationUntilMs.
 	failures          int
 	quarantineUntilMs int64
+	probationUntilMs  int64
 	// intervalMs is the heartbeat interval that it was last asked for, in milliseconds.
 	intervalMs int64
 	// share is the CPU share of its best-effort tasks, in percent.
@@ -106,10 +107,10 @@
 	return !w.draining && !w.left && !w.inherited && now >= w.quarantineUntilMs
 }
 
-// onProbation reports whether a worker whose quarantine ended recently has yet to finish a task: it gets one at a
-// time.
+// onProbation reports whether a worker on which attempts failed, and whose quarantine is over or that got none, has yet to
+// finish a task: it gets one at a time.
 func (w *worker) onProbation(now int64) bool {
-	return w.quarantineUntilMs > 0 && now < w.quarantineUntilMs+quarantineMs && w.failures >= quarantineFailures-1
+	return now < w.probationUntilMs && w.failures >= quarantineFailures-1
 }
 
 // expireLeases ends what runs on workers whose lease has expired on any clock, and forgets workers that are silent
