Let a worker on probation take a task beside what has run there since before

Callers' jobs waited for the end of the probation where the workers that attempts failed on run lasting tasks: probation took a task only where nothing ran. It counts what began since the probation did. With probation in place of quarantine the lasting task of task-that-lasts-starts-where-all-workers-failed starts at the next heartbeat; a pool of one shows the wait of 2 s.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -59,9 +59,9 @@
 	return append(orders, s.assignCopies(w, q, sequence, now)...)
 }
 
-// assignProbation assigns one task to a worker on probation, if it runs nothing.
+// assignProbation assigns one task to a worker on probation, if it runs none that began there since.
 func (s *Scheduler) assignProbation(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
-	if len(w.running)+w.starting > 0 {
+	if w.triesOne() {
 		return nil
 	}
 	for _, job := range s.orderedJobs(q, now) {
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -118,6 +118,19 @@
 	return now < w.probationUntilMs && w.failures >= quarantineFailures-1
 }
 
+// triesOne reports whether a worker on probation runs or starts a task that began there since the probation did.
+func (w *worker) triesOne() bool {
+	if w.starting > 0 {
+		return true
+	}
+	for _, a := range w.running {
+		if a.sinceMs >= w.quarantineUntilMs {
+			return true
+		}
+	}
+	return false
+}
+
 // expireLeases ends what runs on workers whose lease has expired on any clock, and forgets workers that are silent
 // for long.
 func (s *Scheduler) expireLeases(now int64) {
