Blame no task for a moment in which a third of its pool crashes

Cause: crashes were judged one by one; what a crash shows of a task was taken as if workers crashed only of what they run, whatever share of the pool went down in the same moment. The class: a failure is charged to the place where it shows, not to the cause that is shared.

A crash in the same 0.2 s as others blames nothing where these are a third of the pool's workers, and four at least (a pure function, crash.HaveCommonCause); a VM list is read for all that are down before the first of them is judged. The rack rule for tasks on trial stays. crashes-together-blame-no-task failed before: its job was shown as failed after three such moments.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -26,6 +26,8 @@
 	lateHeartbeatMs = 3000
 	// unexplainedKeptMs is how long a crash for which no task was given up counts against the machine.
 	unexplainedKeptMs = 10_000
+	// crashTogetherMs is how far apart the last heartbeats of workers may be that crash at the same moment.
+	crashTogetherMs = 200
 )
 
 // handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
@@ -42,9 +44,11 @@
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.Stringer("excuse", excuse))
 	var blamed map[attemptID]bool
-	if excuse == excuseNone {
+	if excuse == excuseNone || excuse == excuseTogether {
 		crashesTotal.Inc()
 		s.crashedMs[w.pool] = s.now()
+	}
+	if excuse == excuseNone {
 		blamed = s.blameStarts(w, unseen)
 	}
 	s.endAttemptsOn(w, w.incarnation, cause, blamed)
@@ -114,6 +118,7 @@
 	excuseNotHeard                           // not heard by this leader
 	excuseOrdered                            // ordered away
 	excuseOrderedFormerly                    // ordered away by a former leader
+	excuseTogether                           // together with others
 )
 
 func (s *Scheduler) excuseOf(w *worker) crashExcuse {
@@ -130,10 +135,33 @@
 		return excuseOrdered
 	case s.fleet.maybeDownUntilMs[name] > s.now():
 		return excuseOrderedFormerly
+	case s.crashedTogether(w):
+		return excuseTogether
 	}
 	return excuseNone
 }
 
+// crashedTogether reports whether so many workers of a worker's pool were lost at the same moment that it wasn't for their tasks.
+func (s *Scheduler) crashedTogether(w *worker) bool {
+	now := s.now()
+	// lost holds, by address, whether the worker that ran there then was lost with this one.
+	lost := map[string]bool{w.address: true}
+	for _, other := range s.workers {
+		if other.pool != w.pool || other.address == w.address || other.joinedMs > w.heardMs || other.heardMs < w.heardMs-crashTogetherMs {
+			continue
+		}
+		gone := other.crashed || other.listedDown || !other.left && now-other.heardMs > other.intervalMs+overdueMarginMs
+		lost[other.address] = lost[other.address] || gone && other.heardMs <= w.heardMs+crashTogetherMs
+	}
+	crashed := 0
+	for _, gone := range lost {
+		if gone {
+			crashed++
+		}
+	}
+	return crash.HaveCommonCause(crashed, len(lost))
+}
+
 // attemptID identifies an attempt.
 type attemptID struct {
 	task    batch.TaskID
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -59,6 +59,9 @@
 // applyPage applies a page of a list that was requested at uptime asked. A row with a capacity that no VM can have counts
 // as unread.
 func (s *Scheduler) applyPage(r *OrderResult, asked int64) {
+	for _, v := range r.VMs {
+		s.noteDown(v, asked)
+	}
 	for _, v := range r.VMs {
 		if !v.Capacity.InRange() {
 			s.noteUnread(UnreadVM{Name: v.Name, Cause: "the capacity is out of range"})
@@ -71,6 +74,18 @@
 	}
 }
 
+// noteDown notes the worker of a VM that is listed as down, so that those that crash together are known before the first of them
+// is judged.
+func (s *Scheduler) noteDown(v VM, asked int64) {
+	known := s.fleet.vms[v.Name]
+	if known == nil || v.State != VMDown || known.orderPending || known.awayUntilMs > asked {
+		return
+	}
+	if w := s.workers[known.Worker]; w != nil && w.heardMs < asked {
+		w.listedDown = true
+	}
+}
+
 // applyListed updates one VM from a list that was requested at uptime asked.
 func (s *Scheduler) applyListed(v VM, asked int64) {
 	f := &s.fleet
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -33,11 +33,12 @@
 	inherited bool
 	draining  bool
 	left      bool
-	// crashed is set once it was found to have crashed or restarted.
-	crashed  bool
-	capacity batch.Resources
-	labels   []string
-	rack     string
+	// crashed is set once it was found to have crashed or restarted, and listedDown once the VM list shows its VM down.
+	crashed    bool
+	listedDown bool
+	capacity   batch.Resources
+	labels     []string
+	rack       string
 	// free are the resources left after the last heartbeat and the starts assigned since.
 	free batch.Resources
 	// overfullMs is the uptime of its last heartbeat that listed more than its capacity.
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -19,6 +19,12 @@
 		if d.Cmd == "alone" {
 			return judgeAlone(t, d)
 		}
+		if d.Cmd == "together" {
+			var crashed, workers int
+			d.ScanArgs(t, "crashed", &crashed)
+			d.ScanArgs(t, "workers", &workers)
+			return fmt.Sprintf("common cause: %t\n", crash.HaveCommonCause(crashed, workers))
+		}
 		if d.Cmd == "held" {
 			var workers int
 			d.ScanArgs(t, "workers", &workers)
