Split admission and the building of its table into steps

Acquire took a slot, queued a request and waited for its verdict in one function: admitAtOnce and enqueue now do the first two, under the lock that Acquire holds. Refresh built the rows, kept the removed services and forgot runners: runnersOf, appendSlotRunners, keepRemoved and forgetRunners each do one of these. The known runners are taken from the ledger's list in place of a second map filled beside it. Order and locking are unchanged.

--- a/internal/edge/admit/admit.go
+++ b/internal/edge/admit/admit.go
@@ -106,25 +106,15 @@
 	s, now := row.service, c.options.Clock.Now()
 	s.mu.Lock()
 	s.offeredLoad.Arrive(now)
-	if s.queue.Len() == 0 {
-		if ticket, ok := s.issueTicket(r.Tried, now); ok {
-			s.observeQueueTime(labels, 0)
-			s.mu.Unlock()
-			return ticket, nil
-		}
+	if ticket, ok := s.admitAtOnce(r.Tried, labels, now); ok {
+		s.mu.Unlock()
+		return ticket, nil
 	}
 	w := &waiter{tried: r.Tried, item: queue.Item{
 		Class: class, Team: labels.Team, Weight: table.weight(labels.Team), Arrived: now, Deadline: r.Deadline,
 		Done: make(chan queue.Verdict, 1),
 	}}
-	verdict, displaced := s.queue.Push(&w.item, now, s.capacity())
-	if displaced != nil {
-		s.endWait(displaced, queue.VerdictDisplaced)
-	}
-	if verdict == 0 {
-		s.waiters[&w.item] = w
-		s.dispatch()
-	}
+	verdict := s.enqueue(w, now)
 	s.mu.Unlock()
 	if verdict != 0 {
 		return c.refuseVerdict(r, verdict)
--- a/internal/edge/admit/service.go
+++ b/internal/edge/admit/service.go
@@ -107,6 +107,33 @@
 	return route.Ticket{Endpoint: r.endpoint, Number: s.lastTicket, Timeout: s.maxRequestTime}, true
 }
 
+// admitAtOnce takes a slot for a request that needn't wait; it fails if other requests wait or no slot is free. The
+// caller holds mu.
+func (s *service) admitAtOnce(tried []fleet.Endpoint, l hist.Labels, now time.Time) (route.Ticket, bool) {
+	if s.queue.Len() > 0 {
+		return route.Ticket{}, false
+	}
+	ticket, ok := s.issueTicket(tried, now)
+	if ok {
+		s.observeQueueTime(l, 0)
+	}
+	return ticket, ok
+}
+
+// enqueue puts a request in the queue, which may displace another one; it returns 0, or the verdict by which the
+// request is refused. The caller holds mu.
+func (s *service) enqueue(w *waiter, now time.Time) queue.Verdict {
+	verdict, displaced := s.queue.Push(&w.item, now, s.capacity())
+	if displaced != nil {
+		s.endWait(displaced, queue.VerdictDisplaced)
+	}
+	if verdict == 0 {
+		s.waiters[&w.item] = w
+		s.dispatch()
+	}
+	return verdict
+}
+
 // finishAttempt releases the ticket's slot and admits waiting requests; it reports whether the runner was ejected.
 func (s *service) finishAttempt(t route.Ticket, result route.Result) (ejected bool) {
 	s.mu.Lock()
--- a/internal/edge/admit/table.go
+++ b/internal/edge/admit/table.go
@@ -43,36 +43,62 @@
 		c.ledger.SetMembers(members, c.options.Clock.Now())
 	}
 	next := &table{view: view, services: make(map[string]*tableRow, len(view.Services))}
-	keep := make(map[slots.Key]bool, len(c.knownRunners))
 	var runners []slots.Runner
 	for name, s := range view.Services {
-		service := c.serviceFor(previous, name)
 		maxRequestTime := time.Duration(s.Settings.DeadlineMs) * time.Millisecond
-		row := &tableRow{service: service, runners: make([]*runner, 0, len(s.Endpoints))}
-		for _, e := range s.Endpoints {
-			key := slots.KeyOf(e.Key())
-			keep[key] = true
-			row.runners = append(row.runners, &runner{endpoint: e, key: e.Key(), share: c.holder.Share(key)})
-			runners = append(runners, slots.Runner{Key: key, Service: name, Slots: e.Slots, MaxRequestTime: maxRequestTime})
-		}
-		service.configure(s.Settings.QueueLimit, maxRequestTime, row.runners)
+		row := &tableRow{service: c.serviceFor(previous, name), runners: c.runnersOf(s.Endpoints)}
+		row.service.configure(s.Settings.QueueLimit, maxRequestTime, row.runners)
 		next.services[name] = row
+		runners = appendSlotRunners(runners, row, maxRequestTime)
+	}
+	next.keepRemoved(previous)
+	c.forgetRunners(runners)
+	c.ledger.SetRunners(runners)
+	c.table.Store(next)
+}
+
+// runnersOf returns the endpoints with this entry's shares of their slots.
+func (c *Controller) runnersOf(endpoints []fleet.Endpoint) []*runner {
+	runners := make([]*runner, 0, len(endpoints))
+	for _, e := range endpoints {
+		key := e.Key()
+		runners = append(runners, &runner{endpoint: e, key: key, share: c.holder.Share(slots.KeyOf(key))})
+	}
+	return runners
+}
+
+// appendSlotRunners appends the runners of a row in the form that the ledger takes.
+func appendSlotRunners(runners []slots.Runner, row *tableRow, maxRequestTime time.Duration) []slots.Runner {
+	for _, r := range row.runners {
+		runners = append(runners, slots.Runner{
+			Key: slots.KeyOf(r.key), Service: row.service.name, Slots: r.endpoint.Slots, MaxRequestTime: maxRequestTime,
+		})
 	}
-	// A service that left the document keeps its state, since requests may still be in progress.
+	return runners
+}
+
+// keepRemoved keeps the state of services that left the document, since their requests may still be in progress.
+func (t *table) keepRemoved(previous *table) {
 	for name, row := range previous.services {
-		if _, ok := next.services[name]; !ok {
+		if _, ok := t.services[name]; !ok {
 			row.service.configure(0, 0, nil)
-			next.services[name] = &tableRow{service: row.service}
+			t.services[name] = &tableRow{service: row.service}
 		}
 	}
+}
+
+// forgetRunners forgets the runners that left the table, except those with slots in use.
+func (c *Controller) forgetRunners(current []slots.Runner) {
+	known := make(map[slots.Key]bool, len(current))
+	for _, r := range current {
+		known[r.Key] = true
+	}
 	for key := range c.knownRunners {
-		if !keep[key] && !c.holder.Forget(key) {
-			keep[key] = true
+		if !known[key] && !c.holder.Forget(key) {
+			known[key] = true
 		}
 	}
-	c.knownRunners = keep
-	c.ledger.SetRunners(runners)
-	c.table.Store(next)
+	c.knownRunners = known
 }
 
 // labels returns the metric labels and the class of a request. Unknown teams and classes are mapped to the
