Check the demand and the budgets of a pool apart from the limits of a wave

checkDrain (42 lines) held four rules, a branch for spare pools and the reason for a VM that may go. checkPoolDrain now holds what a pool with demand asks, checkBudgets the rule on budgets.

--- a/internal/plan/waves/check.go
+++ b/internal/plan/waves/check.go
@@ -32,6 +32,12 @@
 	if v.SparePools[p.Name] {
 		return v.checkSpareDrain(w, m)
 	}
+	return v.checkPoolDrain(w, p, m)
+}
+
+// checkPoolDrain reports whether a VM of a pool that serves demand may be taken out: the pool must carry its demand
+// without it, and its budgets must outlast the loss of a failure domain meanwhile.
+func (v *view) checkPoolDrain(w fleet.Wave, p *pool, m fleet.VM) (record.Reason, bool) {
 	spare := v.sparesFor(p)
 	if p.active-1+spare < p.Need && (!w.Urgent || !v.affordsShortfall(p, spare)) {
 		return record.Reason{
@@ -40,6 +46,18 @@
 			Change: "less demand, more spare or VMs that come back",
 		}, false
 	}
+	if reason, ok := p.checkBudgets(m, spare); !ok {
+		return reason, false
+	}
+	return record.Reason{
+		Inputs: fmt.Sprintf("maintained %s ago; pool %s: %d active, needs %d, %d spare", v.Now.Sub(m.Maintained).Round(time.Second), p.Name, p.active, p.Need, spare),
+		Rule:   "the VM is due in wave " + w.Name,
+		Change: "cowslip wave hold",
+	}, true
+}
+
+// checkBudgets reports whether each budget of the pool outlasts the costliest loss of a failure domain while a VM is out.
+func (p *pool) checkBudgets(m fleet.VM, spare int) (record.Reason, bool) {
 	loss := budget.WorstLoss(withoutVM(p.vms, m.Name), p.Need, spare)
 	for _, s := range p.budgets {
 		if s.LeftMS() < loss.BadMS {
@@ -50,11 +68,7 @@
 			}, false
 		}
 	}
-	return record.Reason{
-		Inputs: fmt.Sprintf("maintained %s ago; pool %s: %d active, needs %d, %d spare", v.Now.Sub(m.Maintained).Round(time.Second), p.Name, p.active, p.Need, spare),
-		Rule:   "the VM is due in wave " + w.Name,
-		Change: "cowslip wave hold",
-	}, true
+	return record.Reason{}, true
 }
 
 // checkSpareDrain reports whether a spare VM may be taken out: the other spare VMs must carry what the pools use.
