--- a/internal/ctrl/store/log.go
+++ b/internal/ctrl/store/log.go
@@ -141,6 +141,15 @@
 		return err
 	}
 	frame := appendFrame(nil, payload)
+	if err := l.appendSynced(frame); err != nil {
+		return err
+	}
+	l.noteWritten(writes, len(frame))
+	return nil
+}
+
+// appendSynced appends a frame to the current segment and syncs it.
+func (l *Log) appendSynced(frame []byte) error {
 	l.torn = true
 	if _, err := l.file.Write(frame); err != nil {
 		return errors.Wrap(err, "write log")
@@ -152,8 +161,13 @@
 	l.torn = false
 	syncsTotal.Inc()
 	bytesTotal.Add(len(frame))
+	return nil
+}
+
+// noteWritten updates the hard state and the current segment after a frame of the given size was synced.
+func (l *Log) noteWritten(writes []quorum.Write, frameBytes int) {
 	s := &l.segments[len(l.segments)-1]
-	s.Bytes += len(frame)
+	s.Bytes += frameBytes
 	s.Frames++
 	for _, w := range writes {
 		if w.Hard != nil {
@@ -163,5 +177,4 @@
 			s.Last = max(s.Last, e.Index)
 		}
 	}
-	return nil
 }
