--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -111,13 +111,7 @@
 		m.endLate(j, t, end, nowMs)
 		return
 	}
-	worker := attempt.Worker
-	t.Attempts = slices.DeleteFunc(t.Attempts, func(r Attempt) bool { return r.Number == end.Attempt })
-	j.LiveAttempts--
-	if !slices.ContainsFunc(t.Attempts, func(r Attempt) bool { return r.Worker == worker }) {
-		m.unindexAttempt(worker, end.Task)
-	}
-	m.markChanged(end.Task.Job)
+	m.removeAttempt(j, t, end.Task, *attempt)
 	if j.Phase.IsTerminal() {
 		m.dropDetails(j)
 		return
@@ -141,6 +135,16 @@
 	}
 }
 
+// removeAttempt removes an attempt from its task and from the index of its worker.
+func (m *StateMachine) removeAttempt(j *Job, t *Task, id batch.TaskID, a Attempt) {
+	t.Attempts = slices.DeleteFunc(t.Attempts, func(r Attempt) bool { return r.Number == a.Number })
+	j.LiveAttempts--
+	if !slices.ContainsFunc(t.Attempts, func(r Attempt) bool { return r.Worker == a.Worker }) {
+		m.unindexAttempt(a.Worker, id)
+	}
+	m.markChanged(id.Job)
+}
+
 // endLate marks a task as done whose worker reports so after the attempt was given up, such as when the lease had lapsed
 // because no report came through.
 func (m *StateMachine) endLate(j *Job, t *Task, end *batch.AttemptEnd, nowMs int64) {
