Make and find the clients of named entries in one place

Slots and Recaller each built a map of clients from addresses, and looked an entry up with the same error three times over. newClients and findClient do it for both; the error's text is the same.

--- a/internal/wire/dial/client.go
+++ b/internal/wire/dial/client.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
 	"cowslipstack/internal/wire/certs"
 )
 
@@ -47,3 +50,21 @@
 	r.URL.Scheme = "https"
 	return t.transport.RoundTrip(r)
 }
+
+// newClients returns a client of one service for each named host:port address.
+func newClients[C any](client *http.Client, addresses map[string]string, newClient func(connect.HTTPClient, string, ...connect.ClientOption) C) map[string]C {
+	clients := make(map[string]C, len(addresses))
+	for name, address := range addresses {
+		clients[name] = newClient(client, "http://"+address)
+	}
+	return clients
+}
+
+// findClient returns the client of the named entry.
+func findClient[C any](clients map[string]C, entry string) (C, error) {
+	client, ok := clients[entry]
+	if !ok {
+		return client, errors.Newf("no entry is named %q", entry)
+	}
+	return client, nil
+}
--- a/internal/wire/dial/recall.go
+++ b/internal/wire/dial/recall.go
@@ -20,19 +20,15 @@
 
 // NewRecaller returns a Recaller for the entries whose host:port addresses are given by name.
 func NewRecaller(client *http.Client, addresses map[string]string) *Recaller {
-	r := &Recaller{clients: map[string]peer.RecallClient{}}
-	for name, address := range addresses {
-		r.clients[name] = peer.NewRecallClient(client, "http://"+address)
-	}
-	return r
+	return &Recaller{clients: newClients(client, addresses, peer.NewRecallClient)}
 }
 
 // Recall asks the entry that holds a claim for the first answer. If the request is still in progress, it waits
 // until the context ends.
 func (r *Recaller) Recall(ctx context.Context, entry, name, digest string) (claim.Recall, error) {
-	client, ok := r.clients[entry]
-	if !ok {
-		return claim.Recall{}, errors.Newf("no entry is named %q", entry)
+	client, err := findClient(r.clients, entry)
+	if err != nil {
+		return claim.Recall{}, err
 	}
 	response, err := client.Recall(ctx, connect.NewRequest(&peer.RecallRequest{Key: name, Digest: digest}))
 	if err != nil {
--- a/internal/wire/dial/slots.go
+++ b/internal/wire/dial/slots.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	"cowslipstack/internal/edge/slots"
 	"cowslipstack/internal/wire/codec"
@@ -24,18 +23,14 @@
 
 // NewSlots returns a client of the entries whose host:port addresses are given by name.
 func NewSlots(client *http.Client, addresses map[string]string) *Slots {
-	s := &Slots{clients: map[string]peer.SlotsClient{}}
-	for name, address := range addresses {
-		s.clients[name] = peer.NewSlotsClient(client, "http://"+address)
-	}
-	return s
+	return &Slots{clients: newClients(client, addresses, peer.NewSlotsClient)}
 }
 
 // Report sends a report to a home entry and returns its answer.
 func (s *Slots) Report(ctx context.Context, home string, r slots.Report) (slots.Answer, error) {
-	client, ok := s.clients[home]
-	if !ok {
-		return slots.Answer{}, errors.Newf("no entry is named %q", home)
+	client, err := findClient(s.clients, home)
+	if err != nil {
+		return slots.Answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, slotsTimeout)
 	defer cancel()
@@ -48,12 +43,12 @@
 
 // Wake asks an entry to send a report to a home entry soon.
 func (s *Slots) Wake(ctx context.Context, entry, home string) error {
-	client, ok := s.clients[entry]
-	if !ok {
-		return errors.Newf("no entry is named %q", entry)
+	client, err := findClient(s.clients, entry)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, slotsTimeout)
 	defer cancel()
-	_, err := client.WakeSlots(ctx, connect.NewRequest(&peer.WakeSlotsRequest{Home: home}))
+	_, err = client.WakeSlots(ctx, connect.NewRequest(&peer.WakeSlotsRequest{Home: home}))
 	return err
 }
