Separate the sizing of pools from the moves between them

Share computed the floors in its own body; promisedVMs returns them. doc.go left out the moves. Declarations are moved, no figure is changed.

--- a/internal/plan/pools/doc.go
+++ b/internal/plan/pools/doc.go
@@ -1,3 +1,4 @@
-// Package pools decides how many VMs each pool should have, based on the work
-// that waits. It consists of pure functions on plain structs.
+// Package pools decides how many VMs each pool should have, by the work of its
+// jobs, and which VMs move between pools. It consists of pure functions on plain
+// structs.
 package pools
--- a/internal/plan/pools/plan.go
+++ b/internal/plan/pools/plan.go
@@ -5,81 +5,8 @@
 	"slices"
 )
 
-// Pool describes the demand and the VMs of one pool.
-type Pool struct {
-	// Name is the pool's name.
-	Name string
-	// Standby means that its VMs are switched off and cost nothing.
-	Standby bool
-	// InTime is the demand of the jobs whose SLO can still be met, and Late that of the others.
-	InTime, Late Demand
-	// LongRunning is the part of InTime that long-running tasks need.
-	LongRunning Resources
-	// VM is the capacity of one of its VMs; zero if unknown.
-	VM Resources
-	// Lacking is the amount by which its workers' capacities are below those of their VMs.
-	Lacking Resources
-	// Depleted is the number of its VMs whose workers have no capacity of some kind at present.
-	Depleted int
-	// VMs are its VMs that can work and those that are moving to it.
-	VMs []VM
-	// MinVMs is the minimum number of VMs, whatever their capacity, because some tasks must run on separate VMs.
-	MinVMs int
-	// IdleMs is how long the pool has had more VMs than it needs, in milliseconds.
-	IdleMs int64
-}
-
-// Demand is the amount of resources that the unfinished tasks of some jobs need.
-type Demand struct {
-	// Running is the amount that running tasks hold.
-	Running Resources
-	// Waiting is the amount that waiting tasks would hold.
-	Waiting Resources
-	// Upcoming is the amount that the tasks of steps that open soon would hold.
-	Upcoming Resources
-}
-
-// Add returns the sum of two demands.
-func (d Demand) Add(o Demand) Demand {
-	return Demand{Running: d.Running.Add(o.Running), Waiting: d.Waiting.Add(o.Waiting), Upcoming: d.Upcoming.Add(o.Upcoming)}
-}
-
-// part returns one of n equal parts of a demand.
-func (d Demand) part(n int64) Demand {
-	divide := func(r Resources) Resources { return Resources{CPUMilli: r.CPUMilli / n, MemoryMB: r.MemoryMB / n} }
-	return Demand{Running: divide(d.Running), Waiting: divide(d.Waiting), Upcoming: divide(d.Upcoming)}
-}
-
-// Total returns the amount that a pool is sized for.
-func (d Demand) Total() Resources {
-	upcoming := Resources{CPUMilli: d.Upcoming.CPUMilli * upcomingPercent / 100, MemoryMB: d.Upcoming.MemoryMB * upcomingPercent / 100}
-	return d.Running.Add(d.Waiting).Add(upcoming)
-}
-
-// Resources is an amount of resources that tasks hold or VMs have.
-type Resources struct {
-	// CPUMilli is processor time, in thousandths of a core.
-	CPUMilli int64
-	// MemoryMB is memory, in megabytes.
-	MemoryMB int64
-}
-
-// Add returns the sum of two amounts.
-func (r Resources) Add(o Resources) Resources {
-	return Resources{CPUMilli: r.CPUMilli + o.CPUMilli, MemoryMB: r.MemoryMB + o.MemoryMB}
-}
-
-// VM describes one VM of a pool.
-type VM struct {
-	// Name is the platform's name of the VM.
-	Name string
-	// BusyMs is how long its tasks are expected to run, in milliseconds.
-	BusyMs int64
-	// Empty means that no task runs on it and it may move now.
-	Empty bool
-	// Fixed means that it can't leave the pool, neither now nor when its tasks have ended.
-	Fixed bool
-}
+// minIdleMs is how long a pool must have had too many VMs before it gives any back, in milliseconds.
+const minIdleMs = 600
 
 // Move is the transfer of a VM to another pool.
 type Move struct {
@@ -101,45 +28,6 @@
 	Drains []string
 }
 
-const (
-	// sizingPercent is the demand that a pool is sized for, in percent of the actual demand.
-	sizingPercent = 105
-	// upcomingPercent is the part of the work that opens soon which counts as demand.
-	upcomingPercent = 50
-	// minIdleMs is how long a pool must have had too many VMs before it gives any back, in milliseconds.
-	minIdleMs = 600
-)
-
-// Need returns how many VMs a pool should have where there are enough for all: none for the standby pool or if the
-// capacity of a VM is unknown.
-func Need(p Pool) int {
-	return needFor(p, p.InTime.Add(p.Late).Total())
-}
-
-// needFor returns how many VMs a pool needs for an amount of resources.
-func needFor(p Pool, amount Resources) int {
-	if p.Standby || p.VM.CPUMilli <= 0 {
-		return 0
-	}
-	return max(separateVMs(p), vmsFor(amount.CPUMilli, p.Lacking.CPUMilli, p.VM.CPUMilli), vmsFor(amount.MemoryMB, p.Lacking.MemoryMB, p.VM.MemoryMB))
-}
-
-// separateVMs returns how many VMs a pool needs for tasks that must run on separate ones.
-func separateVMs(p Pool) int {
-	if p.Standby || p.MinVMs == 0 {
-		return 0
-	}
-	return p.MinVMs + p.Depleted
-}
-
-// vmsFor returns how many VMs with a capacity of each hold a demand, if some lack an amount together.
-func vmsFor(demand, lacking, each int64) int {
-	if each <= 0 || demand <= 0 {
-		return 0
-	}
-	return int((demand*sizingPercent/100 + lacking + each - 1) / each)
-}
-
 // shortage is the number of VMs that a pool lacks.
 type shortage struct {
 	pool    string
--- a/internal/plan/pools/share.go
+++ b/internal/plan/pools/share.go
@@ -39,16 +39,23 @@
 	case weighedTotal < total:
 		return Shares{Targets: addLate(all, needs, weighed, total-weighedTotal)}
 	}
-	floors, asking := make([]int, len(all)), 0
+	return Shares{Targets: divide(total, weighed, promisedVMs(all, weighed, total)), Scarce: neededInTime >= total}
+}
+
+// promisedVMs returns the least number of VMs for each pool while there is scarcity: those for tasks that must run on
+// separate VMs, or its equal part of the promised VMs if that is more.
+func promisedVMs(all []Pool, weighed []int, total int) []int {
+	asking := 0
 	for _, n := range weighed {
 		if n > 0 {
 			asking++
 		}
 	}
+	floors := make([]int, len(all))
 	for i, p := range all {
 		floors[i] = max(separateVMs(p), min(weighed[i], total*promisedPercent/100/max(1, asking)))
 	}
-	return Shares{Targets: divide(total, weighed, floors), Scarce: neededInTime >= total}
+	return floors
 }
 
 // addLate adds the VMs that are left to those of the pools with late work.
