--- a/doc.go
+++ b/doc.go
@@ -1,7 +1,8 @@
 // Package cowslipstack is the root of a fleet capacity and maintenance
 // manager. It holds no code: the programs are under cmd, their packages under
-// internal. This file has the go:generate directives of the schemas and of the
-// enums in claim and fakes; other packages with enums have theirs in doc.go.
+// internal, and the interface to the site's platform is package platform. This
+// file has the go:generate directives of the schemas and of the enums in claim
+// and fakes; other packages with enums have theirs in doc.go.
 package cowslipstack
 
 //go:generate go tool -modfile=tools/go.mod buf generate schema/peer
