Lend trials half of a pool while nothing else waits

A task on trial waited behind others beside idle workers; where no other task waits, a worker kept for trials holds nobody up. While others wait it is a quarter, as before. Measured by plan/crash's script alone.

--- a/internal/ctrl/sched/trials.go
+++ b/internal/ctrl/sched/trials.go
@@ -12,8 +12,8 @@
 // assignTrial starts a task alone, or a group of tasks, on a worker on which all else has run for a while, or keeps the worker
 // free for that. It reports whether the worker gets no other orders.
 func (s *Scheduler) assignTrial(w *worker, q *poolQueue, sequence uint64, now int64) (orders []batch.StartOrder, kept bool) {
-	w.keptFree = s.runsTrial(w) && (w.keptFree || s.mayHold(w, now))
-	if w.keptFree || len(q.trials.order) == 0 || s.plansMembersOn(w) || !s.mayHold(w, now) {
+	w.keptFree = s.runsTrial(w) && (w.keptFree || s.mayHold(w, q, now))
+	if w.keptFree || len(q.trials.order) == 0 || s.plansMembersOn(w) || !s.mayHold(w, q, now) {
 		return nil, w.keptFree
 	}
 	id, ticket, ok := s.findTrial(w, q, crash.TrialNone, now)
@@ -85,7 +85,7 @@
 }
 
 // mayHold reports whether a worker may be kept from all tasks but those on trial, by how many of its pool are.
-func (s *Scheduler) mayHold(w *worker, now int64) bool {
+func (s *Scheduler) mayHold(w *worker, q *poolQueue, now int64) bool {
 	workers, held := 1, 0
 	for _, other := range s.workers {
 		if other != w && other.pool == w.pool && other.usable(now) && now-other.heardMs < maxSilenceMs && !s.fleet.leaving(other) {
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	return held < crash.MaxHeld(workers)
+	return held < crash.MaxHeld(workers, q.demand+len(q.suspects.order) > 0)
 }
 
 // findTrial returns a task that a worker may try, once all else there has ended or run for a while, with its ticket: one that
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -28,7 +28,7 @@
 		if d.Cmd == "held" {
 			var workers int
 			d.ScanArgs(t, "workers", &workers)
-			return fmt.Sprintln(crash.MaxHeld(workers))
+			return fmt.Sprintf("%d, %d if others wait\n", crash.MaxHeld(workers, false), crash.MaxHeld(workers, true))
 		}
 		var in crash.Input
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
--- a/internal/plan/crash/trial.go
+++ b/internal/plan/crash/trial.go
@@ -27,10 +27,11 @@
 	crashesToDoubtAlone = 1
 	// MaxGroup is how many tasks are tried together.
 	MaxGroup = 8
-	// heldShare is the part of a pool's workers, as its divisor, that trials may keep from all other tasks, and minHeld what
-	// they may keep of a small pool.
-	heldShare = 4
-	minHeld   = 2
+	// heldShare is the part of a pool's workers, as its divisor, that trials may keep from other tasks that wait, and
+	// idleHeldShare where no others wait; minHeld is what they may keep of a small pool.
+	heldShare     = 4
+	idleHeldShare = 2
+	minHeld       = 2
 )
 
 // TrialOf returns how a task is tried next, after a number of workers have crashed while they started or ran it.
@@ -45,9 +46,14 @@
 	}
 }
 
-// MaxHeld returns how many workers of a pool trials may keep from all other tasks: never all of them, but for a pool of one.
-func MaxHeld(workers int) int {
-	return max(1, min(workers-1, max(minHeld, workers/heldShare)))
+// MaxHeld returns how many workers of a pool trials may keep from all other tasks, which wait or don't: never all of them, but
+// for a pool of one.
+func MaxHeld(workers int, othersWait bool) int {
+	share := idleHeldShare
+	if othersWait {
+		share = heldShare
+	}
+	return max(1, min(workers-1, max(minHeld, workers/share)))
 }
 
 // Alone is the crash of a worker that ran a task on trial: all else on it had run for a while when the task started.
