--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -27,15 +27,16 @@
 	if orders := s.assignOverdue(w, q, sequence, now); len(orders) > 0 {
 		return orders
 	}
+	w.keptFree = s.runsOneAlone(w) && (w.keptFree || s.mayHold(w, q, now))
 	switch {
-	case now < w.quarantineUntilMs:
+	case w.keptFree || now < w.quarantineUntilMs:
 		return nil
 	case s.fleet.leaving(w):
 		return s.assignWhileDraining(w, q, sequence, now)
 	case w.onProbation(now):
 		return s.assignProbation(w, q, sequence, now)
 	}
-	if orders, kept := s.assignTrial(w, q, sequence, now); kept {
+	if orders, kept := s.assignAlone(w, q, sequence, now); kept {
 		return orders
 	}
 	orders := s.assignGangs(w, sequence)
--- a/internal/ctrl/sched/describe.go
+++ b/internal/ctrl/sched/describe.go
@@ -3,7 +3,6 @@
 import (
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
-	"cowslipstack/internal/plan/crash"
 	"cowslipstack/internal/plan/order"
 	"cowslipstack/internal/plan/pools"
 )
@@ -81,7 +80,7 @@
 // describeTask adds a task that isn't done to the job's view.
 func (s *Scheduler) describeTask(job *activeJob, t *jobs.Task, id batch.TaskID) {
 	step := &job.state.Spec.Steps[id.Step]
-	suspect := (t.Crashes > 0 || trialOf(job.state, t) != crash.TrialNone) && !step.Gang
+	suspect := (t.Crashes > 0 || runsAlone(job.state, t)) && !step.Gang
 	if len(t.Attempts) > 0 || s.starting[id] {
 		job.runningResources = job.runningResources.Add(resourcesOf(step, 1))
 		if suspect {
@@ -94,8 +93,8 @@
 	job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
 	switch {
 	case step.Gang:
-	case trialOf(job.state, t) != crash.TrialNone:
-		job.trials = append(job.trials, id)
+	case runsAlone(job.state, t):
+		job.alone = append(job.alone, id)
 	case suspect:
 		job.suspects = append(job.suspects, id)
 	default:
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -197,7 +197,7 @@
 		return max(minIntervalMs, unusableHeartbeatMs)
 	case w.suspect != (suspectStart{}):
 		return max(minIntervalMs, trialHeartbeatMs)
-	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order)+len(s.queueOf(w.pool).trials.order) > 0:
+	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order)+len(s.queueOf(w.pool).alone.order) > 0:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
 		return max(minIntervalMs, busyHeartbeatMs)
--- a/internal/ctrl/sched/latecrash.go
+++ b/internal/ctrl/sched/latecrash.go
@@ -23,12 +23,9 @@
 	silentTogetherMs = 300
 )
 
-// trialOf returns how a task is tried next.
-func trialOf(j *jobs.Job, t *jobs.Task) crash.Trial {
-	if j.Phase.IsTerminal() || t.Done {
-		return crash.TrialNone
-	}
-	return crash.TrialOf(t.CrashesBeside)
+// runsAlone reports whether a task runs only where nothing else can be the cause of a crash.
+func runsAlone(j *jobs.Job, t *jobs.Task) bool {
+	return !j.Phase.IsTerminal() && !t.Done && crash.RunsAlone(t.CrashesBeside)
 }
 
 // hasRunLong reports whether a worker's last heartbeat lists an attempt that has run for long.
@@ -70,10 +67,11 @@
 	return recent
 }
 
-// givenUpAlone reports whether a task is given up because its worker has crashed while nothing else can be the cause.
+// givenUpAlone reports whether a task is given up because its worker, which was kept free for it, has crashed while nothing
+// else can be the cause.
 func (s *Scheduler) givenUpAlone(w *worker, id batch.TaskID) bool {
 	j, t := s.findTask(id)
-	if trialOf(j, t) == crash.TrialNone {
+	if !w.keptFree || !runsAlone(j, t) {
 		return false
 	}
 	other := func(other batch.TaskID) bool { return other != id }
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -23,8 +23,8 @@
 	// suspects are the tasks that could start under which a worker has crashed, and onTrial those that have started since;
 	// none of them is in ready, nor of a gang.
 	suspects, onTrial []batch.TaskID
-	// trials are the tasks that could start on trial: alone, or in a group; none of them is in the lists above.
-	trials []batch.TaskID
+	// alone are the tasks that could start where nothing else can be the cause of a crash; none of them is in the lists above.
+	alone []batch.TaskID
 	// unplacedSinceMs holds, for the tasks that last and wait for a worker, the uptime since which they do.
 	unplacedSinceMs map[batch.TaskID]int64
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
@@ -61,8 +61,8 @@
 	leastNeed batch.Resources
 	// demand is the number of ready tasks, and copyable the number of tasks of which a speculative copy may run.
 	demand, copyable int
-	// suspects and trials hold the tasks that start only on certain workers.
-	suspects, trials suspectQueue
+	// suspects and alone hold the tasks that start only on certain workers.
+	suspects, alone suspectQueue
 	// unplaced are the jobs with tasks that last and wait for a worker.
 	unplaced map[string]*activeJob
 }
@@ -130,8 +130,8 @@
 	for _, suspect := range s.jobs[id].suspects {
 		s.queueOf(pool).suspects.add(suspect, s.now())
 	}
-	for _, id := range s.jobs[id].trials {
-		s.queueOf(pool).trials.add(id, s.now())
+	for _, id := range s.jobs[id].alone {
+		s.queueOf(pool).alone.add(id, s.now())
 	}
 	s.trackJob(s.jobs[id])
 	if len(updated.unplacedSinceMs) > 0 {
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -99,7 +99,7 @@
 // startSuspect starts a suspect, so that the worker starts nothing else until it has reported it.
 func (s *Scheduler) startSuspect(w *worker, job *activeJob, id batch.TaskID, ticket string, sequence uint64) batch.StartOrder {
 	job.suspects = slices.DeleteFunc(job.suspects, func(other batch.TaskID) bool { return other == id })
-	job.trials = slices.DeleteFunc(job.trials, func(other batch.TaskID) bool { return other == id })
+	job.alone = slices.DeleteFunc(job.alone, func(other batch.TaskID) bool { return other == id })
 	job.onTrial = append(job.onTrial, id)
 	start := s.startAttempt(w, job.state, id, ticket, sequence)
 	w.suspect = suspectStart{task: id, attempt: start.Attempt}
--- a/internal/ctrl/sched/unplaced.go
+++ b/internal/ctrl/sched/unplaced.go
@@ -11,15 +11,17 @@
 const (
 	// unplacedMs is how long a task that lasts has to wait before the log says why, in milliseconds.
 	unplacedMs = 2000
-	// overdueMs is how long a task that lasts waits at most for a worker that is better than others, in milliseconds.
-	overdueMs = 2000
+	// overdueMs is how long a task that lasts waits at most for a worker that is better than others, and overdueAloneMs for one on
+	// which no task runs alone, in milliseconds.
+	overdueMs      = 2000
+	overdueAloneMs = 3000
 	// maxUnplacedLogged bounds the tasks of which the log says so at a time.
 	maxUnplacedLogged = 8
 )
 
 // unplaced returns the tasks of a job that could start.
 func (job *activeJob) unplaced() []batch.TaskID {
-	return slices.Concat(job.ready, job.suspects, job.trials)
+	return slices.Concat(job.ready, job.suspects, job.alone)
 }
 
 // noteUnplaced notes since when the job's tasks that last wait for a worker, given the former view of the job, nil for none.
@@ -61,12 +63,16 @@
 }
 
 // assignOverdue starts on a worker the task that lasts and has waited longest, if it has waited for so long that it takes any
-// worker that meets its own requirements: one on which others failed, that is kept free for trials or that leaves too.
+// worker that meets its own requirements: one on which others failed, that is kept free for tasks that run alone or that leaves too.
 func (s *Scheduler) assignOverdue(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
 	if len(q.unplaced) == 0 || s.isOrdered(w) || w.starting > 0 {
 		return nil
 	}
-	job, id, ticket := q.longestUnplaced(overdueMs, now, func(job *activeJob, id batch.TaskID) (string, bool) {
+	minMs := int64(overdueMs)
+	if w.keptFree && s.runsOneAlone(w) {
+		minMs = overdueAloneMs
+	}
+	job, id, ticket := q.longestUnplaced(minMs, now, func(job *activeJob, id batch.TaskID) (string, bool) {
 		if s.stepHeld(job, stepOf(id)) {
 			return "", false
 		}
@@ -89,7 +95,7 @@
 		return s.startAttempt(w, job.state, id, ticket, sequence)
 	}
 	q.suspects.remove(id)
-	q.trials.remove(id)
+	q.alone.remove(id)
 	return s.startSuspect(w, job, id, ticket, sequence)
 }
 
@@ -99,7 +105,7 @@
 	left := maxUnplacedLogged
 	for _, p := range s.currentConfiguration().Pools {
 		q := s.queueOf(p.Name)
-		if q.demand+len(q.suspects.order)+len(q.trials.order) == 0 {
+		if q.demand+len(q.suspects.order)+len(q.alone.order) == 0 {
 			continue
 		}
 		s.logPoolWaits(p.Name, q, now)
@@ -124,7 +130,7 @@
 		}
 	}
 	s.options.Logger.Info("pool_waits", zap.String("pool", pool), zap.Int("ready", q.demand), zap.Int("suspects", len(q.suspects.order)),
-		zap.Int("trials", len(q.trials.order)), zap.Any("workers", workers), zap.Uint64("term", s.term))
+		zap.Int("alone", len(q.alone.order)), zap.Any("workers", workers), zap.Uint64("term", s.term))
 }
 
 // logUnplacedTask logs how many workers of a task's pool don't take it, by reason.
@@ -137,7 +143,7 @@
 	}
 	s.options.Logger.Info("task_unplaced", zap.String("job", id.Job), zap.Int("occurrence", id.Occurrence), zap.Int("step", id.Step),
 		zap.Int("index", id.Index), zap.Int64("waited_ms", waitedMs), zap.Bool("suspect", slices.Contains(job.suspects, id)),
-		zap.Bool("trial", slices.Contains(job.trials, id)), zap.Bool("step_suspected", s.stepSuspected(job, stepOf(id))),
+		zap.Bool("alone", slices.Contains(job.alone, id)), zap.Bool("step_suspected", s.stepSuspected(job, stepOf(id))),
 		zap.Bool("abandoned_runs", s.abandonedUntilMs[id] > now), zap.Any("workers", workers), zap.String("pool", job.pool),
 		zap.Uint64("term", s.term))
 }
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -25,10 +25,10 @@
 	joinedMs int64
 	// suspect is the suspect that it was last ordered to start; zero once that has ended.
 	suspect suspectStart
-	// keptFree is set while it runs tasks on trial, or gets no orders so that it can.
+	// keptFree is set while it runs a task alone, or gets no orders so that it can.
 	keptFree bool
-	// trials are the tasks that it was last ordered to start on trial: one alone, or a group.
-	trials []batch.TaskID
+	// alone is the last task that it was ordered to run alone.
+	alone batch.TaskID
 	// inherited is set until this leader has received a heartbeat from it.
 	inherited bool
 	draining  bool
--- a/internal/plan/crash/trial.go
+++ b/internal/plan/crash/alone.go
@@ -1,23 +1,8 @@
 package crash
 
-// Trial is how a task starts next, by the crashes of workers that started or ran it.
-type Trial int
-
 const (
-	// TrialNone means beside all others.
-	TrialNone Trial = iota // none
-	// TrialGroup means beside no others but tasks that are tried in the same way: if one of them crashes the worker, each is
-	// tried alone.
-	TrialGroup // group
-	// TrialAlone means where nothing else can be the cause of a crash.
-	TrialAlone // alone
-)
-
-const (
-	// crashesToTry is how many workers have to crash while they start or run a task before it is tried in a group, and
-	// crashesToRunAlone before it is tried alone.
-	crashesToTry      = 3
-	crashesToRunAlone = 4
+	// crashesToRunAlone is how many workers have to crash while they start or run a task before it runs alone.
+	crashesToRunAlone = 3
 	// crashesAloneToGiveUp is how many workers have to crash so before a task is given up, the last one while it ran alone.
 	crashesAloneToGiveUp = 4
 	// crashesAloneToGiveUpDoubtful is the same where the last worker also crashes without the task or fell silent with others
@@ -25,28 +10,20 @@
 	crashesAloneToGiveUpDoubtful = 5
 	// crashesToDoubtAlone is how many other recent crashes that no task explains make a worker doubtful for a task alone.
 	crashesToDoubtAlone = 1
-	// MaxGroup is how many tasks are tried together.
-	MaxGroup = 8
-	// heldShare is the part of a pool's workers, as its divisor, that trials may keep from other tasks that wait, and
+	// heldShare is the part of a pool's workers, as its divisor, that tasks that run alone may keep from others that wait, and
 	// idleHeldShare where no others wait; minHeld is what they may keep of a small pool.
 	heldShare     = 4
 	idleHeldShare = 2
 	minHeld       = 2
 )
 
-// TrialOf returns how a task is tried next, after a number of workers have crashed while they started or ran it.
-func TrialOf(crashes int) Trial {
-	switch {
-	case crashes >= crashesToRunAlone:
-		return TrialAlone
-	case crashes >= crashesToTry:
-		return TrialGroup
-	default:
-		return TrialNone
-	}
+// RunsAlone reports whether a task runs next where nothing else can be the cause of a crash, after a number of workers have
+// crashed while they started or ran it.
+func RunsAlone(crashes int) bool {
+	return crashes >= crashesToRunAlone
 }
 
-// MaxHeld returns how many workers of a pool trials may keep from all other tasks, which wait or don't: never all of them, but
+// MaxHeld returns how many workers of a pool may be kept for tasks that run alone, while others wait or not: never all of them, but
 // for a pool of one.
 func MaxHeld(workers int, othersWait bool) int {
 	share := idleHeldShare
@@ -56,7 +33,7 @@
 	return max(1, min(workers-1, max(minHeld, workers/share)))
 }
 
-// Alone is the crash of a worker that ran a task on trial: all else on it had run for a while when the task started.
+// Alone is the crash of a worker that ran a task alone: all else on it had run for a while when the task started.
 type Alone struct {
 	// Crashes is how many workers have crashed before while they started or ran the task.
 	Crashes int
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -58,5 +58,5 @@
 	if d.HasArg("unexplained") {
 		d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
 	}
-	return fmt.Sprintf("trial: %s; given up: %t\n", crash.TrialOf(in.Crashes), crash.GiveUpAlone(in))
+	return fmt.Sprintf("runs alone: %t; given up: %t\n", crash.RunsAlone(in.Crashes), crash.GiveUpAlone(in))
 }
