Bound the quarantine of a pool only where the failures are of one job

Failures of several jobs show that the worker is to blame, and put it in quarantine as before; the bound is for those of one job.

--- a/internal/ctrl/sched/quarantine.go
+++ b/internal/ctrl/sched/quarantine.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
@@ -13,12 +15,15 @@
 	case batch.EndDone:
 		w.failures = 0
 	case batch.EndFailed:
-		s.countFailure(w, "attempts_failed")
+		s.countFailure(w, report.Task.Job, "attempts_failed")
 	default:
 	}
 }
 
-func (s *Scheduler) countFailure(w *worker, cause string) {
+// countFailure counts a failure of a job's task on a worker.
+func (s *Scheduler) countFailure(w *worker, job, cause string) {
+	w.failedJobs = append(w.failedJobs, job)
+	w.failedJobs = w.failedJobs[max(0, len(w.failedJobs)-quarantineFailures):]
 	if w.failures++; w.failures < quarantineFailures {
 		return
 	}
@@ -33,6 +38,7 @@
 // shun puts a worker in quarantine, or straight on probation if enough workers of its pool are in quarantine.
 func (s *Scheduler) shun(w *worker, cause string, now int64) {
 	pool := s.poolAround(w, now)
+	pool.OneJob = !slices.ContainsFunc(w.failedJobs, func(job string) bool { return job != w.failedJobs[0] })
 	outcome, forMs := eject.Judge(pool), int64(0)
 	if outcome == eject.Quarantine {
 		forMs = quarantineMs
@@ -41,7 +47,7 @@
 	w.probationUntilMs = w.quarantineUntilMs + probationMs
 	s.options.Logger.Info("worker_shunned", zap.String("worker", w.id), zap.String("cause", cause),
 		zap.Int("failures", w.failures), zap.Int64("for_ms", forMs), zap.Stringer("outcome", outcome),
-		zap.String("pool", w.pool), zap.Int("heard", pool.Heard), zap.Int("quarantined", pool.Quarantined))
+		zap.String("pool", w.pool), zap.Int("heard", pool.Heard), zap.Int("quarantined", pool.Quarantined), zap.Bool("one_job", pool.OneJob))
 }
 
 // poolAround counts the workers of a worker's pool that are heard and stay, and those of them in quarantine.
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -42,7 +42,7 @@
 				zap.Int("percent", a.percent), zap.Int64("for_ms", now-a.progressMs))
 			stops = append(stops, batch.StopOrder{Task: r.Task, Attempt: r.Attempt})
 			if a.progressMs > w.overfullMs {
-				s.countFailure(w, "attempts_stand_still")
+				s.countFailure(w, r.Task.Job, "attempts_stand_still")
 			}
 			a.progressMs = now
 		}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -59,6 +59,8 @@
 	failures          int
 	quarantineUntilMs int64
 	probationUntilMs  int64
+	// failedJobs are the jobs of the last failures.
+	failedJobs []string
 	// intervalMs is the heartbeat interval that it was last asked for, in milliseconds.
 	intervalMs int64
 	// share is the CPU share of its best-effort tasks, in percent.
--- a/internal/plan/eject/judge.go
+++ b/internal/plan/eject/judge.go
@@ -20,11 +20,13 @@
 	Heard int
 	// Quarantined is how many of these are in quarantine.
 	Quarantined int
+	// OneJob is set if all failures that the worker is judged for are of one job.
+	OneJob bool
 }
 
-// Judge returns what becomes of one more worker of a pool.
+// Judge returns what becomes of one more worker of a pool. Where tasks of several jobs failed there, the worker is to blame.
 func Judge(pool Pool) Outcome {
-	if pool.Quarantined < mayQuarantine(pool.Heard) {
+	if !pool.OneJob || pool.Quarantined < mayQuarantine(pool.Heard) {
 		return Quarantine
 	}
 	return Probation
--- a/internal/plan/eject/script_test.go
+++ b/internal/plan/eject/script_test.go
@@ -16,6 +16,7 @@
 	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
 		var pool eject.Pool
 		d.ScanArgs(t, "heard", &pool.Heard)
+		pool.OneJob = !d.HasArg("several_jobs")
 		switch d.Cmd {
 		case "judge":
 			d.ScanArgs(t, "quarantined", &pool.Quarantined)
