Keep overdue starts from planned room, suspects' steps and trials, and ask for room elsewhere

Ready tasks go the ordinary way where it is open; planned room, a suspected step and a task alone that ends are left be. Jobs are skipped by their longest wait and least need.

--- a/internal/ctrl/sched/alone.go
+++ b/internal/ctrl/sched/alone.go
@@ -47,15 +47,21 @@
 
 // runsOneAlone reports whether a worker runs a task alone that hasn't run for long there.
 func (s *Scheduler) runsOneAlone(w *worker) bool {
+	_, runs := s.runsAloneOn(w)
+	return runs
+}
+
+// runsAloneOn returns the task that a worker runs alone and that hasn't run for long there, if there is one.
+func (s *Scheduler) runsAloneOn(w *worker) (id batch.TaskID, ok bool) {
 	if s.starting[w.alone] && s.startingWorker[w.alone] == w.id {
-		return true
+		return w.alone, true
 	}
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		if j, t := s.findTask(id); runsAlone(j, t) && w.hasRecent(t, id, ranLongMs) && !s.endsNow(id) {
-			return true
+			return id, true
 		}
 	}
-	return false
+	return batch.TaskID{}, false
 }
 
 // endsNow reports whether a worker has just reported the end of a task, and that isn't proposed yet.
@@ -87,7 +93,7 @@
 		}
 		return s.mayRunIn(free, w, job, id, now)
 	}
-	if job, id, ticket := q.longestUnplaced(0, now, mayRun); job != nil {
+	if job, id, ticket := q.longestUnplaced(0, now, free, mayRun); job != nil {
 		return id, ticket, true
 	}
 	for range min(len(q.alone.order), maxSuspectsTried) {
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -52,7 +52,7 @@
 			break
 		}
 		if job.item.LongRunning && maintenanceDue {
-			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, job, now), sequence, now)...)
+			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, now), sequence, now)...)
 			continue
 		}
 		orders = append(orders, s.assignJob(w, q, job, sequence, now)...)
@@ -69,7 +69,9 @@
 		if len(job.ready) == 0 || job.item.LongRunning && s.fitsElsewhere(w, job, job.ready[0], now) {
 			continue
 		}
-		if orders := s.assignOnly(w, q, job, job.ready[:1], sequence, now); len(orders) > 0 {
+		first := job.ready[0]
+		isFirst := func(_ *activeJob, id batch.TaskID) bool { return id == first }
+		if orders := s.assignOnly(w, q, job, isFirst, sequence, now); len(orders) > 0 {
 			return orders
 		}
 	}
@@ -88,7 +90,7 @@
 	var orders []batch.StartOrder
 	for _, job := range s.orderedJobs(q, now) {
 		if job.item.LongRunning {
-			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, job, now), sequence, now)...)
+			orders = append(orders, s.assignOnly(w, q, job, s.onlyHere(w, now), sequence, now)...)
 		}
 	}
 	return orders
@@ -100,30 +102,35 @@
 	return v != nil && (v.orderPending || v.unverifiedMs > 0)
 }
 
-// onlyHere returns the ready tasks of a job that no other worker of a worker's pool takes.
-func (s *Scheduler) onlyHere(w *worker, job *activeJob, now int64) []batch.TaskID {
-	var here []batch.TaskID
+// onlyHere returns a function that reports whether no other worker of a worker's pool takes a ready task.
+func (s *Scheduler) onlyHere(w *worker, now int64) func(job *activeJob, id batch.TaskID) bool {
 	// last is the last step that was asked about: its tasks differ in nothing that matters here.
 	var last stepKey
 	elsewhere := false
-	for _, id := range job.ready {
+	return func(job *activeJob, id batch.TaskID) bool {
 		if key := stepOf(id); key != last {
 			last, elsewhere = key, s.fitsElsewhere(w, job, id, now)
 		}
-		if !elsewhere {
-			here = append(here, id)
-		}
+		return !elsewhere
 	}
-	return here
 }
 
-// assignOnly assigns those of some ready tasks of a job that fit a worker.
-func (s *Scheduler) assignOnly(w *worker, q *poolQueue, job *activeJob, ids []batch.TaskID, sequence uint64, now int64) []batch.StartOrder {
-	if len(ids) == 0 {
+// assignOnly assigns the ready tasks of a job that fit a worker, of those that a function picks.
+func (s *Scheduler) assignOnly(w *worker, q *poolQueue, job *activeJob, picks func(job *activeJob, id batch.TaskID) bool,
+	sequence uint64, now int64,
+) []batch.StartOrder {
+	if !w.free.Covers(job.leastNeed) {
 		return nil
 	}
-	rest := slices.DeleteFunc(slices.Clone(job.ready), func(id batch.TaskID) bool { return slices.Contains(ids, id) })
-	job.ready = slices.Clone(ids)
+	var picked, rest []batch.TaskID
+	for _, id := range job.ready {
+		if picks(job, id) {
+			picked = append(picked, id)
+		} else {
+			rest = append(rest, id)
+		}
+	}
+	job.ready = picked
 	orders := s.assignJob(w, q, job, sequence, now)
 	job.ready = append(job.ready, rest...)
 	return orders
@@ -133,7 +140,8 @@
 // or in a moment.
 func (s *Scheduler) fitsElsewhere(except *worker, job *activeJob, id batch.TaskID, now int64) bool {
 	for _, other := range s.workers {
-		if other != except && other.pool == except.pool && !s.fleet.maintenanceDue(other) && s.unfitFor(other, job, id, now).isBrief() {
+		if other != except && other.pool == except.pool && !s.fleet.maintenanceDue(other) && s.closedTo(other, now).isBrief() &&
+			s.unfitRoomFor(other, job, id) == fit {
 			return true
 		}
 	}
--- a/internal/ctrl/sched/latecrash.go
+++ b/internal/ctrl/sched/latecrash.go
@@ -67,22 +67,30 @@
 	return recent
 }
 
-// givenUpAlone reports whether a task is given up because its worker, which was kept free for it, has crashed while nothing
-// else can be the cause.
-func (s *Scheduler) givenUpAlone(w *worker, id batch.TaskID) bool {
-	j, t := s.findTask(id)
-	if !w.keptFree || !runsAlone(j, t) {
+// ranAlone reports whether a worker was kept free for a task, and nothing else that ran there may be the cause of its crash: what
+// hadn't run for a while when the task started, or has started since.
+func (s *Scheduler) ranAlone(w *worker, id batch.TaskID) bool {
+	if !w.keptFree {
 		return false
 	}
-	other := func(other batch.TaskID) bool { return other != id }
-	if slices.ContainsFunc(s.recentOn(w, settledMs), other) {
+	ranMs := int64(0)
+	if a := w.running[id]; a != nil {
+		ranMs = w.heardMs - a.sinceMs
+	}
+	return !slices.ContainsFunc(s.recentOn(w, settledMs+ranMs), func(other batch.TaskID) bool { return other != id })
+}
+
+// givenUpAlone reports whether a task is given up because its worker has crashed while nothing else can be the cause.
+func (s *Scheduler) givenUpAlone(w *worker, id batch.TaskID) bool {
+	j, t := s.findTask(id)
+	if !runsAlone(j, t) || !s.ranAlone(w, id) {
 		return false
 	}
 	givenUp := crash.GiveUpAlone(crash.Alone{
 		Crashes: t.CrashesBeside, LongRunning: j.Spec.Steps[id.Step].LongRunning,
 		// The last of them is this crash.
 		UnexplainedCrashes: len(s.recentCrashes(w.address)) - 1, RackSilent: s.rackSilent(w),
-		OthersRecent: slices.ContainsFunc(s.recentOn(w, ranLongMs), other),
+		OthersRecent: slices.ContainsFunc(s.recentOn(w, ranLongMs), func(other batch.TaskID) bool { return other != id }),
 	})
 	if givenUp {
 		givenUpTotal.Inc()
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -27,6 +27,11 @@
 	alone []batch.TaskID
 	// unplacedSinceMs holds, for the tasks that last and wait for a worker, the uptime since which they do.
 	unplacedSinceMs map[batch.TaskID]int64
+	// longestSinceMs is the earliest of these, and unplacedNeed a lower bound of what each of them reserves.
+	longestSinceMs int64
+	unplacedNeed   batch.Resources
+	// spared counts, by task, the crashes of its workers that weren't counted because others crashed together with them.
+	spared map[batch.TaskID]int
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
 	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -109,6 +114,9 @@
 	updated := s.describeJob(j)
 	updated.noteAllRunning(old, s.now())
 	updated.noteUnplaced(old, s.now())
+	if old != nil {
+		updated.spared = old.spared
+	}
 	pool := s.poolOf(j)
 	if old != nil && old.pool == pool {
 		s.queueOf(pool).demand += len(updated.ready) - len(old.ready)
--- a/internal/ctrl/sched/unplaced.go
+++ b/internal/ctrl/sched/unplaced.go
@@ -14,7 +14,7 @@
 	// overdueMs is how long a task that lasts waits at most for a worker that is better than others, and overdueAloneMs for one on
 	// which no task runs alone, in milliseconds.
 	overdueMs      = 2000
-	overdueAloneMs = 3000
+	overdueAloneMs = 3500
 	// maxUnplacedLogged bounds the tasks of which the log says so at a time.
 	maxUnplacedLogged = 8
 )
@@ -29,33 +29,46 @@
 	if !job.item.LongRunning {
 		return
 	}
-	job.unplacedSinceMs = map[batch.TaskID]int64{}
+	job.unplacedSinceMs, job.longestSinceMs = map[batch.TaskID]int64{}, now
 	for _, id := range job.unplaced() {
-		if !job.state.Spec.Steps[id.Step].LongRunning {
+		step := &job.state.Spec.Steps[id.Step]
+		if !step.LongRunning {
 			continue
 		}
-		job.unplacedSinceMs[id] = now
-		if former == nil {
-			continue
+		sinceMs := now
+		if former != nil {
+			if since, waited := former.unplacedSinceMs[id]; waited {
+				sinceMs = since
+			}
 		}
-		if since, waited := former.unplacedSinceMs[id]; waited {
-			job.unplacedSinceMs[id] = since
+		if len(job.unplacedSinceMs) == 0 {
+			job.unplacedNeed = step.ReservedResources()
 		}
+		job.unplacedSinceMs[id] = sinceMs
+		job.longestSinceMs = min(job.longestSinceMs, sinceMs)
+		job.unplacedNeed = job.unplacedNeed.Min(step.ReservedResources())
 	}
 }
 
 // longestUnplaced returns the task that lasts and has waited longest among those of a pool that wait at least for a time and that
-// a worker may take, with its ticket; the job is nil if there is none.
-func (q *poolQueue) longestUnplaced(minMs, now int64, mayTake func(job *activeJob, id batch.TaskID) (ticket string, ok bool)) (job *activeJob, id batch.TaskID, ticket string) {
+// may start in a worker's free resources, with its ticket; the job is nil if there is none.
+func (q *poolQueue) longestUnplaced(minMs, now int64, free batch.Resources,
+	mayStart func(job *activeJob, id batch.TaskID) (ticket string, ok bool),
+) (job *activeJob, id batch.TaskID, ticket string) {
 	sinceMs := now - minMs
 	for _, other := range q.unplaced {
-		for _, otherID := range other.unplaced() {
-			otherMs, lasts := other.unplacedSinceMs[otherID]
-			if !lasts || otherMs > sinceMs || job != nil && otherMs == sinceMs && compareTasks(otherID, id) > 0 {
-				continue
-			}
-			if t, ok := mayTake(other, otherID); ok {
-				job, id, ticket, sinceMs = other, otherID, t, otherMs
+		if other.longestSinceMs > sinceMs || !free.Covers(other.unplacedNeed) {
+			continue
+		}
+		for _, list := range [][]batch.TaskID{other.ready, other.suspects, other.alone} {
+			for _, otherID := range list {
+				otherMs, lasts := other.unplacedSinceMs[otherID]
+				if !lasts || otherMs > sinceMs || job != nil && otherMs == sinceMs && compareTasks(otherID, id) > 0 {
+					continue
+				}
+				if t, ok := mayStart(other, otherID); ok {
+					job, id, ticket, sinceMs = other, otherID, t, otherMs
+				}
 			}
 		}
 	}
@@ -65,15 +78,29 @@
 // assignOverdue starts on a worker the task that lasts and has waited longest, if it has waited for so long that it takes any
 // worker that meets its own requirements: one on which others failed, that is kept free for tasks that run alone or that leaves too.
 func (s *Scheduler) assignOverdue(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
-	if len(q.unplaced) == 0 || s.isOrdered(w) || w.starting > 0 {
+	if len(q.unplaced) == 0 || s.isOrdered(w) || w.starting > 0 || s.plansMembersOn(w) {
 		return nil
 	}
 	minMs := int64(overdueMs)
-	if w.keptFree && s.runsOneAlone(w) {
-		minMs = overdueAloneMs
+	if w.keptFree {
+		id, runs := s.runsAloneOn(w)
+		if runs && !s.jobs[id.Job].state.Spec.Steps[id.Step].LongRunning {
+			// It ends by itself.
+			return nil
+		}
+		if runs {
+			minMs = overdueAloneMs
+		}
 	}
-	job, id, ticket := q.longestUnplaced(minMs, now, func(job *activeJob, id batch.TaskID) (string, bool) {
-		if s.stepHeld(job, stepOf(id)) {
+	// Other workers take ready tasks in any case, several at a time.
+	takesReady := s.closedTo(w, now) == fit && !s.fleet.maintenanceDue(w)
+	job, id, ticket := q.longestUnplaced(minMs, now, w.free, func(job *activeJob, id batch.TaskID) (string, bool) {
+		step := stepOf(id)
+		if slices.Contains(job.ready, id) {
+			if takesReady || s.stepSuspected(job, step) {
+				return "", false
+			}
+		} else if s.startsAny(w) || s.stepHeld(job, step) {
 			return "", false
 		}
 		return s.mayRun(w, job, id, now)
