Spare a task at crashes that come together only a few times

A task is spared twice as a start and once later, counted by the leader; then it counts like any other. Window as long as the heartbeat interval.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -33,30 +33,60 @@
 // handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
 // reported since count as the crash's possible causes.
 func (s *Scheduler) handleCrash(w *worker, cause string) {
-	w.crashed = true
+	w.crashed = w.crashed || !w.left
 	lost := len(s.options.Log.Batch().TasksOn(w.id))
 	if lost == 0 {
 		return
 	}
 	unseen, excuse := s.unseenOn(w), s.excuseOf(w)
+	together := excuse == excuseNone && s.crashedTogether(w)
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
 		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.answeredSequence),
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
-		zap.Stringer("excuse", excuse))
-	var blamed map[attemptID]bool
-	if excuse == excuseNone || excuse == excuseTogether {
-		crashesTotal.Inc()
-		s.crashedMs[w.pool] = s.now()
+		zap.Stringer("excuse", excuse), zap.Bool("together", together))
+	if excuse != excuseNone {
+		s.loseAttempts(w, w.incarnation, cause)
+		return
+	}
+	crashesTotal.Inc()
+	s.crashedMs[w.pool] = s.now()
+	var spared map[batch.TaskID]bool
+	if together {
+		spared = s.spareTasksOn(w, unseen)
+		unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
 	}
-	if excuse == excuseNone {
-		blamed = s.blameStarts(w, unseen)
+	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared})
+}
+
+// evidence is what the crash of a worker shows about its tasks.
+type evidence struct {
+	// blamed holds the attempts that the worker was about to start, and whether their tasks are given up.
+	blamed map[attemptID]bool
+	// spared are the tasks that aren't blamed, because the worker crashed together with others.
+	spared map[batch.TaskID]bool
+}
+
+// spareTasksOn returns the tasks on a worker that its crash together with others isn't counted for, and notes that.
+func (s *Scheduler) spareTasksOn(w *worker, unseen []attemptID) map[batch.TaskID]bool {
+	spared := map[batch.TaskID]bool{}
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		job := s.jobs[id.Job]
+		starts := slices.ContainsFunc(unseen, func(u attemptID) bool { return u.task == id })
+		if job == nil || !crash.IsSpared(job.spared[id], starts) {
+			continue
+		}
+		if job.spared == nil {
+			job.spared = map[batch.TaskID]int{}
+		}
+		job.spared[id]++
+		spared[id] = true
 	}
-	s.endAttemptsOn(w, w.incarnation, cause, blamed)
+	return spared
 }
 
 // blameStarts returns the attempts that a worker was about to start when it crashed, and for each whether its task is given
 // up, because too many workers have crashed under it.
-func (s *Scheduler) blameStarts(w *worker, unseen []attemptID) map[attemptID]bool {
+func (s *Scheduler) blameStarts(w *worker, unseen []attemptID, together bool) map[attemptID]bool {
 	blamed := make(map[attemptID]bool, len(unseen))
 	starts := make([]crash.Start, len(unseen))
 	for i, u := range unseen {
@@ -77,7 +107,7 @@
 			zap.Bool("given_up", givenUp))
 		blamed[u] = givenUp
 	}
-	if !explained {
+	if !explained && !together {
 		s.unexplainedMs[w.address] = append(unexplained, s.now())
 	}
 	return blamed
@@ -118,7 +148,6 @@
 	excuseNotHeard                           // not heard by this leader
 	excuseOrdered                            // ordered away
 	excuseOrderedFormerly                    // ordered away by a former leader
-	excuseTogether                           // together with others
 )
 
 func (s *Scheduler) excuseOf(w *worker) crashExcuse {
@@ -135,23 +164,22 @@
 		return excuseOrdered
 	case s.fleet.maybeDownUntilMs[name] > s.now():
 		return excuseOrderedFormerly
-	case s.crashedTogether(w):
-		return excuseTogether
 	}
 	return excuseNone
 }
 
-// crashedTogether reports whether so many workers of a worker's pool were lost at the same moment that it wasn't for their tasks.
+// crashedTogether reports whether so many workers of a worker's pool were lost at the same moment that it may not be for their
+// tasks.
 func (s *Scheduler) crashedTogether(w *worker) bool {
-	now := s.now()
+	now, windowMs := s.now(), max(crashTogetherMs, w.intervalMs)
 	// lost holds, by address, whether the worker that ran there then was lost with this one.
 	lost := map[string]bool{w.address: true}
 	for _, other := range s.workers {
-		if other.pool != w.pool || other.address == w.address || other.joinedMs > w.heardMs || other.heardMs < w.heardMs-crashTogetherMs {
+		if other.pool != w.pool || other.address == w.address || other.joinedMs > w.heardMs || other.heardMs < w.heardMs-windowMs {
 			continue
 		}
 		gone := other.crashed || other.listedDown || !other.left && now-other.heardMs > other.intervalMs+overdueMarginMs
-		lost[other.address] = lost[other.address] || gone && other.heardMs <= w.heardMs+crashTogetherMs
+		lost[other.address] = lost[other.address] || gone && other.heardMs <= w.heardMs+windowMs
 	}
 	crashed := 0
 	for _, gone := range lost {
@@ -224,26 +252,36 @@
 	return names
 }
 
+// judge returns whether a crash counts for a task as one at its start or a later one, and whether it is given up for the first.
+func (e *evidence) judge(w *worker, j *jobs.Job, id batch.TaskID, attempt int) (givenUp, crashed, later bool) {
+	if e == nil || e.spared[id] {
+		return false, false, false
+	}
+	givenUp, crashed = e.blamed[attemptID{task: id, attempt: attempt}]
+	return givenUp, crashed, !crashed && w.mayCrashOn(j, id, attempt)
+}
+
 // loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
 func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
 	s.endAttemptsOn(w, incarnation, cause, nil)
 }
 
-// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost; blamed holds those that may have
-// crashed it, and whether they are given up.
-func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, blamed map[attemptID]bool) {
+// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost, with the evidence of its crash; nil if
+// it didn't crash, or that shows nothing.
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, e *evidence) {
 	lost := 0
 	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
 			if r.Worker == w.id && r.Incarnation <= incarnation {
-				givenUp, crashed := blamed[attemptID{task: id, attempt: r.Number}]
-				later := !crashed && blamed != nil && w.mayCrashOn(j, id, r.Number)
+				givenUp, crashed, later := e.judge(w, j, id, r.Number)
+				// A task that has to run alone is judged by the crashes of workers on which it did.
+				later = later && (!runsAlone(j, t) || s.ranAlone(w, id))
 				s.endAttempt(batch.AttemptEnd{
 					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
 					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id), RanLong: w.hasRunLong(id, r.Number),
 					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
-					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || blamed == nil && w.hasBegun(j, id, r.Number),
+					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || e == nil && w.hasBegun(j, id, r.Number),
 				})
 				lost++
 			}
--- a/internal/ctrl/sched/enums_gen.go
+++ b/internal/ctrl/sched/enums_gen.go
@@ -81,12 +81,11 @@
 	_ = x[excuseNotHeard-3]
 	_ = x[excuseOrdered-4]
 	_ = x[excuseOrderedFormerly-5]
-	_ = x[excuseTogether-6]
 }
 
-const _crashExcuse_name = "noneleft beforedrainingnot heard by this leaderordered awayordered away by a former leadertogether with others"
+const _crashExcuse_name = "noneleft beforedrainingnot heard by this leaderordered awayordered away by a former leader"
 
-var _crashExcuse_index = [...]uint8{0, 4, 15, 23, 47, 59, 90, 110}
+var _crashExcuse_index = [...]uint8{0, 4, 15, 23, 47, 59, 90}
 
 func (i crashExcuse) String() string {
 	idx := int(i) - 0
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -78,7 +78,7 @@
 // is judged.
 func (s *Scheduler) noteDown(v VM, asked int64) {
 	known := s.fleet.vms[v.Name]
-	if known == nil || v.State != VMDown || known.orderPending || known.awayUntilMs > asked {
+	if known == nil || v.State != VMDown || !v.Capacity.InRange() || known.orderPending || known.awayUntilMs > asked {
 		return
 	}
 	if w := s.workers[known.Worker]; w != nil && w.heardMs < asked {
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -25,6 +25,11 @@
 			d.ScanArgs(t, "workers", &workers)
 			return fmt.Sprintf("common cause: %t\n", crash.HaveCommonCause(crashed, workers))
 		}
+		if d.Cmd == "spared" {
+			var before int
+			d.ScanArgs(t, "before", &before)
+			return fmt.Sprintf("start: %t, later: %t\n", crash.IsSpared(before, true), crash.IsSpared(before, false))
+		}
 		if d.Cmd == "held" {
 			var workers int
 			d.ScanArgs(t, "workers", &workers)
