--- a/internal/ctrl/sched/offered_room_test.go
+++ b/internal/ctrl/sched/offered_room_test.go
@@ -19,8 +19,9 @@
 )
 
 // roomOtherSeeds are those of more days on which a bound was broken, each in another way: too many workers kept for trials, all
-// in quarantine, all on probation, both kept and on probation, and a trial that something else was started beside.
-var roomOtherSeeds = []uint64{31, 34, 43, 143, 364}
+// in quarantine, all on probation, both kept and on probation, a deadly task that was spared, and a trial that something else was
+// started beside.
+var roomOtherSeeds = []uint64{31, 34, 43, 51, 74, 143, 364}
 
 // TestAcceptedTaskIsOfferedRoom plays drawn days and checks that lasting tasks are offered the room that there is, that only
 // few workers are kept for tasks that run alone, and that deadly tasks are given up and no others.
