--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -178,7 +178,7 @@
 		if other.pool != w.pool || other.address == w.address || other.joinedMs > w.heardMs || other.heardMs < w.heardMs-windowMs {
 			continue
 		}
-		gone := other.crashed || other.listedDown || !other.left && now-other.heardMs > other.intervalMs+overdueMarginMs
+		gone := other.crashed || other.listedDown || !other.left && now-other.heardMs > silentMs
 		lost[other.address] = lost[other.address] || gone && other.heardMs <= w.heardMs+windowMs
 	}
 	crashed := 0
