Take no attempt as gone by a heartbeat that has no place for all ends

What callers saw: tasks that had ended done ran a second time (TWICE).

Cause: endMissing took an attempt that a heartbeat lists neither as running nor as ended for one that never began.

While it does, missing attempts go on and hold their resources, and the worker reports again after 60 ms. A crash of such a worker blames only what the reply to its last heartbeat ordered, not what had ended unlisted. An end no longer drops the progress of a later attempt of its task.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -196,8 +196,9 @@
 	attempt int
 }
 
-// unseenOn returns the attempts that a worker was ordered to start and that it hasn't reported since.
-// Members of a gang wait at no progress until all are present.
+// unseenOn returns the attempts that a worker was ordered to start in the reply to its last heartbeat, and the members of
+// gangs that wait at no progress until all are present. What it was ordered before and its last heartbeat doesn't list had
+// ended by then.
 func (s *Scheduler) unseenOn(w *worker) []attemptID {
 	var unseen []attemptID
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
@@ -206,7 +207,7 @@
 			continue
 		}
 		for i := range t.Attempts {
-			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.answeredSequence && !w.hasBegun(j, id, r.Number) {
+			if r := &t.Attempts[i]; r.Worker == w.id && r.Incarnation == w.incarnation && r.Sequence <= w.answeredSequence && w.isUnseen(j, id, r) {
 				unseen = append(unseen, attemptID{task: id, attempt: r.Number})
 				break
 			}
@@ -216,6 +217,14 @@
 	return unseen
 }
 
+// isUnseen reports whether an attempt may have begun only after a worker's last heartbeat.
+func (w *worker) isUnseen(j *jobs.Job, id batch.TaskID, r *jobs.Attempt) bool {
+	if a := w.running[id]; a != nil && a.number == r.Number {
+		return !w.hasBegun(j, id, r.Number)
+	}
+	return r.Sequence >= w.sequence
+}
+
 // hasBegun reports whether a worker's last heartbeat shows that an attempt has begun.
 func (w *worker) hasBegun(j *jobs.Job, id batch.TaskID, number int) bool {
 	a := w.running[id]
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -139,7 +139,9 @@
 			continue
 		}
 		tracked := w.running[report.Task]
-		delete(w.running, report.Task)
+		if tracked != nil && tracked.number == report.Attempt {
+			delete(w.running, report.Task)
+		}
 		j, t := s.findTask(report.Task)
 		if t == nil {
 			continue
@@ -193,6 +195,8 @@
 func (s *Scheduler) nextHeartbeatMs(w *worker, now int64) int64 {
 	minIntervalMs := int64(len(s.workers)) * milli / maxHeartbeatsPerS
 	switch {
+	case w.moreEnds:
+		return max(minIntervalMs, moreEndsHeartbeatMs)
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
 	case w.suspect != (suspectStart{}):
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -34,6 +34,8 @@
 	// trialHeartbeatMs is the heartbeat interval of workers that start a suspect: long enough to show that it has outlived its
 	// start.
 	trialHeartbeatMs = 60
+	// moreEndsHeartbeatMs is the heartbeat interval of workers that have more ends to report than a heartbeat lists.
+	moreEndsHeartbeatMs = 60
 	// idleHeartbeatMs is the heartbeat interval of workers that run nothing, in pools without ready tasks.
 	idleHeartbeatMs = 250
 	// unusableHeartbeatMs is the heartbeat interval of workers that take no new tasks.
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"slices"
-
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/ctrl/jobs"
@@ -89,45 +87,56 @@
 }
 
 // endMissing ends attempts that were ordered before this heartbeat was sent and that the worker lists neither as
-// running nor as ended. If the heartbeat has more rows that can't be read than before, the attempts may be among them:
-// they go on, and hold their resources.
+// running nor as ended. Those that the heartbeat may have left out go on, and hold their resources.
 func (s *Scheduler) endMissing(w *worker, h *batch.Heartbeat) {
-	mayBeUnread, found := h.UnreadRunning > w.unreadRunning, false
+	incomplete, found := w.mayLeaveOut(h), false
+	ended := listedEnds(h)
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
-			if r.Worker != w.id || !isMissing(w, h, id, &r) {
+			if r.Worker != w.id || !isMissing(w, h, ended, attemptID{task: id, attempt: r.Number}, &r) {
 				continue
 			}
-			if mayBeUnread && r.Incarnation == h.Incarnation {
+			if incomplete && r.Incarnation == h.Incarnation {
 				found = true
 				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
 				continue
 			}
 			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
 				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
-				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation))
+				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation), zap.Int("ends", len(h.Ended)))
 			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
 		}
 	}
-	if !mayBeUnread || !found {
+	if !incomplete || !found {
 		w.unreadRunning = h.UnreadRunning
 	}
+	w.moreEnds = h.MoreEnds
+}
+
+// mayLeaveOut reports whether a worker's heartbeat may lack attempts that run or have ended there: it has more ends to report
+// than fit, or more rows that can't be read than before, which may be those of the attempts.
+func (w *worker) mayLeaveOut(h *batch.Heartbeat) bool {
+	return h.MoreEnds || h.UnreadRunning > w.unreadRunning
 }
 
 // isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
 // a former incarnation that still stands once this one was answered was committed after the restart.
-func isMissing(w *worker, h *batch.Heartbeat, id batch.TaskID, r *jobs.Attempt) bool {
+func isMissing(w *worker, h *batch.Heartbeat, ended map[attemptID]bool, id attemptID, r *jobs.Attempt) bool {
 	if r.Incarnation != h.Incarnation {
 		return r.Incarnation < h.Incarnation && w.answeredSequence > 0
 	}
-	return r.Sequence < h.Sequence && !lists(w, h, id, r.Number)
+	if a := w.running[id.task]; a != nil && a.number == id.attempt {
+		return false
+	}
+	return r.Sequence < h.Sequence && !ended[id]
 }
 
-// lists reports whether a heartbeat lists an attempt as running or as ended.
-func lists(w *worker, h *batch.Heartbeat, id batch.TaskID, number int) bool {
-	if a := w.running[id]; a != nil && a.number == number {
-		return true
+// listedEnds returns the attempts that a heartbeat lists as ended.
+func listedEnds(h *batch.Heartbeat) map[attemptID]bool {
+	ended := make(map[attemptID]bool, len(h.Ended))
+	for i := range h.Ended {
+		ended[attemptID{task: h.Ended[i].Task, attempt: h.Ended[i].Attempt}] = true
 	}
-	return slices.ContainsFunc(h.Ended, func(n batch.EndReport) bool { return n.Task == id && n.Attempt == number })
+	return ended
 }
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -307,7 +307,8 @@
 		Capacity: batch.Resources{
 			CPUMilli: intArg(t, d, "cpu", 16000), MemoryMB: intArg(t, d, "memory", 64000), Accelerators: intArg(t, d, "accelerators", 0),
 		},
-		Labels: []string{"a", stringArg(d, "rack", "r1")},
+		Labels:   []string{"a", stringArg(d, "rack", "r1")},
+		MoreEnds: stringArg(d, "more_ends", "") != "",
 	}
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		fields := strings.Fields(line)
@@ -315,6 +316,8 @@
 		case len(fields) == 0:
 		case fields[0] == "unread":
 			report.UnreadRunning++
+		case fields[0] == "unread_end":
+			report.UnreadEnded++
 		case fields[0] == "running":
 			id, attempt := parseTask(t, fields[1])
 			r := batch.Running{Task: id, Attempt: attempt, Percent: 50}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -48,6 +48,8 @@
 	// unreadRows is the number of rows that could not be read in the last heartbeat. unreadRunning is that of running rows
 	// in the last heartbeat in which none of them could be an attempt that was missing.
 	unreadRows, unreadRunning int
+	// moreEnds is set if the last heartbeat had no place for all ends.
+	moreEnds bool
 	// endsDropped is set once an impossible end report of this incarnation was logged.
 	endsDropped bool
 	// running are the attempts that the last heartbeat listed.
--- a/internal/model/batch/worker.go
+++ b/internal/model/batch/worker.go
@@ -28,6 +28,8 @@
 	Ended []EndReport
 	// UnreadRunning and UnreadEnded are the numbers of rows of the two lists that could not be read.
 	UnreadRunning, UnreadEnded int
+	// MoreEnds means that the worker may have more ends to report than one heartbeat lists.
+	MoreEnds bool
 }
 
 // Running is the progress of one attempt that runs on a worker.
