Take no attempt as gone by a heartbeat with ended rows that can't be read

What callers would see: a task that ended done runs again (TWICE), where one heartbeat lists its end in a row that can't be read.

Cause: rows of running attempts that can't be read kept missing attempts, rows of ended ones didn't. Besides, the acknowledgement of the readable rows made the worker forget the others.

Change: while a heartbeat has more unread ended rows than the one before, missing attempts go on and no end is acknowledged; the next heartbeat lists the rows again. Rows that can't be read then either are passed over, as before.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -129,7 +129,8 @@
 	s.proposals.pending.Ends = append(s.proposals.pending.Ends, end)
 }
 
-// recordEnds records the ends that a worker reports, and returns the highest number among them.
+// recordEnds records the ends that a worker reports, and returns the highest number that it may forget. While there are more
+// rows than before that can't be read, it forgets none: its next heartbeat may list them readably.
 func (s *Scheduler) recordEnds(w *worker, h *batch.Heartbeat) uint64 {
 	last := w.acknowledged
 	for i := range h.Ended {
@@ -168,6 +169,9 @@
 				zap.String("worker", w.id), zap.Int("failures", t.Failures))
 		}
 	}
+	if h.UnreadEnded > w.unreadEnded {
+		return w.acknowledged
+	}
 	return last
 }
 
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -111,13 +111,13 @@
 	if !incomplete || !found {
 		w.unreadRunning = h.UnreadRunning
 	}
-	w.moreEnds = h.MoreEnds
+	w.unreadEnded, w.moreEnds = h.UnreadEnded, h.MoreEnds
 }
 
 // mayLeaveOut reports whether a worker's heartbeat may lack attempts that run or have ended there: it has more ends to report
 // than fit, or more rows that can't be read than before, which may be those of the attempts.
 func (w *worker) mayLeaveOut(h *batch.Heartbeat) bool {
-	return h.MoreEnds || h.UnreadRunning > w.unreadRunning
+	return h.MoreEnds || h.UnreadRunning > w.unreadRunning || h.UnreadEnded > w.unreadEnded
 }
 
 // isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -45,9 +45,9 @@
 	overfullMs int64
 	// acknowledged is the number of this incarnation's last end that is recorded.
 	acknowledged uint64
-	// unreadRows is the number of rows that could not be read in the last heartbeat. unreadRunning is that of running rows
-	// in the last heartbeat in which none of them could be an attempt that was missing.
-	unreadRows, unreadRunning int
+	// unreadRows is the number of rows that could not be read in the last heartbeat, and unreadEnded that of ended rows among
+	// them. unreadRunning is that of running rows in the last heartbeat in which none of them could be an attempt that was missing.
+	unreadRows, unreadRunning, unreadEnded int
 	// moreEnds is set if the last heartbeat had no place for all ends.
 	moreEnds bool
 	// endsDropped is set once an impossible end report of this incarnation was logged.
