Escape the labels of metrics, in one place

What callers saw: a valid configuration with quotation marks in a pool's name ended the process of each core machine that led, again and again (Fault).

Cause: hist.Name wrote names into the labels of metrics without escapes, and the metrics library panics on a name that it can't read; the scheduler names each pool of the stored configuration on the control loop.

Change: hist.Series makes every name with labels. It escapes backslashes, quotation marks and line breaks and replaces bytes that aren't UTF-8. Six other places that built labels by hand use it.

--- a/internal/base/check/check.go
+++ b/internal/base/check/check.go
@@ -5,6 +5,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/hist"
 )
 
 // Handler is called with the name of a breached invariant and the context of the breach, from any goroutine.
@@ -23,7 +25,7 @@
 	if ok {
 		return true
 	}
-	metrics.GetOrCreateCounter(`cowslip_invariant_breaches_total{invariant="` + name + `"}`).Inc()
+	metrics.GetOrCreateCounter(hist.Series("cowslip_invariant_breaches_total", hist.Label{Name: "invariant", Value: name})).Inc()
 	if h := handler.Load(); h != nil {
 		(*h)(name, fields)
 		return false
--- a/internal/base/hist/doc.go
+++ b/internal/base/hist/doc.go
@@ -1,2 +1,2 @@
-// Package hist records durations in histograms by service, team and class.
+// Package hist names metrics with labels, and records durations in histograms by service, team and class.
 package hist
--- a/internal/base/hist/hist.go
+++ b/internal/base/hist/hist.go
@@ -1,7 +1,6 @@
 package hist
 
 import (
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,16 +23,7 @@
 
 // Name returns the full name of a metric, with its labels.
 func Name(name string, l Labels) string {
-	var b strings.Builder
-	b.WriteString(name)
-	b.WriteString(`{service="`)
-	b.WriteString(orNone(l.Service))
-	b.WriteString(`",team="`)
-	b.WriteString(orNone(l.Team))
-	b.WriteString(`",class="`)
-	b.WriteString(orNone(l.Class))
-	b.WriteString(`"}`)
-	return b.String()
+	return Series(name, Label{"service", orNone(l.Service)}, Label{"team", orNone(l.Team)}, Label{"class", orNone(l.Class)})
 }
 
 func orNone(s string) string {
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -24,7 +24,7 @@
 
 // countEnd counts an attempt's end by its kind.
 func countEnd(k batch.EndKind) {
-	metrics.GetOrCreateCounter(`cowslip_attempts_ended_total{kind="` + k.String() + `"}`).Inc()
+	metrics.GetOrCreateCounter(hist.Series("cowslip_attempts_ended_total", hist.Label{Name: "kind", Value: k.String()})).Inc()
 }
 
 // observeFirstStart records the time from a job's acceptance to its first start, by pool.
--- a/internal/edge/admit/metrics.go
+++ b/internal/edge/admit/metrics.go
@@ -1,10 +1,9 @@
 package admit
 
 import (
-	"fmt"
-
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/edge/queue"
 	"cowslipstack/internal/edge/route"
 )
@@ -22,27 +21,29 @@
 }
 
 func (c *Controller) refuse(r route.Request, reason route.Reason, message string) (route.Ticket, error) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowslip_refusals_total{service=%q,reason=%q}`, r.Service, reason)).Inc()
+	metrics.GetOrCreateCounter(hist.Series("cowslip_refusals_total", hist.Label{Name: "service", Value: r.Service},
+		hist.Label{Name: "reason", Value: reason.String()})).Inc()
 	return route.Ticket{}, &route.Refusal{Reason: reason, Message: message}
 }
 
 func countEjection(service string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowslip_ejections_total{service=%q}`, service)).Inc()
+	metrics.GetOrCreateCounter(hist.Series("cowslip_ejections_total", hist.Label{Name: "service", Value: service})).Inc()
 }
 
 // registerGauges registers the service's gauges, which are computed when the metrics are read.
 func (s *service) registerGauges() {
-	register := func(name, extra string, read func() int) {
-		metrics.GetOrCreateGauge(fmt.Sprintf(`%s{service=%q%s}`, name, s.name, extra), func() float64 {
+	register := func(name string, read func() int, extra ...hist.Label) {
+		labels := append([]hist.Label{{Name: "service", Value: s.name}}, extra...)
+		metrics.GetOrCreateGauge(hist.Series(name, labels...), func() float64 {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return float64(read())
 		})
 	}
 	for c := queue.ClassUrgent; c <= queue.ClassBatch; c++ {
-		register("cowslip_queue_length", fmt.Sprintf(`,class=%q`, c), func() int { return s.queue.LenClass(c) })
+		register("cowslip_queue_length", func() int { return s.queue.LenClass(c) }, hist.Label{Name: "class", Value: c.String()})
 	}
-	register("cowslip_in_progress", "", func() int { return len(s.attempts) })
-	register("cowslip_slots_held", "", func() int { return s.capacity().Slots })
-	register("cowslip_runners_out", "", func() int { return s.pool.Ejected() })
+	register("cowslip_in_progress", func() int { return len(s.attempts) })
+	register("cowslip_slots_held", func() int { return s.capacity().Slots })
+	register("cowslip_runners_out", func() int { return s.pool.Ejected() })
 }
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -107,7 +107,8 @@
 	name, began := kind(c), p.options.Clock.Now()
 	reply := p.do(ctx, c)
 	hist.Observe("cowslip_call_seconds", hist.Labels{Class: name}, p.options.Clock.Now().Sub(began))
-	metrics.GetOrCreateCounter(`cowslip_calls_total{call="` + name + `",code="` + reply.Code.String() + `"}`).Inc()
+	metrics.GetOrCreateCounter(hist.Series("cowslip_calls_total", hist.Label{Name: "call", Value: name},
+		hist.Label{Name: "code", Value: reply.Code.String()})).Inc()
 	return reply
 }
 
