Say that a job is unknown only once its proposed record is applied

What callers would see: a GET of a job whose record is under way is answered 410, and so is a DELETE, after which the job is stored and runs.

Cause: the state and the cancellation of a job looked at the applied records only.

Change: both wait for the job's record that is proposed, if there is one. A leader that steps down meanwhile answers not_run.

--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -29,9 +29,11 @@
 	case c.Submit != nil:
 		s.submit(c.Submit, reply)
 	case c.Cancel != nil:
-		s.cancel(c.Cancel, reply)
+		s.afterSubmission(lastSegment(c.Cancel.Path), func() { s.cancel(c.Cancel, reply) })
 	case c.JobState != nil:
-		s.replyWhenConfirmed(reply, func() batch.Reply { return s.jobState(c.JobState) })
+		s.afterSubmission(lastSegment(c.JobState.Path), func() {
+			s.replyWhenConfirmed(reply, func() batch.Reply { return s.jobState(c.JobState) })
+		})
 	case c.Pending != nil:
 		s.replyWhenConfirmed(reply, func() batch.Reply { return s.pendingJobs(c.Pending) })
 	case c.Heartbeat != nil:
@@ -68,6 +70,10 @@
 
 // replyWhenConfirmed replies from the replicated state once the leadership is confirmed.
 func (s *Scheduler) replyWhenConfirmed(reply func(batch.Reply), answer func() batch.Reply) {
+	if !s.active {
+		reply(batch.Reply{Code: batch.CodeNotRun, Detail: "this process does not lead"})
+		return
+	}
 	s.whenConfirmed(func(ok bool) {
 		if !ok {
 			reply(batch.Reply{Code: batch.CodeNotRun, Detail: "the leadership isn't confirmed"})
@@ -113,14 +119,12 @@
 		return
 	}
 	s.proposals.pending.NewJobs = append(s.proposals.pending.NewJobs, job)
-	s.submitting[id]++
+	record := s.noteSubmitting(id)
 	s.options.Logger.Info("job_accepting", zap.String("job", id), zap.String("pool", q.Pool), zap.Int("steps", len(job.Steps)),
 		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term))
 	s.replyWhenCommitted(func(r batch.Reply) {
-		if s.submitting[id]--; s.submitting[id] <= 0 {
-			delete(s.submitting, id)
-		}
 		reply(r)
+		s.endSubmitting(id, record)
 	}, batch.Reply{Code: batch.CodeOK, Phase: batch.PhaseQueued})
 }
 
@@ -134,7 +138,7 @@
 func (s *Scheduler) cancel(l *batch.RequestTarget, reply func(batch.Reply)) {
 	id := lastSegment(l.Path)
 	j := s.options.Log.Batch().Job(id)
-	if j == nil {
+	if !s.active || j == nil {
 		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeGone, Detail: "no such job"} })
 		return
 	}
--- a/internal/ctrl/sched/refusal.go
+++ b/internal/ctrl/sched/refusal.go
@@ -16,7 +16,7 @@
 // stored; a job that is proposed already is never refused.
 func (s *Scheduler) refuseHopeless(spec *batch.Job, reply func(batch.Reply)) bool {
 	load, scarce := s.fleet.loads[spec.Pool]
-	if !scarce || s.submitting[spec.ID] > 0 {
+	if !scarce || s.submitting[spec.ID] != nil {
 		return false
 	}
 	job := s.describeJob(jobs.NewJob(*spec))
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -80,8 +80,8 @@
 	// stopping holds, by task, the attempt of a long-running task that is being stopped to restart on another VM.
 	stopping map[batch.TaskID]int
 
-	// submitting counts, by job, the submissions whose record is proposed and not yet applied.
-	submitting map[string]int
+	// submitting holds, by identity, the new jobs whose record is proposed and not yet applied.
+	submitting map[string]*jobRecord
 
 	// ordered are the orders to workers that aren't logged yet.
 	ordered []string
@@ -129,7 +129,7 @@
 	s.stopping, s.abandonedUntilMs = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
-	s.crashedMs, s.submitting = map[string]int64{}, map[string]int{}
+	s.crashedMs, s.submitting = map[string]int64{}, map[string]*jobRecord{}
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
