Ask for a job whose second attempt is refused, if the first may have run

What callers saw: 404, no queue has this host and path, for a job that was stored and ran (REFUSED).

Cause: after an attempt that may have run, Proxy.do returned the not_found or invalid of a later attempt, which tells nothing of the earlier one.

Change: the process then asks the leader for the job. If the leader holds it, the answer is 200; if not, the refusal goes out at once; if that isn't known, it asks again until the caller's deadline.

TestScripts/queue-removed-while-call-may-have-run failed before.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -136,6 +136,10 @@
 			if !mayHaveRun {
 				worst = reply
 			}
+		case mayHaveRun && c.Submit != nil && reply.Code != batch.CodeOK:
+			if settled, ok := p.settle(ctx, c, reply); ok {
+				return settled
+			}
 		default:
 			return reply
 		}
@@ -147,6 +151,22 @@
 	}
 }
 
+// settle returns the reply to a submission that is refused for good, such as since its queue was removed, and of which an earlier
+// attempt may have run: the job's phase if the leader holds the job, else the refusal. It returns false if that isn't known.
+func (p *Proxy) settle(ctx context.Context, c *batch.Call, refusal batch.Reply) (batch.Reply, bool) {
+	state, _ := p.attempt(ctx, &batch.Call{JobState: &batch.RequestTarget{Host: c.Submit.Host, Path: c.Submit.Path}})
+	p.options.Logger.Info("submission_settled", zap.String("subject", subject(c)), zap.Stringer("refusal", refusal.Code),
+		zap.String("cause", refusal.Detail), zap.Stringer("state", state.Code), zap.Uint64("term", p.options.Tracker.Leader().Term))
+	switch state.Code {
+	case batch.CodeOK:
+		return state, true
+	case batch.CodeGone:
+		return refusal, true
+	default:
+		return batch.Reply{}, false
+	}
+}
+
 // settleContext bounds the attempts at a call that may have run. Only asking again can tell its outcome, so it is asked
 // until the caller stops waiting; without a deadline the caller may be gone soon after callTimeout.
 func settleContext(caller context.Context) (context.Context, context.CancelFunc) {
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -39,6 +39,14 @@
 		return batch.Reply{Code: batch.CodeNotRun, Detail: "this process does not lead"}, nil
 	case "overloaded":
 		return batch.Reply{Code: batch.CodeOverloaded, Detail: "the leader is behind"}, nil
+	case "not_found":
+		return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}, nil
+	case "invalid":
+		return batch.Reply{Code: batch.CodeInvalid, Detail: "the job has no steps"}, nil
+	case "gone":
+		return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}, nil
+	case "running":
+		return batch.Reply{Code: batch.CodeOK, Detail: "the job runs", Phase: batch.PhaseRunning}, nil
 	case "refused":
 		return batch.Reply{Code: batch.CodeRefused, Detail: "the job can't be in time"}, nil
 	case "not_sent":
