Name the settling of a submission apart from the loop of attempts

The reply to an attempt after one that may have run is settled in a function of its own; where the leader doesn't tell whether it holds the job, the detail of the answer names that attempt.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -119,6 +119,9 @@
 	for {
 		reply, sent := p.attempt(ctx, c)
 		mayHaveRun := worst.Code == batch.CodeUnknown
+		if mayHaveRun {
+			reply = p.settle(ctx, c, reply)
+		}
 		switch {
 		case sent && reply.Code == batch.CodeUnknown:
 			if c.Heartbeat != nil {
@@ -136,10 +139,6 @@
 			if !mayHaveRun {
 				worst = reply
 			}
-		case mayHaveRun && c.Submit != nil && reply.Code != batch.CodeOK:
-			if settled, ok := p.settle(ctx, c, reply); ok {
-				return settled
-			}
 		default:
 			return reply
 		}
@@ -151,19 +150,22 @@
 	}
 }
 
-// settle returns the reply to a submission that is refused for good, such as since its queue was removed, and of which an earlier
-// attempt may have run: the job's phase if the leader holds the job, else the refusal. It returns false if that isn't known.
-func (p *Proxy) settle(ctx context.Context, c *batch.Call, refusal batch.Reply) (batch.Reply, bool) {
+// settle returns the reply to a call of which an earlier attempt may have run. A submission that is refused for good by now, such
+// as since its queue was removed, was accepted if the leader holds the job; its outcome is unknown if that can't be told.
+func (p *Proxy) settle(ctx context.Context, c *batch.Call, reply batch.Reply) batch.Reply {
+	if c.Submit == nil || reply.Code != batch.CodeNotFound && reply.Code != batch.CodeInvalid {
+		return reply
+	}
 	state, _ := p.attempt(ctx, &batch.Call{JobState: &batch.RequestTarget{Host: c.Submit.Host, Path: c.Submit.Path}})
-	p.options.Logger.Info("submission_settled", zap.String("subject", subject(c)), zap.Stringer("refusal", refusal.Code),
-		zap.String("cause", refusal.Detail), zap.Stringer("state", state.Code), zap.Uint64("term", p.options.Tracker.Leader().Term))
+	p.options.Logger.Info("submission_settled", zap.String("subject", subject(c)), zap.Stringer("refusal", reply.Code),
+		zap.String("cause", reply.Detail), zap.Stringer("state", state.Code), zap.Uint64("term", p.options.Tracker.Leader().Term))
 	switch state.Code {
 	case batch.CodeOK:
-		return state, true
+		return state
 	case batch.CodeGone:
-		return refusal, true
+		return reply
 	default:
-		return batch.Reply{}, false
+		return batch.Reply{Code: batch.CodeUnknown, Detail: state.Detail}
 	}
 }
 
