Log for how long a crashed worker's VM was up after it was last heard

The log couldn't tell a worker that crashed at the start of its last order from one that was cut off and crashed seconds later: silent_ms is the time until the crash was seen. worker_crashed has up_unheard_ms now, from the VM lists.

No logic changes.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -41,7 +41,8 @@
 	unseen, excuse := s.unseenOn(w), s.excuseOf(w)
 	together := excuse == excuseNone && s.crashedTogether(w)
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
-		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs), zap.Uint64("ordered_in", w.answeredSequence),
+		zap.Int64("incarnation", w.incarnation), zap.Int64("silent_ms", s.now()-w.heardMs),
+		zap.Int64("up_unheard_ms", w.upUnheardMs()), zap.Uint64("ordered_in", w.answeredSequence),
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.Stringer("excuse", excuse), zap.Bool("together", together))
 	if excuse != excuseNone {
@@ -58,6 +59,11 @@
 	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared})
 }
 
+// upUnheardMs returns for how long a worker is known to have been up since its last heartbeat and the orders that answered it.
+func (w *worker) upUnheardMs() int64 {
+	return max(0, w.listedUpMs-max(w.heardMs, w.lastOrderMs))
+}
+
 // evidence is what the crash of a worker shows about its tasks.
 type evidence struct {
 	// blamed holds the attempts that the worker was about to start, and whether their tasks are given up.
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -104,6 +104,7 @@
 		return
 	}
 	s.endIfGone(known, v, asked)
+	s.noteUp(v, asked)
 	if known.Worker != v.Worker {
 		delete(f.byWorker, known.Worker)
 	}
@@ -113,6 +114,13 @@
 	known.VM, known.listedMs = v, asked
 }
 
+// noteUp notes that a worker was up on its VM at uptime asked.
+func (s *Scheduler) noteUp(v VM, asked int64) {
+	if w := s.workers[v.Worker]; w != nil && v.State == VMUp {
+		w.listedUpMs = asked
+	}
+}
+
 // endIfGone ends what ran on a VM that is down, or on which another worker runs now, unless the worker was heard
 // since the list was requested.
 func (s *Scheduler) endIfGone(known *vm, v VM, asked int64) {
