Count no crash against a task whose worker was up, unheard, after the order

Cause: a worker that was cut off right after an order and crashed 2 s later looked like one that crashed at the start of that order. All but one of the verdicts rested on such crashes.

Change: such a crash has the excuse "cut off before", once a VM list showed the worker up while its heartbeat was overdue. It blames no task, early or late, and clears no suspect. Deadly tasks take their worker down at once, so that the next list shows it.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -154,6 +154,7 @@
 	excuseNotHeard                           // not heard by this leader
 	excuseOrdered                            // ordered away
 	excuseOrderedFormerly                    // ordered away by a former leader
+	excuseCutOff                             // cut off before
 )
 
 func (s *Scheduler) excuseOf(w *worker) crashExcuse {
@@ -170,6 +171,8 @@
 		return excuseOrdered
 	case s.fleet.maybeDownUntilMs[name] > s.now():
 		return excuseOrderedFormerly
+	case w.upUnheardMs() >= w.intervalMs+overdueMarginMs:
+		return excuseCutOff
 	}
 	return excuseNone
 }
--- a/internal/ctrl/sched/enums_gen.go
+++ b/internal/ctrl/sched/enums_gen.go
@@ -81,11 +81,12 @@
 	_ = x[excuseNotHeard-3]
 	_ = x[excuseOrdered-4]
 	_ = x[excuseOrderedFormerly-5]
+	_ = x[excuseCutOff-6]
 }
 
-const _crashExcuse_name = "noneleft beforedrainingnot heard by this leaderordered awayordered away by a former leader"
+const _crashExcuse_name = "noneleft beforedrainingnot heard by this leaderordered awayordered away by a former leadercut off before"
 
-var _crashExcuse_index = [...]uint8{0, 4, 15, 23, 47, 59, 90}
+var _crashExcuse_index = [...]uint8{0, 4, 15, 23, 47, 59, 90, 104}
 
 func (i crashExcuse) String() string {
 	idx := int(i) - 0
