Count the crashes of one machine once against a task that lasts

Cause: each crash of that machine counted against the task that was restarted there, the only place it had.

Change: a crash counts against a task that lasts once for each machine. For tasks that end nothing changes, since their starts are bounded.

TestScripts/crash-of-one-machine-gives-up-no-task-that-lasts failed with the change taken out.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -51,11 +51,11 @@
 	}
 	crashesTotal.Inc()
 	s.crashedMs[w.pool] = s.now()
-	var spared map[batch.TaskID]bool
+	spared := s.countedAt(w)
 	if together {
-		spared = s.spareTasksOn(w, unseen)
-		unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
+		maps.Copy(spared, s.spareTasksOn(w, unseen))
 	}
+	unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
 	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared})
 }
 
@@ -68,7 +68,7 @@
 type evidence struct {
 	// blamed holds the attempts that the worker was about to start, and whether their tasks are given up.
 	blamed map[attemptID]bool
-	// spared are the tasks that aren't blamed, because the worker crashed together with others.
+	// spared are the tasks that aren't blamed, because the worker crashed together with others or under them before.
 	spared map[batch.TaskID]bool
 }
 
@@ -90,6 +90,30 @@
 	return spared
 }
 
+// countedAt returns the tasks that last on a worker against which a crash of its machine has counted. They are restarted however
+// they end, perhaps nowhere else, so that a machine that crashes time and again would give them up.
+func (s *Scheduler) countedAt(w *worker) map[batch.TaskID]bool {
+	counted := map[batch.TaskID]bool{}
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		if job := s.jobs[id.Job]; job != nil && slices.Contains(job.crashedAt[id], w.address) {
+			counted[id] = true
+		}
+	}
+	return counted
+}
+
+// noteCounted notes that a crash of a worker counts against a task.
+func (s *Scheduler) noteCounted(w *worker, id batch.TaskID) {
+	job := s.jobs[id.Job]
+	if job == nil || !job.state.Spec.Steps[id.Step].LongRunning {
+		return
+	}
+	if job.crashedAt == nil {
+		job.crashedAt = map[batch.TaskID][]string{}
+	}
+	job.crashedAt[id] = append(job.crashedAt[id], w.address)
+}
+
 // blameStarts returns the attempts that a worker was about to start when it crashed, and for each whether its task is given
 // up, because too many workers have crashed under it.
 func (s *Scheduler) blameStarts(w *worker, unseen []attemptID, together bool) map[attemptID]bool {
@@ -295,6 +319,9 @@
 				givenUp, crashed, later := e.judge(w, j, id, r.Number)
 				// A task that has to run alone is judged by the crashes of workers on which it did.
 				later = later && (!runsAlone(j, t) || s.ranAlone(w, id))
+				if crashed || later {
+					s.noteCounted(w, id)
+				}
 				s.endAttempt(batch.AttemptEnd{
 					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
 					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id), RanLong: w.hasRunLong(id, r.Number),
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -32,6 +32,8 @@
 	unplacedNeed   batch.Resources
 	// spared counts, by task, the crashes of its workers that weren't counted because others crashed together with them.
 	spared map[batch.TaskID]int
+	// crashedAt holds, for tasks that last, the addresses of the workers whose crashes were counted against them.
+	crashedAt map[batch.TaskID][]string
 	// leastNeed is a lower bound of what a ready task reserves, in each dimension.
 	leastNeed batch.Resources
 	// copyable are the tasks with a single attempt, of which a speculative copy may run.
@@ -115,7 +117,7 @@
 	updated.noteAllRunning(old, s.now())
 	updated.noteUnplaced(old, s.now())
 	if old != nil {
-		updated.spared = old.spared
+		updated.spared, updated.crashedAt = old.spared, old.crashedAt
 	}
 	pool := s.poolOf(j)
 	if old != nil && old.pool == pool {
