--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -28,6 +28,27 @@
 	maxRememberedVMs = 8192
 )
 
+const (
+	// crashedKeptMs is how long after a crash workers that join the pool wait for the VM list, and maxVMWaitMs is how long each
+	// of them waits at most.
+	crashedKeptMs = 30_000
+	maxVMWaitMs   = 300
+	// lateHeartbeatMs is how long after a leader took over a heartbeat may still arrive that its worker sent before it left.
+	lateHeartbeatMs = 3000
+)
+
+// awaitsVM reports whether a worker that has just joined gets no orders yet because the VM list doesn't show on which VM it
+// runs. It matters while workers of its pool crash, since nothing would tell of a crash until the worker is back, and under a
+// new leader: a heartbeat that was delayed may be from a worker that left before.
+func (s *Scheduler) awaitsVM(w *worker, now int64) bool {
+	if !s.fleet.listComplete || s.fleet.byWorker[w.id] != "" || now-w.joinedMs > maxVMWaitMs {
+		return false
+	}
+	crashedMs, crashed := s.crashedMs[w.pool]
+	takenOver := s.tookOver && now-s.activeSinceMs <= lateHeartbeatMs
+	return takenOver || crashed && now-crashedMs <= crashedKeptMs
+}
+
 // readListPage requests a page of the VM list; asked is the uptime at which the first page was requested.
 func (s *Scheduler) readListPage(page string, asked int64) {
 	term := s.term
