Count waiting jobs only for pools that are configured

What operators would see: a series in the metrics for each pool name that any heartbeat has borne, without a bound, once a process stops leading; and the last count of a removed pool for as long as the leader leads.

Cause: the gauges were cleared for each queue, and a heartbeat makes one for its pool, whether it is configured or not.

Change: the scheduler remembers the pools that it has counted, and clears those.

--- a/internal/ctrl/sched/pool_names_test.go
+++ b/internal/ctrl/sched/pool_names_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,10 +48,9 @@
 		var page bytes.Buffer
 		metrics.WritePrometheus(&page, false)
 		is.NoErr(tests.CheckMetricsPage(page.String()))
-		for _, pool := range []string{name, name + `"`} {
-			for _, metric := range []string{"cowslip_jobs_waiting", "cowslip_jobs_ordered", "cowslip_jobs_oldest_waiting_seconds"} {
-				metrics.UnregisterMetric(hist.Name(metric, hist.Labels{Service: pool}))
-			}
+		is.True(!strings.Contains(page.String(), hist.Name("cowslip_jobs_waiting", hist.Labels{Service: name + `"`})))
+		for _, metric := range []string{"cowslip_jobs_waiting", "cowslip_jobs_ordered", "cowslip_jobs_oldest_waiting_seconds"} {
+			metrics.UnregisterMetric(hist.Name(metric, hist.Labels{Service: name}))
 		}
 	})
 }
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -109,7 +109,8 @@
 	unexplainedMs map[string][]int64
 	// crashedMs holds, by pool, the uptime at which a worker was last found to have crashed.
 	crashedMs map[string]int64
-	// waitingCountedMs is the uptime at which the waiting jobs were last counted for the metrics.
+	// countedPools are the pools whose waiting jobs were last counted for the metrics, at the uptime waitingCountedMs.
+	countedPools     []string
 	waitingCountedMs int64
 }
 
@@ -121,7 +122,8 @@
 }
 
 func (s *Scheduler) reset() {
-	s.clearWaitingGauges()
+	clearWaitingGauges(s.countedPools)
+	s.countedPools = nil
 	s.active, s.formerStopsUntilMs = false, 0
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -88,19 +88,23 @@
 	}
 	s.waitingCountedMs = now
 	wallMs := s.wallMs()
+	former := s.countedPools
+	s.countedPools = nil
 	for _, p := range s.currentConfiguration().Pools {
 		var waiting waitingJobs
 		for _, job := range s.queueOf(p.Name).jobs {
 			waiting.add(job.state, wallMs)
 		}
 		setWaitingGauges(p.Name, waiting)
+		s.countedPools = append(s.countedPools, p.Name)
 	}
+	clearWaitingGauges(slices.DeleteFunc(former, func(pool string) bool { return slices.Contains(s.countedPools, pool) }))
 	s.logUnplaced(now)
 }
 
-// clearWaitingGauges sets the metrics of waiting jobs to 0: only the leader counts them.
-func (s *Scheduler) clearWaitingGauges() {
-	for pool := range s.queues {
+// clearWaitingGauges sets the metrics of waiting jobs to 0 for pools that are configured no more or that another leader counts.
+func clearWaitingGauges(pools []string) {
+	for _, pool := range pools {
 		setWaitingGauges(pool, waitingJobs{})
 	}
 }
