--- a/internal/ctrl/sched/bench_test.go
+++ b/internal/ctrl/sched/bench_test.go
@@ -152,3 +152,64 @@
 	h.uptime.ms++
 	h.fill()
 }
+
+// BenchmarkEndsAfterCut measures the heartbeats in which a worker that was cut off reports all that has ended there, 500 ends at a
+// time.
+func BenchmarkEndsAfterCut(b *testing.B) {
+	for _, tasks := range []int{1000, 6000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				h, ends := newCutHarness(tasks)
+				b.StartTimer()
+				for len(ends) > 0 {
+					listed := ends[:min(len(ends), endsPerHeartbeat)]
+					ends = ends[len(listed):]
+					h.heartbeat(&batch.Heartbeat{Ended: listed, MoreEnds: len(ends) > 0})
+				}
+			}
+		})
+	}
+}
+
+// endsPerHeartbeat is how many ends a worker lists at a time.
+const endsPerHeartbeat = 500
+
+// cutHarness is a scheduler with one worker, whose heartbeats are numbered.
+type cutHarness struct {
+	*harness
+	number uint64
+}
+
+// newCutHarness returns a scheduler with a worker on which a number of tasks run, and their ends.
+func newCutHarness(tasks int) (*cutHarness, []batch.EndReport) {
+	h := &cutHarness{harness: newHarness()}
+	h.call("", &batch.Call{Configure: &batch.Configuration{
+		Version: 1, Queues: []batch.Queue{{Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, TimeoutMs: 1000}}, Pools: []batch.Pool{{Name: "p"}},
+	}})
+	for i := range tasks / endsPerHeartbeat {
+		h.call("", &batch.Call{Submit: &batch.Submission{Host: "h", Path: "/q/" + jobID(fmt.Sprint(i)), Job: batch.Job{
+			Steps: []batch.Step{{Count: endsPerHeartbeat, Need: batch.Resources{CPUMilli: 1, MemoryMB: 1}, EstimateMs: 4000}},
+		}}})
+	}
+	var running []batch.Running
+	var ends []batch.EndReport
+	for started := -1; started != len(running); {
+		started = len(running)
+		for _, o := range h.heartbeat(&batch.Heartbeat{Running: running}).Orders.Start {
+			running = append(running, batch.Running{Task: o.Task, Attempt: o.Attempt, Percent: 1})
+			ends = append(ends, batch.EndReport{Number: uint64(len(running)), Task: o.Task, Attempt: o.Attempt, Kind: batch.EndDone})
+		}
+	}
+	return h, ends
+}
+
+// heartbeat sends the worker's next heartbeat with its lists, and returns the reply.
+func (h *cutHarness) heartbeat(r *batch.Heartbeat) (reply batch.Reply) {
+	h.number++
+	r.Worker, r.Incarnation, r.Sequence, r.Pool, r.Address = "w1", 1, h.number, "p", "w1"
+	r.Capacity = batch.Resources{CPUMilli: 1_000_000, MemoryMB: 1_000_000}
+	h.scheduler.Call(&batch.Call{Heartbeat: r}, h.uptime.ms, func(given batch.Reply) { reply = given })
+	h.log.commitAll()
+	return reply
+}
