Tests: parse heartbeats beside the other parsers, write until a failure in one place

script_test.go of the scheduler had grown to 342 lines; the parser of heartbeats stands with those of jobs and configurations. Two crash tests of the store set up the same failure twice. What they check is the same.

--- a/internal/ctrl/sched/parse_test.go
+++ b/internal/ctrl/sched/parse_test.go
@@ -100,3 +100,47 @@
 	}
 	return batch.TaskID{Job: jobID(fields[0]), Occurrence: n[0], Step: n[1], Index: n[2]}, n[3]
 }
+
+// parseHeartbeat reads a worker's report; lines name what runs or has ended, such as "running a.0.0.0#1 50" or
+// "ended 1 a.0.0.0#1 done".
+func parseHeartbeat(t *testing.T, d *datadriven.TestData, worker string, sequence uint64) *batch.Heartbeat {
+	t.Helper()
+	report := &batch.Heartbeat{
+		Worker: worker, Incarnation: intArg(t, d, "incarnation", 1), Sequence: uint64(intArg(t, d, "sequence", int64(sequence))),
+		Pool: stringArg(d, "pool", "p"), Address: stringArg(d, "address", worker), Draining: stringArg(d, "draining", "") != "",
+		Capacity: batch.Resources{
+			CPUMilli: intArg(t, d, "cpu", 16000), MemoryMB: intArg(t, d, "memory", 64000), Accelerators: intArg(t, d, "accelerators", 0),
+		},
+		Labels:   []string{"a", stringArg(d, "rack", "r1")},
+		MoreEnds: stringArg(d, "more_ends", "") != "",
+	}
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		switch {
+		case len(fields) == 0:
+		case fields[0] == "unread":
+			report.UnreadRunning++
+		case fields[0] == "unread_end":
+			report.UnreadEnded++
+		case fields[0] == "running":
+			id, attempt := parseTask(t, fields[1])
+			r := batch.Running{Task: id, Attempt: attempt, Percent: 50}
+			if len(fields) > 2 {
+				r.Percent, _ = strconv.Atoi(fields[2])
+			}
+			if len(fields) > 3 {
+				r.Load, _ = strconv.ParseFloat(fields[3], 64)
+			}
+			report.Running = append(report.Running, r)
+		default:
+			id, attempt := parseTask(t, fields[2])
+			n, _ := strconv.ParseUint(fields[1], 10, 64)
+			end := batch.EndReport{Number: n, Task: id, Attempt: attempt, Kind: parseEndKind(t, fields[3])}
+			if len(fields) > 4 {
+				end.Checkpoint = fields[4]
+			}
+			report.Ended = append(report.Ended, end)
+		}
+	}
+	return report
+}
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -295,48 +295,10 @@
 	}
 }
 
-// sendHeartbeat sends a worker's report; lines name what runs or has ended, such as "running a.0.0.0#1 50" or
-// "ended 1 a.0.0.0#1 done".
+// sendHeartbeat sends a worker's report.
 func (h *harness) sendHeartbeat(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
 	worker := stringArg(d, "worker", "w1")
 	h.sequence[worker]++
-	report := &batch.Heartbeat{
-		Worker: worker, Incarnation: intArg(t, d, "incarnation", 1), Sequence: uint64(intArg(t, d, "sequence", int64(h.sequence[worker]))),
-		Pool: stringArg(d, "pool", "p"), Address: stringArg(d, "address", worker), Draining: stringArg(d, "draining", "") != "",
-		Capacity: batch.Resources{
-			CPUMilli: intArg(t, d, "cpu", 16000), MemoryMB: intArg(t, d, "memory", 64000), Accelerators: intArg(t, d, "accelerators", 0),
-		},
-		Labels:   []string{"a", stringArg(d, "rack", "r1")},
-		MoreEnds: stringArg(d, "more_ends", "") != "",
-	}
-	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
-		fields := strings.Fields(line)
-		switch {
-		case len(fields) == 0:
-		case fields[0] == "unread":
-			report.UnreadRunning++
-		case fields[0] == "unread_end":
-			report.UnreadEnded++
-		case fields[0] == "running":
-			id, attempt := parseTask(t, fields[1])
-			r := batch.Running{Task: id, Attempt: attempt, Percent: 50}
-			if len(fields) > 2 {
-				r.Percent, _ = strconv.Atoi(fields[2])
-			}
-			if len(fields) > 3 {
-				r.Load, _ = strconv.ParseFloat(fields[3], 64)
-			}
-			report.Running = append(report.Running, r)
-		default:
-			id, attempt := parseTask(t, fields[2])
-			n, _ := strconv.ParseUint(fields[1], 10, 64)
-			end := batch.EndReport{Number: n, Task: id, Attempt: attempt, Kind: parseEndKind(t, fields[3])}
-			if len(fields) > 4 {
-				end.Checkpoint = fields[4]
-			}
-			report.Ended = append(report.Ended, end)
-		}
-	}
-	h.call(worker, &batch.Call{Heartbeat: report})
+	h.call(worker, &batch.Call{Heartbeat: parseHeartbeat(t, d, worker, h.sequence[worker])})
 }
--- a/internal/ctrl/store/crash_test.go
+++ b/internal/ctrl/store/crash_test.go
@@ -130,6 +130,19 @@
 // crashSeeds is the number of random write sequences.
 const crashSeeds = 12
 
+// writeUntilFailure saves random states in a folder of which one operation fails. It returns the log, nil if that couldn't be
+// opened, what a restart may find, and whether the operation was reached.
+func writeUntilFailure(r *rand.Rand, failAt int) (folder *fakeFolder, l *Log, allowed []expectedState, failed bool) {
+	folder = newFakeFolder()
+	folder.failAt = failAt
+	allowed = []expectedState{{}}
+	l, _, err := OpenFolder(folder, "one", jsonCodec{})
+	if err == nil {
+		allowed, err = saveRandomWrites(r, l, expectedState{}, 12, 0)
+	}
+	return folder, l, allowed, err != nil
+}
+
 // TestCrashAtEveryWritePoint fails each folder operation in turn, crashes there, and checks that a restart finds a state
 // that was saved or being saved, and that later writes survive another crash.
 func TestCrashAtEveryWritePoint(t *testing.T) {
@@ -138,14 +151,8 @@
 		for failAt := 1; ; failAt++ {
 			what := fmt.Sprintf("seed %d, operation %d", seed, failAt)
 			r := rand.New(rand.NewPCG(seed, 0))
-			folder := newFakeFolder()
-			folder.failAt = failAt
-			allowed := []expectedState{{}}
-			l, _, err := OpenFolder(folder, "one", jsonCodec{})
-			if err == nil {
-				allowed, err = saveRandomWrites(r, l, expectedState{}, 12, 0)
-			}
-			if err == nil {
+			folder, l, allowed, failed := writeUntilFailure(r, failAt)
+			if !failed {
 				break
 			}
 			if l != nil {
@@ -184,14 +191,8 @@
 		for failAt := 1; ; failAt++ {
 			what := fmt.Sprintf("seed %d, killed at operation %d", seed, failAt)
 			r := rand.New(rand.NewPCG(seed, 0))
-			folder := newFakeFolder()
-			folder.failAt = failAt
-			allowed := []expectedState{{}}
-			l, _, err := OpenFolder(folder, "one", jsonCodec{})
-			if err == nil {
-				allowed, err = saveRandomWrites(r, l, expectedState{}, 12, 0)
-			}
-			if err == nil {
+			folder, _, allowed, failed := writeUntilFailure(r, failAt)
+			if !failed {
 				break
 			}
 			points++
