Give up no task that lasts for a crash that came together with many

Cause of what the script shows: crashes that come together are spared once or twice and counted then. After three that count a task runs alone, and two more waves give it up, though the workers may share a cause each time.

Change: such a crash counts as before, but gives up no task that lasts, which is restarted however it ends. Tasks that end keep their bound on starts.

--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -35,7 +35,7 @@
 		maps.Copy(spared, s.spareTasksOn(w, unseen))
 	}
 	unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
-	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared})
+	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared, together: together})
 }
 
 // loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
@@ -59,7 +59,7 @@
 				}
 				s.endAttempt(batch.AttemptEnd{
 					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
-					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id), RanLong: w.hasRunLong(id, r.Number),
+					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id, e.together), RanLong: w.hasRunLong(id, r.Number),
 					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
 					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || e == nil && w.hasBegun(j, id, r.Number),
 				})
--- a/internal/ctrl/sched/evidence.go
+++ b/internal/ctrl/sched/evidence.go
@@ -19,6 +19,8 @@
 	blamed map[attemptID]bool
 	// spared are the tasks that aren't blamed, because the worker crashed together with others or under them before.
 	spared map[batch.TaskID]bool
+	// together is set if the worker crashed together with others.
+	together bool
 }
 
 // spareTasksOn returns the tasks on a worker that its crash together with others isn't counted for, and notes that.
@@ -74,7 +76,7 @@
 		starts[i] = crash.Start{Crashes: t.Crashes, LongRunning: step.LongRunning, Gang: step.Gang}
 	}
 	unexplained, explained := s.recentCrashes(w.address), false
-	for i, givenUp := range crash.GiveUp(crash.Input{Starts: starts, UnexplainedCrashes: len(unexplained)}) {
+	for i, givenUp := range crash.GiveUp(crash.Input{Starts: starts, UnexplainedCrashes: len(unexplained), Together: together}) {
 		u := unseen[i]
 		explained = explained || givenUp
 		if givenUp {
--- a/internal/ctrl/sched/latecrash.go
+++ b/internal/ctrl/sched/latecrash.go
@@ -81,7 +81,7 @@
 }
 
 // givenUpAlone reports whether a task is given up because its worker has crashed while nothing else can be the cause.
-func (s *Scheduler) givenUpAlone(w *worker, id batch.TaskID) bool {
+func (s *Scheduler) givenUpAlone(w *worker, id batch.TaskID, together bool) bool {
 	j, t := s.findTask(id)
 	if !runsAlone(j, t) || !s.ranAlone(w, id) {
 		return false
@@ -90,6 +90,7 @@
 		Crashes: t.CrashesBeside, LongRunning: j.Spec.Steps[id.Step].LongRunning,
 		// The last of them is this crash.
 		UnexplainedCrashes: len(s.recentCrashes(w.address)) - 1, RackSilent: s.rackSilent(w),
+		Together:     together,
 		OthersRecent: slices.ContainsFunc(s.recentOn(w, ranLongMs), func(other batch.TaskID) bool { return other != id }),
 	})
 	if givenUp {
--- a/internal/plan/crash/alone.go
+++ b/internal/plan/crash/alone.go
@@ -45,10 +45,15 @@
 	RackSilent bool
 	// OthersRecent is set if something else on it hadn't run for long.
 	OthersRecent bool
+	// Together is set if so many workers crashed at the same moment that they may share a cause: that gives up no task that lasts.
+	Together bool
 }
 
 // GiveUpAlone reports whether the task is given up.
 func GiveUpAlone(in Alone) bool {
+	if in.Together && in.LongRunning {
+		return false
+	}
 	needed := crashesAloneToGiveUp
 	if in.LongRunning || in.RackSilent || in.OthersRecent || in.UnexplainedCrashes >= crashesToDoubtAlone {
 		needed = crashesAloneToGiveUpDoubtful
--- a/internal/plan/crash/judge.go
+++ b/internal/plan/crash/judge.go
@@ -27,6 +27,8 @@
 	Starts []Start
 	// UnexplainedCrashes is how often the machine crashed lately with no task given up for it.
 	UnexplainedCrashes int
+	// Together is set if so many workers crashed at the same moment that they may share a cause: that gives up no task that lasts.
+	Together bool
 }
 
 // GiveUp reports for each start of a crash whether it is given up. All of them are suspects from now on.
@@ -37,7 +39,8 @@
 		if len(in.Starts) > 1 || start.LongRunning || start.Gang || in.UnexplainedCrashes >= crashesToDoubt {
 			needed = crashesToGiveUpDoubtful
 		}
-		verdicts[i] = start.Crashes+1 >= needed
+		goesOn := in.Together && start.LongRunning
+		verdicts[i] = start.Crashes+1 >= needed && !goesOn
 	}
 	return verdicts
 }
--- a/internal/plan/crash/script_test.go
+++ b/internal/plan/crash/script_test.go
@@ -47,6 +47,7 @@
 		if d.HasArg("unexplained") {
 			d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
 		}
+		in.Together = d.HasArg("with_others")
 		var out strings.Builder
 		for _, givenUp := range crash.GiveUp(in) {
 			fmt.Fprintln(&out, map[bool]string{true: "given up", false: "suspect"}[givenUp])
@@ -58,7 +59,7 @@
 // judgeAlone judges a task that ran or would run alone: how many workers have crashed under it before.
 func judgeAlone(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	in := crash.Alone{LongRunning: d.HasArg("lasts"), RackSilent: d.HasArg("rack_silent"), OthersRecent: d.HasArg("others_recent")}
+	in := crash.Alone{LongRunning: d.HasArg("lasts"), RackSilent: d.HasArg("rack_silent"), OthersRecent: d.HasArg("others_recent"), Together: d.HasArg("with_others")}
 	d.ScanArgs(t, "crashes", &in.Crashes)
 	if d.HasArg("unexplained") {
 		d.ScanArgs(t, "unexplained", &in.UnexplainedCrashes)
