--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -28,6 +28,9 @@
 	"listed":   playUnlistedMachine,
 	"foreign":  playForeignReport,
 	"twowaves": playTwoWaves,
+	"gang":     playGreyGang,
+	"entry":    playForeignEntry,
+	"takeover": playForeignTakeover,
 }
 
 // caseTimeout ends a case that hangs; the limit for a script is 120 s.
--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -32,6 +32,8 @@
 	// onUpkeep is called, without the lock, before the server of a machine ends for its upkeep.
 	onUpkeep func(m *machine)
 	upkeeps  int
+	// foreign is an entry of another writer in the list, nil for none.
+	foreign map[string]any
 }
 
 func newPlatform(s *site) (*platform, error) {
@@ -85,6 +87,9 @@
 	}
 	p.mu.Lock()
 	rows := []map[string]any{}
+	if p.foreign != nil {
+		rows = append(rows, p.foreign)
+	}
 	for _, m := range p.machines {
 		row := map[string]any{
 			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "dc-1", "labels": serverLabels,
@@ -96,7 +101,7 @@
 		rows = append(rows, row)
 	}
 	p.mu.Unlock()
-	slices.SortFunc(rows, func(a, b map[string]any) int {
+	slices.SortStableFunc(rows, func(a, b map[string]any) int {
 		if a["machine"].(string) < b["machine"].(string) {
 			return -1
 		}
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -36,6 +36,8 @@
 	begun   time.Time
 	due     time.Time
 	stopDue time.Time
+	// failDue is when the server fails the run; zero on a sound one.
+	failDue time.Time
 }
 
 // atWork reports whether a work item that lasts serves its users.
@@ -80,6 +82,7 @@
 
 	mu       sync.Mutex
 	dead     bool
+	grey     bool
 	sequence int
 	fence    uint64
 	lease    time.Time
@@ -220,6 +223,8 @@
 				continue
 			}
 			v.end(r, "stopped")
+		case !r.failDue.IsZero() && now.After(r.failDue):
+			v.end(r, "failed")
 		case !r.lasts && now.After(r.due):
 			v.end(r, "done")
 		default:
@@ -342,6 +347,9 @@
 	}
 	v.highest[item] = run
 	r := &workRun{item: item, run: run, begun: time.Now(), lasts: strings.HasPrefix(spec, lastingSpec)}
+	if v.grey {
+		r.failDue = r.begun.Add(greyAfter)
+	}
 	if ms, err := strconv.Atoi(strings.Fields(spec + " 0")[0]); err == nil {
 		r.due = r.begun.Add(time.Duration(ms) * time.Millisecond)
 	}
