Review: the daemons of a case end with its stand-in

The stand-in ends the daemons when it gets SIGTERM, and the kernel ends them when the stand-in is killed.

--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -7,7 +7,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"syscall"
 	"time"
 )
 
@@ -36,6 +39,11 @@
 // caseTimeout ends a case that hangs; the limit for a script is 120 s.
 const caseTimeout = 100 * time.Second
 
+func init() {
+	// The kernel ends the daemons with the thread that started them, which has to be the main one.
+	runtime.LockOSThread()
+}
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE COWSLIPD FOLDER")
@@ -65,10 +73,13 @@
 		return exitNotRun
 	}
 	defer s.close()
-	done := make(chan error, 1)
+	done, signals := make(chan error, 1), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() { done <- play(s) }()
 	select {
 	case err = <-done:
+	case sig := <-signals:
+		err = fmt.Errorf("the stand-in got the signal: %v", sig)
 	case <-time.After(caseTimeout):
 		err = errors.New("the case took too long")
 	}
--- a/review/_standin2/site.go
+++ b/review/_standin2/site.go
@@ -104,6 +104,7 @@
 	p.output = output
 	p.command = exec.Command(s.program, "--site", path)
 	p.command.Stdout, p.command.Stderr = output, output
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s.record.log("start %s at %s", p.name, p.host)
 	return p.command.Start()
 }
