--- a/review/_standin2/case_gang.go
+++ b/review/_standin2/case_gang.go
@@ -13,6 +13,9 @@
 	maxAttempts = 3
 	// greyAfter is how long after its start a faulty server fails what it has started.
 	greyAfter = 200 * time.Millisecond
+	// gangServers is the number of servers, of which one is faulty for greyTime: the site's share and length of srv_grey.
+	gangServers = 12
+	greyTime    = 6500 * time.Millisecond
 )
 
 // playGreyGang has one server fail all that it starts. A gang has members there in its first run. The rule is LOST: the
@@ -22,10 +25,11 @@
 	if err := s.configure(); err != nil {
 		return err
 	}
-	for i := range 6 {
+	for i := range gangServers {
 		m := s.platform.add(fmt.Sprintf("m-%d", i+1), pool)
 		if i == 0 && s.trouble {
-			m.server.makeGrey()
+			m.server.setGrey(true)
+			time.AfterFunc(greyTime, func() { m.server.setGrey(false) })
 			s.record.log("server %s fails all that it starts", m.server.id)
 		}
 	}
@@ -63,9 +67,9 @@
 	return nil
 }
 
-// makeGrey makes the server fail all that it starts.
-func (v *server) makeGrey() {
+// setGrey makes the server fail all that it starts, or no more.
+func (v *server) setGrey(grey bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.grey = true
+	v.grey = grey
 }
