--- a/review/_standin2/case_late.go
+++ b/review/_standin2/case_late.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// freeze is how long a daemon stands still, as long as in the days of the site file.
-const freeze = 6400 * time.Millisecond
+// freeze is how long a daemon stands still, as long as the longest freeze in the days of the site file.
+const freeze = 6800 * time.Millisecond
 
 // playLateSubmission freezes a daemon without a disk that has got a submission. The client's time limit passes, it cancels
 // at another daemon and gets a clear answer; then the daemon wakes. The rule is UNASKED.
--- a/review/_standin2/site.go
+++ b/review/_standin2/site.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// diskCount is the number of processes with a disk, processCount that of all.
+	// diskCount is the number of processes with a disk, processCount that of all, as on the site.
 	diskCount    = 3
-	processCount = 5
+	processCount = 9
 	// startWait bounds the start of the site.
 	startWait = 15 * time.Second
 )
