--- a/review/_standin2/case_listed.go
+++ b/review/_standin2/case_listed.go
@@ -6,31 +6,39 @@
 )
 
 const (
-	// addedWaves is how often a machine is added right before a wave that names it.
-	addedWaves = 3
-	// addedBefore is how long before the wave the machine is there, with the trouble and without.
-	addedBefore     = 200 * time.Millisecond
-	addedLongBefore = 3 * time.Second
+	// listedMachines is the number of machines: one of them is within the site's share of scale_in.
+	listedMachines = 16
+	// listedWaves is how often a machine goes, another comes and a wave names that one.
+	listedWaves = 3
+	// spotNotice and spotPause are the times of scale_in (spot): gone after the one, and others come after the other.
+	spotNotice = 2 * time.Second
+	spotPause  = 4 * time.Second
+	// addedBefore is how long the new machine is there before the wave.
+	addedBefore = 200 * time.Millisecond
 	// addedApart is by how much the pauses between the waves differ, so that they meet other moments of the system's period.
 	addedApart = 350 * time.Millisecond
 )
 
-// playUnlistedMachine adds a machine and then starts a wave that names it. The rule is MIXED.
+// playUnlistedMachine takes a machine away, as scale_in (spot) does, and starts a wave that names the one that comes for it.
+// Without the trouble all machines stay, and the wave names one of them. The rule is MIXED.
 func playUnlistedMachine(s *site) error {
 	if err := s.configure(); err != nil {
 		return err
 	}
-	for i := range 3 {
-		s.platform.add(fmt.Sprintf("m-%d", i+1), pool)
+	machines := map[string]*machine{}
+	for i := range listedMachines {
+		name := fmt.Sprintf("m-%d", i+1)
+		machines[name] = s.platform.add(name, pool)
 	}
 	time.Sleep(3 * time.Second)
-	before := addedLongBefore
-	if s.trouble {
-		before = addedBefore
-	}
-	for wave := 1; wave <= addedWaves; wave++ {
-		m := s.platform.add(fmt.Sprintf("n-%d", wave), pool)
-		time.Sleep(before)
+	for wave := 1; wave <= listedWaves; wave++ {
+		m := machines[fmt.Sprintf("m-%d", wave)]
+		if s.trouble {
+			s.platform.takeAway(m.name, spotNotice)
+			time.Sleep(spotPause)
+			m = s.platform.add(fmt.Sprintf("n-%d", wave), pool)
+			time.Sleep(addedBefore)
+		}
 		if s.startWave(1, wave, 1, 20, m.name) != 200 {
 			return fmt.Errorf("the wave wasn't acknowledged")
 		}
--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -65,6 +65,22 @@
 	return m
 }
 
+// takeAway takes a machine away: its server drains until it is gone after some time, and tells so.
+func (p *platform) takeAway(name string, after time.Duration) {
+	p.mu.Lock()
+	v := p.machines[name].server
+	p.mu.Unlock()
+	p.site.record.log("platform: %s will be gone after %v, server %s drains", name, after, v.id)
+	v.notice(after)
+	time.Sleep(after)
+	p.mu.Lock()
+	delete(p.machines, name)
+	p.mu.Unlock()
+	p.site.call(http.MethodPost, p.site.control(0), "", "/-/instances/"+v.id+"/deregister", map[string]any{"born": v.born}, time.Second)
+	v.kill("gone")
+	p.site.record.log("platform: %s is gone", name)
+}
+
 // reset ends the channel without an answer, if calls are to get none now, and reports whether it did.
 func (p *platform) reset(w http.ResponseWriter) bool {
 	p.mu.Lock()
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -80,9 +80,11 @@
 	client  *http.Client
 	stop    chan struct{}
 
-	mu       sync.Mutex
-	dead     bool
-	grey     bool
+	mu   sync.Mutex
+	dead bool
+	grey bool
+	// leaves is when the server is gone after a notice; zero while it stays.
+	leaves   time.Time
 	sequence int
 	fence    uint64
 	lease    time.Time
@@ -102,7 +104,7 @@
 	v := &server{
 		site: a.site, id: fmt.Sprintf("i-%08x", number), pool: m.pool, machine: m.name, born: time.Now().UnixMilli(),
 		address: fmt.Sprintf("%s.%d:8080", a.site.network, 100+number), client: &http.Client{Timeout: time.Second}, stop: make(chan struct{}),
-		running: map[string]*workRun{}, highest: map[string]int{}, next: number,
+		running: map[string]*workRun{}, highest: map[string]int{}, ended: [][]any{}, next: number,
 	}
 	a.all = append(a.all, v)
 	a.mu.Unlock()
@@ -170,6 +172,13 @@
 	return items
 }
 
+// notice tells the server that it will be gone after some time.
+func (v *server) notice(after time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaves = time.Now().Add(after)
+}
+
 // kill ends the server and all that runs on it at once.
 func (v *server) kill(cause string) {
 	v.mu.Lock()
@@ -258,11 +267,15 @@
 		}
 		running = append(running, []any{r.item, r.run, "", percent, 0})
 	}
-	text, err := json.Marshal(map[string]any{
+	report := map[string]any{
 		"service": v.pool, "address": v.address, "zone": "dc-1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"capacity": serverCapacity, "labels": serverLabels, "clockMs": time.Now().UnixMilli() - v.born, "born": v.born, "seq": v.sequence,
-		"running": running, "ended": append([][]any{}, v.ended[:min(len(v.ended), 500)]...),
-	})
+		"running": running, "ended": v.ended[:min(len(v.ended), 500)],
+	}
+	if !v.leaves.IsZero() {
+		report["state"], report["remainingMs"] = "draining", max(0, time.Until(v.leaves).Milliseconds())
+	}
+	text, err := json.Marshal(report)
 	if err != nil {
 		panic(err)
 	}
