--- a/internal/model/batch/worker.go
+++ b/internal/model/batch/worker.go
@@ -8,6 +8,8 @@
 	Incarnation int64
 	// Sequence rises with each heartbeat of one incarnation.
 	Sequence uint64
+	// ClockMs is the worker's steady clock, in milliseconds since this incarnation started; 0 if unknown.
+	ClockMs int64
 	// Pool is the name of the pool that the worker belongs to.
 	Pool string
 	// Address is the host:port at which the worker serves requests.
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -71,7 +71,7 @@
 		DataCentre: h.DataCentre, Draining: h.Draining, RemainingMs: h.RemainingMs, Labels: h.Labels,
 		CpuMilli: h.Capacity.CPUMilli, MemoryMb: h.Capacity.MemoryMB, Accelerators: h.Capacity.Accelerators,
 		UnreadRunning: int64(h.UnreadRunning), UnreadEnded: int64(h.UnreadEnded),
-		MoreEnds: h.MoreEnds,
+		MoreEnds: h.MoreEnds, ClockMs: h.ClockMs,
 	}
 	for _, r := range h.Running {
 		w.Running = append(w.Running, &peer.LinkRunning{
@@ -92,7 +92,7 @@
 		Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Draining: w.GetDraining(), RemainingMs: w.GetRemainingMs(),
 		Labels:        w.GetLabels(),
 		UnreadRunning: int(w.GetUnreadRunning()), UnreadEnded: int(w.GetUnreadEnded()),
-		MoreEnds: w.GetMoreEnds(),
+		MoreEnds: w.GetMoreEnds(), ClockMs: w.GetClockMs(),
 		Capacity: batch.Resources{CPUMilli: w.GetCpuMilli(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
 	}
 	for _, r := range w.GetRunning() {
