--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -46,7 +46,7 @@
 // endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost, with the evidence of its crash; nil if
 // it didn't crash, or that shows nothing.
 func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, e *evidence) {
-	lost := 0
+	var lost []attemptID
 	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
 		j, t := s.findTask(id)
 		for _, r := range t.Attempts {
@@ -63,12 +63,13 @@
 					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
 					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || e == nil && w.hasBegun(j, id, r.Number),
 				})
-				lost++
+				lost = append(lost, attemptID{task: id, attempt: r.Number})
 			}
 		}
 	}
-	if lost > 0 {
+	if len(lost) > 0 {
 		s.options.Logger.Info("attempts_lost", zap.String("worker", w.id), zap.Int64("incarnation", incarnation),
-			zap.Int("count", lost), zap.String("cause", cause), zap.Int64("silent_ms", s.now()-w.heardMs))
+			zap.Int("count", len(lost)), zap.Strings("tasks", taskNames(lost)), zap.String("cause", cause),
+			zap.Int64("silent_ms", s.now()-w.heardMs))
 	}
 }
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -19,7 +19,10 @@
 	maintainedTotal    = metrics.NewCounter("cowslip_vm_maintained_total")
 	callsShedTotal     = metrics.NewCounter("cowslip_calls_shed_total")
 	jobsRefusedTotal   = metrics.NewCounter("cowslip_jobs_refused_total")
-	commandsLostTotal  = metrics.NewCounter("cowslip_records_lost_total")
+	formerOrdersTotal  = metrics.NewCounter("cowslip_attempts_of_former_incarnation_total")
+	// givenUpRunningTotal counts the attempts that workers list after they were given up.
+	givenUpRunningTotal = metrics.NewCounter("cowslip_given_up_attempts_running_total")
+	commandsLostTotal   = metrics.NewCounter("cowslip_records_lost_total")
 )
 
 // countEnd counts an attempt's end by its kind.
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -15,9 +15,13 @@
 	w.free = w.capacity
 	for i := range h.Running {
 		r := &h.Running[i]
+		first := w.running[r.Task] == nil || w.running[r.Task].number != r.Attempt
 		a := s.trackAttempt(w, r, now)
 		seen[r.Task] = a
 		j, t := s.findTask(r.Task)
+		if first {
+			s.noteUnexpected(w, h, r, t)
+		}
 		if t == nil {
 			// The resources that it uses aren't known: the worker counts as full until it is gone.
 			w.free = batch.Resources{}
@@ -66,6 +70,27 @@
 	return a
 }
 
+// noteUnexpected logs an attempt that a worker lists for the first time although it was given up, or its order was meant for a
+// former incarnation.
+func (s *Scheduler) noteUnexpected(w *worker, h *batch.Heartbeat, r *batch.Running, t *jobs.Task) {
+	if t == nil {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("job", r.Task.Job), zap.Int("step", r.Task.Step), zap.Int("index", r.Task.Index), zap.Int("attempt", r.Attempt),
+		zap.String("worker", w.id), zap.Int64("incarnation", h.Incarnation), zap.Uint64("sequence", h.Sequence),
+	}
+	switch a := t.FindAttempt(r.Attempt); {
+	case a == nil:
+		givenUpRunningTotal.Inc()
+		s.options.Logger.Info("attempt_given_up_runs", append(fields, zap.Int("last", t.LastAttempt), zap.Int("running", len(t.Attempts)))...)
+	case a.Incarnation < h.Incarnation:
+		formerOrdersTotal.Inc()
+		s.options.Logger.Info("attempt_of_former_incarnation", append(fields, zap.Int64("ordered_incarnation", a.Incarnation),
+			zap.Uint64("ordered", a.Sequence))...)
+	}
+}
+
 // discountSilence moves the times at which progress was last seen on by the time in which a heartbeat was overdue: a worker
 // that was silent, cut off or suspended tells nothing of its tasks, and they haven't stalled.
 func (w *worker) discountSilence(now int64) {
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -300,5 +300,7 @@
 	t.Helper()
 	worker := stringArg(d, "worker", "w1")
 	h.sequence[worker]++
-	h.call(worker, &batch.Call{Heartbeat: parseHeartbeat(t, d, worker, h.sequence[worker])})
+	report := parseHeartbeat(t, d, worker, h.sequence[worker])
+	report.ClockMs = intArg(t, d, "clock", h.uptime.ms)
+	h.call(worker, &batch.Call{Heartbeat: report})
 }
--- a/internal/ctrl/sched/unseen.go
+++ b/internal/ctrl/sched/unseen.go
@@ -77,10 +77,10 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
-// taskNames returns the tasks of the first starts as job.occurrence.step.index, for the log.
-func taskNames(starts []attemptID) []string {
+// taskNames returns the tasks of the first attempts as job.occurrence.step.index, for the log.
+func taskNames(attempts []attemptID) []string {
 	var names []string
-	for _, u := range starts[:min(len(starts), maxLoggedTasks)] {
+	for _, u := range attempts[:min(len(attempts), maxLoggedTasks)] {
 		id := u.task
 		names = append(names, fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index))
 	}
