A restarted worker's last order stays in doubt until it can't begin any more

Cause: the leader ended an attempt as soon as its worker's incarnation was over (a newer one heard, the VM list, a deregistration, an address taken over), though nothing showed that its order could be obeyed no more. A reply is good for a second after the heartbeat that it answers was sent, whoever gets it.

Change: what the ended incarnation had listed ends with it, as before. What it was ordered in its last reply and hasn't listed is in doubt: it stays in the replicated state, with its room, so that a new leader knows of it too. It ends when the worker reports its end, when the new incarnation's own clock shows that it has run for 1,050 ms without listing it, when a VM list that was requested after the reply had expired shows the worker gone, or when the lease is over; with the judgement of the crash that brought it into doubt. A restarted worker is ordered nothing until the replies to its former incarnation have expired: one would acknowledge ends that the leader hasn't heard of. An order that is left out of a late reply ends at once, since it isn't sent. Siblings of a task in doubt that may have crashed its worker wait as those of a suspect do.

--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -145,13 +145,24 @@
 		if w := s.workers[start.Worker]; w != nil && !w.left && w.incarnation == start.Incarnation {
 			continue
 		}
-		if _, t := s.findTask(start.Task); t == nil || t.FindAttempt(start.Attempt) == nil {
-			continue
-		}
-		s.options.Logger.Info("attempt_not_sent", zap.String("job", start.Task.Job), zap.Int("step", start.Task.Step),
-			zap.Int("index", start.Task.Index), zap.Int("attempt", start.Attempt), zap.String("worker", start.Worker))
-		s.endAttempt(batch.AttemptEnd{Task: start.Task, Attempt: start.Attempt, Kind: batch.EndWorkerLost})
+		s.endUnsent(start.Worker, start.Task, start.Attempt)
+	}
+}
+
+// endUnsentOrders ends attempts whose orders were left out of a reply that came too late.
+func (s *Scheduler) endUnsentOrders(w *worker, orders []batch.StartOrder) {
+	for _, o := range orders {
+		s.endUnsent(w.id, o.Task, o.Attempt)
+	}
+}
+
+func (s *Scheduler) endUnsent(worker string, id batch.TaskID, attempt int) {
+	if _, t := s.findTask(id); t == nil || t.FindAttempt(attempt) == nil {
+		return
 	}
+	s.options.Logger.Info("attempt_not_sent", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
+		zap.Int("attempt", attempt), zap.String("worker", worker))
+	s.endAttempt(batch.AttemptEnd{Task: id, Attempt: attempt, Kind: batch.EndWorkerLost})
 }
 
 // clearStarting removes starts from the tasks that are starting: they are applied or never will be.
--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -6,17 +6,20 @@
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 )
 
 // handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
 // reported since count as the crash's possible causes.
-func (s *Scheduler) handleCrash(w *worker, cause string) {
+// goneMs is as in endAttemptsOn.
+func (s *Scheduler) handleCrash(w *worker, cause string, goneMs int64) {
 	w.crashed = w.crashed || !w.left
-	lost := len(s.options.Log.Batch().TasksOn(w.id))
-	if lost == 0 {
+	if s.allHeld(w) {
+		s.loseAttempts(w, w.incarnation, cause, goneMs)
 		return
 	}
+	lost := len(s.options.Log.Batch().TasksOn(w.id))
 	unseen, excuse := s.unseenOn(w), s.excuseOf(w)
 	together := excuse == excuseNone && s.crashedTogether(w)
 	s.options.Logger.Info("worker_crashed", zap.String("worker", w.id), zap.String("address", w.address), zap.String("cause", cause),
@@ -25,7 +28,7 @@
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.Stringer("excuse", excuse), zap.Bool("together", together))
 	if excuse != excuseNone {
-		s.loseAttempts(w, w.incarnation, cause)
+		s.loseAttempts(w, w.incarnation, cause, goneMs)
 		return
 	}
 	crashesTotal.Inc()
@@ -35,41 +38,66 @@
 		maps.Copy(spared, s.spareTasksOn(w, unseen))
 	}
 	unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
-	s.endAttemptsOn(w, w.incarnation, cause, &evidence{blamed: s.blameStarts(w, unseen, together), spared: spared, together: together})
+	s.endAttemptsOn(w, w.incarnation, cause, goneMs,
+		&evidence{blamed: s.blameStarts(w, unseen, together), spared: spared, together: together})
 }
 
-// loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
-func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string) {
-	s.endAttemptsOn(w, incarnation, cause, nil)
+// loseAttempts ends all attempts on a worker up to and including an incarnation as lost; goneMs is as in endAttemptsOn.
+func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string, goneMs int64) {
+	s.endAttemptsOn(w, incarnation, cause, goneMs, nil)
 }
 
-// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost, with the evidence of its crash; nil if
-// it didn't crash, or that shows nothing.
-func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, e *evidence) {
-	var lost []attemptID
-	for _, id := range slices.SortedFunc(maps.Keys(s.options.Log.Batch().TasksOn(w.id)), compareTasks) {
-		j, t := s.findTask(id)
-		for _, r := range t.Attempts {
-			if r.Worker == w.id && r.Incarnation <= incarnation {
-				givenUp, crashed, later := e.judge(w, j, id, r.Number)
-				// A task that has to run alone is judged by the crashes of workers on which it did.
-				later = later && (!runsAlone(j, t) || s.ranAlone(w, id))
-				if crashed || later {
-					s.noteCounted(w, id)
-				}
-				s.endAttempt(batch.AttemptEnd{
-					Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
-					GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id, e.together), RanLong: w.hasRunLong(id, r.Number),
-					// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
-					OutlivedStart: w.hasOutlivedStart(j, id, r.Number) || e == nil && w.hasBegun(j, id, r.Number),
-				})
-				lost = append(lost, attemptID{task: id, attempt: r.Number})
-			}
+// endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost, except those that a later incarnation
+// may still begin: they are in doubt. goneMs is an uptime at which nothing ran under the worker's identity. The evidence is that of
+// the worker's crash; nil if it didn't crash, or that shows nothing.
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, goneMs int64, e *evidence) {
+	var lost, doubted []attemptID
+	upTo := func(_ attemptID, r *jobs.Attempt) bool { return r.Incarnation <= incarnation }
+	for _, id := range s.attemptsOn(w, upTo) {
+		j, t := s.findTask(id.task)
+		switch mayBegin, held := w.mayStillBegin(id, t.FindAttempt(id.attempt), goneMs), w.isHeld(id); {
+		case mayBegin && held:
+			continue
+		case mayBegin:
+			s.holdInDoubt(w, id, s.judgeLost(w, j, id, e))
+			doubted = append(doubted, id)
+			continue
+		case held:
+			s.endInDoubt(w, id)
+		default:
+			s.endAttempt(s.judgeLost(w, j, id, e))
 		}
+		lost = append(lost, id)
+	}
+	if len(doubted) > 0 {
+		s.options.Logger.Info("attempts_in_doubt", s.lostFields(w, incarnation, doubted, cause)...)
 	}
 	if len(lost) > 0 {
-		s.options.Logger.Info("attempts_lost", zap.String("worker", w.id), zap.Int64("incarnation", incarnation),
-			zap.Int("count", len(lost)), zap.Strings("tasks", taskNames(lost)), zap.String("cause", cause),
-			zap.Int64("silent_ms", s.now()-w.heardMs))
+		s.options.Logger.Info("attempts_lost", s.lostFields(w, incarnation, lost, cause)...)
+	}
+}
+
+// judgeLost returns the end of an attempt whose worker's incarnation is over, as the evidence of its crash shows it.
+func (s *Scheduler) judgeLost(w *worker, j *jobs.Job, attempt attemptID, e *evidence) batch.AttemptEnd {
+	id := attempt.task
+	givenUp, crashed, later := e.judge(w, j, id, attempt.attempt)
+	// A task that has to run alone is judged by the crashes of workers on which it did.
+	later = later && (!runsAlone(j, j.Task(id)) || s.ranAlone(w, id))
+	if crashed || later {
+		s.noteCounted(w, id)
+	}
+	return batch.AttemptEnd{
+		Task: id, Attempt: attempt.attempt, Kind: batch.EndWorkerLost, Crashed: crashed, CrashedLater: later,
+		GivenUp: givenUp || (crashed || later) && s.givenUpAlone(w, id, e.together), RanLong: w.hasRunLong(id, attempt.attempt),
+		// One that the worker listed just before it crashed may be the cause: neither blamed nor cleared.
+		OutlivedStart: w.hasOutlivedStart(j, id, attempt.attempt) || e == nil && w.hasBegun(j, id, attempt.attempt),
+	}
+}
+
+// lostFields returns the fields of the log for attempts on a worker that are lost, or in doubt.
+func (s *Scheduler) lostFields(w *worker, incarnation int64, attempts []attemptID, cause string) []zap.Field {
+	return []zap.Field{
+		zap.String("worker", w.id), zap.Int64("incarnation", incarnation), zap.Int("count", len(attempts)),
+		zap.Strings("tasks", taskNames(attempts)), zap.String("cause", cause), zap.Int64("silent_ms", s.now()-w.heardMs),
 	}
 }
--- a/internal/ctrl/sched/describe.go
+++ b/internal/ctrl/sched/describe.go
@@ -83,7 +83,7 @@
 	suspect := (t.Crashes > 0 || runsAlone(job.state, t)) && !step.Gang
 	if len(t.Attempts) > 0 || s.starting[id] {
 		job.runningResources = job.runningResources.Add(resourcesOf(step, 1))
-		if suspect {
+		if suspect || !step.Gang && s.mayHaveCrashed(t, id) {
 			job.onTrial = append(job.onTrial, id)
 		} else if step.Speculative && !step.Gang && !step.LongRunning && len(t.Attempts) == 1 {
 			job.copyable = append(job.copyable, id)
--- a/internal/ctrl/sched/enums_gen.go
+++ b/internal/ctrl/sched/enums_gen.go
@@ -106,17 +106,18 @@
 	_ = x[unfitProbation-4]
 	_ = x[unfitLeaving-5]
 	_ = x[unfitVM-6]
-	_ = x[unfitTrial-7]
-	_ = x[unfitKeptFree-8]
-	_ = x[unfitRoom-9]
-	_ = x[unfitLabel-10]
-	_ = x[unfitApart-11]
-	_ = x[unfitRack-12]
+	_ = x[unfitRestarted-7]
+	_ = x[unfitTrial-8]
+	_ = x[unfitKeptFree-9]
+	_ = x[unfitRoom-10]
+	_ = x[unfitLabel-11]
+	_ = x[unfitApart-12]
+	_ = x[unfitRack-13]
 }
 
-const _unfitReason_name = "nonesilentdrainingquarantinedon_probationleavingawaits_vmstarts_suspectkept_freeno_roomlabelmax_per_workerrack"
+const _unfitReason_name = "nonesilentdrainingquarantinedon_probationleavingawaits_vmjust_restartedstarts_suspectkept_freeno_roomlabelmax_per_workerrack"
 
-var _unfitReason_index = [...]uint8{0, 4, 10, 18, 29, 41, 48, 57, 71, 80, 87, 92, 106, 110}
+var _unfitReason_index = [...]uint8{0, 4, 10, 18, 29, 41, 48, 57, 71, 85, 94, 101, 106, 120, 124}
 
 func (i unfitReason) String() string {
 	idx := int(i) - 0
--- a/internal/ctrl/sched/evidence.go
+++ b/internal/ctrl/sched/evidence.go
@@ -29,7 +29,7 @@
 	for id := range s.options.Log.Batch().TasksOn(w.id) {
 		job := s.jobs[id.Job]
 		starts := slices.ContainsFunc(unseen, func(u attemptID) bool { return u.task == id })
-		if job == nil || !crash.IsSpared(job.spared[id], starts) {
+		if job == nil || s.isHeldOn(w, id) || !crash.IsSpared(job.spared[id], starts) {
 			continue
 		}
 		if job.spared == nil {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -28,7 +28,7 @@
 	acknowledge := s.recordEnds(w, h)
 	stops := s.reconcileRunning(w, h, now)
 	orders := batch.Orders{Stop: stops, Pace: s.pace(w)}
-	if w.takesOrders() {
+	if w.takesOrders(now) {
 		orders.Start = s.assignTasks(w, h.Sequence, now)
 	}
 	w.intervalMs = s.nextHeartbeatMs(w, now)
@@ -47,13 +47,21 @@
 				reply(batch.Reply{Code: batch.CodeUnknown, Detail: "the leadership isn't confirmed"})
 				return
 			}
+			if w.incarnation != h.Incarnation {
+				// The incarnation that asked is over, and the one in its place would obey what was meant for it.
+				s.endUnsentOrders(w, orders.Start)
+				reply(batch.Reply{Code: batch.CodeOK})
+				return
+			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			if s.now()-arrivedMs > maxReplyDelayMs || w.incarnation != h.Incarnation || w.sequence != h.Sequence || w.left {
+			if s.now()-arrivedMs > maxReplyDelayMs || w.sequence != h.Sequence || w.left {
 				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
 				// or where a newer heartbeat shows no room for it.
+				s.endUnsentOrders(w, orders.Start)
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
+				w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyExpiresMs)
 				w.noteOrdered(h, &orders, s.now())
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
@@ -82,7 +90,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.handleSuccessor(other, h, "address_taken_over")
+		s.handleSuccessor(other, h, "address_taken_over", now)
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -93,31 +101,34 @@
 	w.discountSilence(now)
 	w.inherited = false
 	w.sequence, w.heardMs = h.Sequence, now
+	if w.firstClockMs == 0 {
+		w.firstClockMs = h.ClockMs
+	}
 	w.pool, w.address, w.draining = h.Pool, h.Address, h.Draining
 	w.capacity, w.labels, w.rack = h.Capacity, h.Labels, rackOf(h.Labels)
 	return true
 }
 
 // handleSuccessor ends all attempts on a worker in whose place another incarnation has sent a heartbeat. In its pool it has
-// crashed; in another pool it was replaced or moved.
-func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string) {
+// crashed; in another pool it was replaced or moved. goneMs is as in endAttemptsOn.
+func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string, goneMs int64) {
 	if h.Pool == w.pool {
-		s.handleCrash(w, cause)
+		s.handleCrash(w, cause, goneMs)
 		return
 	}
-	s.loseAttempts(w, w.incarnation, cause)
+	s.loseAttempts(w, w.incarnation, cause, goneMs)
 }
 
-// beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost.
+// beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost, or in doubt.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.handleSuccessor(w, h, "worker_restarted")
+		s.handleSuccessor(w, h, "worker_restarted", neverGone)
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
-		joinedMs: s.now(),
+		joinedMs: s.now(), repliesEndMs: w.repliesEndMs, formerRepliesEndMs: w.repliesEndMs, inDoubt: w.inDoubt,
 	}
 }
 
@@ -159,6 +170,7 @@
 			Task: report.Task, Attempt: report.Attempt, Kind: report.Kind, Checkpoint: report.Checkpoint, Reported: true,
 			RanLong: tracked != nil && tracked.number == report.Attempt && s.now()-tracked.sinceMs >= ranLongMs,
 		})
+		delete(w.inDoubt, attemptID{task: report.Task, attempt: report.Attempt})
 		s.noteOutcome(w, report)
 		if report.Kind == batch.EndDone && tracked != nil {
 			s.learnScale(j.Spec.Queue, s.now()-tracked.sinceMs, j.Spec.Steps[report.Task.Step].EstimateMs)
@@ -177,9 +189,7 @@
 
 // completeOrders fills in the orders from what is committed by now.
 func (s *Scheduler) completeOrders(w *worker, h *batch.Heartbeat, o *batch.Orders, acknowledge uint64) {
-	if w.incarnation == h.Incarnation {
-		w.acknowledged = max(w.acknowledged, acknowledge)
-	}
+	w.acknowledged = max(w.acknowledged, acknowledge)
 	o.LeaseMs, o.Acknowledged, o.FencingToken = s.workerLeaseMs(), acknowledge, s.term
 	if len(s.workers) <= maxDirectWorkers {
 		o.Leader = s.options.ControlAddress
@@ -201,6 +211,8 @@
 	switch {
 	case w.moreEnds:
 		return max(minIntervalMs, moreEndsHeartbeatMs)
+	case now < w.formerRepliesEndMs || len(w.inDoubt) > 0 && now-w.joinedMs <= 2*replyExpiresMs:
+		return max(minIntervalMs, demandHeartbeatMs)
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
 	case w.suspect != (suspectStart{}):
@@ -213,19 +225,3 @@
 		return max(minIntervalMs, idleHeartbeatMs)
 	}
 }
-
-// handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored.
-func (s *Scheduler) handleDeregistration(l *batch.Deregistration, reply func(batch.Reply)) {
-	w := s.workers[l.Worker]
-	if supersedes(l.Incarnation, w) && s.farAhead(l.Incarnation) {
-		reply(batch.Reply{Code: batch.CodeInvalid, Detail: "the incarnation is far ahead of the clock, and another is known"})
-		return
-	}
-	if w != nil && (l.Incarnation == 0 || l.Incarnation >= w.incarnation) {
-		w.left = true
-		s.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
-			zap.Int64("incarnation", l.Incarnation), zap.Int("running", len(s.options.Log.Batch().TasksOn(w.id))))
-		s.loseAttempts(w, w.incarnation, "worker_left")
-	}
-	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
-}
--- /dev/null
+++ b/internal/ctrl/sched/indoubt.go
@@ -0,0 +1,130 @@
+package sched
+
+import (
+	"math"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+)
+
+// neverGone means that no time is known at which nothing ran under a worker's identity, goneForGood that whatever ran or may begin
+// there has ended.
+const (
+	neverGone   = math.MinInt64
+	goneForGood = math.MaxInt64
+)
+
+// lists reports whether a worker's last heartbeat lists an attempt as running.
+func (w *worker) lists(id attemptID) bool {
+	a := w.running[id.task]
+	return a != nil && a.number == id.attempt
+}
+
+// mayStillBegin reports whether an attempt that was ordered from an incarnation that is over may still begin: a later
+// incarnation obeys a reply that was on its way to this one. What the incarnation has listed has ended with it, and a reply to an
+// earlier heartbeat than its last was no longer on its way. goneMs is as in endAttemptsOn.
+func (w *worker) mayStillBegin(id attemptID, r *jobs.Attempt, goneMs int64) bool {
+	if w.lists(id) || r.Incarnation == w.incarnation && r.Sequence < w.sequence {
+		return false
+	}
+	return goneMs < w.repliesEndMs
+}
+
+// holdInDoubt keeps the end of an attempt that may still begin.
+func (s *Scheduler) holdInDoubt(w *worker, id attemptID, end batch.AttemptEnd) {
+	if w.inDoubt == nil {
+		w.inDoubt = map[attemptID]batch.AttemptEnd{}
+	}
+	w.inDoubt[id] = end
+	s.refreshJob(id.task.Job)
+}
+
+// isHeld reports whether an attempt is in doubt and its worker doesn't list it.
+func (w *worker) isHeld(id attemptID) bool {
+	_, held := w.inDoubt[id]
+	return held && !w.lists(id)
+}
+
+// endInDoubt ends an attempt in doubt that can't begin or run any more, as it was judged when it came to be in doubt.
+func (s *Scheduler) endInDoubt(w *worker, id attemptID) {
+	s.endAttempt(w.inDoubt[id])
+	delete(w.inDoubt, id)
+}
+
+// noteBegunLate notes that a worker lists an attempt in doubt: no crash was due to it.
+func (s *Scheduler) noteBegunLate(w *worker, id attemptID) {
+	if end, held := w.inDoubt[id]; held && end != lostEnd(id) {
+		s.holdInDoubt(w, id, lostEnd(id))
+		s.options.Logger.Info("attempt_begun_late", zap.String("worker", w.id), zap.Strings("tasks", taskNames([]attemptID{id})),
+			zap.Int("attempt", id.attempt))
+	}
+}
+
+// lostEnd returns the end of an attempt of which nothing is known but that it is lost.
+func lostEnd(id attemptID) batch.AttemptEnd {
+	return batch.AttemptEnd{Task: id.task, Attempt: id.attempt, Kind: batch.EndWorkerLost}
+}
+
+// adoptDoubts holds the attempts in doubt that a former leader ordered from a former incarnation of a worker.
+func (s *Scheduler) adoptDoubts(w *worker) {
+	ofFormer := func(_ attemptID, r *jobs.Attempt) bool { return r.Incarnation < w.incarnation }
+	for _, id := range s.attemptsOn(w, ofFormer) {
+		s.holdInDoubt(w, id, lostEnd(id))
+	}
+}
+
+// dropEndedDoubts forgets the attempts in doubt of which the state has the end.
+func (s *Scheduler) dropEndedDoubts(w *worker) {
+	for id := range w.inDoubt {
+		if _, t := s.findTask(id.task); t == nil || t.FindAttempt(id.attempt) == nil {
+			delete(w.inDoubt, id)
+		}
+	}
+}
+
+// attemptsOn returns the attempts that may run on a worker and that a function picks, in order.
+func (s *Scheduler) attemptsOn(w *worker, picks func(id attemptID, r *jobs.Attempt) bool) []attemptID {
+	var picked []attemptID
+	for id := range s.options.Log.Batch().TasksOn(w.id) {
+		_, t := s.findTask(id)
+		for i := range t.Attempts {
+			r := &t.Attempts[i]
+			if attempt := (attemptID{task: id, attempt: r.Number}); r.Worker == w.id && picks(attempt, r) {
+				picked = append(picked, attempt)
+			}
+		}
+	}
+	slices.SortFunc(picked, func(a, b attemptID) int { return compareTasks(a.task, b.task) })
+	return picked
+}
+
+// isHeldOn reports whether an attempt of a task on a worker is in doubt.
+func (s *Scheduler) isHeldOn(w *worker, id batch.TaskID) bool {
+	_, t := s.findTask(id)
+	return slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool { return w.isHeld(attemptID{task: id, attempt: r.Number}) })
+}
+
+// allHeld reports whether all attempts on a worker are in doubt, or there are none.
+func (s *Scheduler) allHeld(w *worker) bool {
+	return len(s.attemptsOn(w, func(id attemptID, _ *jobs.Attempt) bool { return !w.isHeld(id) })) == 0
+}
+
+// mayHaveCrashed reports whether an attempt of a task is in doubt under which a worker may have crashed.
+func (s *Scheduler) mayHaveCrashed(t *jobs.Task, id batch.TaskID) bool {
+	return slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool {
+		w := s.workers[r.Worker]
+		return w != nil && w.inDoubt[attemptID{task: id, attempt: r.Number}].Crashed
+	})
+}
+
+// outlivesReplies reports whether a heartbeat shows that its incarnation has run for longer than a reply to a former one could
+// be on its way. A worker that tells no clock is given as long as its lease.
+func (s *Scheduler) outlivesReplies(w *worker, h *batch.Heartbeat) bool {
+	if h.ClockMs == 0 || w.firstClockMs == 0 {
+		return s.now()-max(w.joinedMs, s.activeSinceMs) >= withClockDrift(s.workerLeaseMs())
+	}
+	return h.ClockMs-w.firstClockMs >= replyExpiresMs
+}
--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -206,6 +206,8 @@
 		return "not heard since the leader changed"
 	case w.draining:
 		return "draining"
+	case now < w.formerRepliesEndMs:
+		return "has just restarted"
 	case now < w.quarantineUntilMs:
 		return "shunned"
 	case s.fleet.leaving(w):
--- /dev/null
+++ b/internal/ctrl/sched/leave.go
@@ -0,0 +1,53 @@
+package sched
+
+import (
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/model/batch"
+)
+
+// handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored.
+func (s *Scheduler) handleDeregistration(l *batch.Deregistration, reply func(batch.Reply)) {
+	w := s.workers[l.Worker]
+	if supersedes(l.Incarnation, w) && s.farAhead(l.Incarnation) {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: "the incarnation is far ahead of the clock, and another is known"})
+		return
+	}
+	if w != nil && (l.Incarnation == 0 || l.Incarnation >= w.incarnation) {
+		w.left = true
+		s.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
+			zap.Int64("incarnation", l.Incarnation), zap.Int("running", len(s.options.Log.Batch().TasksOn(w.id))))
+		s.loseAttempts(w, w.incarnation, "worker_left", neverGone)
+	}
+	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
+}
+
+// settleGone ends what is left on workers that have left, once a complete VM list that was requested at uptime asked shows that
+// they are gone.
+func (s *Scheduler) settleGone(asked int64) {
+	for _, w := range s.workers {
+		if w.left && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayRun(w) {
+			s.loseAttempts(w, w.incarnation, "worker_gone", asked)
+		}
+	}
+}
+
+// awaitSettling requests a VM list where one could show that workers that have left are gone: once the last reply to one
+// has expired.
+func (s *Scheduler) awaitSettling(now int64) {
+	for _, w := range s.workers {
+		if !w.left || len(s.options.Log.Batch().TasksOn(w.id)) == 0 {
+			continue
+		}
+		if s.fleet.listRequestedMs < w.repliesEndMs && w.repliesEndMs <= now {
+			s.fleet.listWanted = true
+		}
+	}
+}
+
+// mayRun reports whether a worker may run by the last VM list: it is listed on a VM that is up, or the row of its VM couldn't be
+// read.
+func (f *fleetView) mayRun(w *worker) bool {
+	v := f.vms[f.byWorker[w.id]]
+	return v != nil && (v.State == VMUp || f.mayBeUnread(v.Name))
+}
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -15,6 +15,8 @@
 	// replyValidMs is how long after it was made a heartbeat reply may still be obeyed: the worker drops later
 	// ones.
 	replyValidMs = 1250
+	// replyExpiresMs is how long after a heartbeat was sent a reply to it may be obeyed, by any worker's clock.
+	replyExpiresMs = 1050
 	// driftPercent and driftMarginMs allow for a worker's slow clock.
 	driftPercent  = 3
 	driftMarginMs = 50
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -31,6 +31,7 @@
 		step := &j.Spec.Steps[r.Task.Step]
 		w.free = w.free.Sub(step.ReservedResources())
 		s.noteBegun(j, t, r)
+		s.noteBegunLate(w, attemptID{task: r.Task, attempt: r.Attempt})
 		if t.FindAttempt(r.Attempt) == nil {
 			s.abandonedUntilMs[r.Task] = now + abandonedHoldMs
 		}
@@ -112,25 +113,27 @@
 }
 
 // endMissing ends attempts that were ordered before this heartbeat was sent and that the worker lists neither as
-// running nor as ended. Those that the heartbeat may have left out go on, and hold their resources.
+// running nor as ended. Those that the heartbeat may have left out go on, and hold their resources; so do those in doubt.
 func (s *Scheduler) endMissing(w *worker, h *batch.Heartbeat) {
+	s.dropEndedDoubts(w)
 	incomplete, found := w.mayLeaveOut(h), false
 	ended := listedEnds(h)
-	for id := range s.options.Log.Batch().TasksOn(w.id) {
-		j, t := s.findTask(id)
-		for _, r := range t.Attempts {
-			if r.Worker != w.id || !isMissing(w, h, ended, attemptID{task: id, attempt: r.Number}, &r) {
-				continue
-			}
-			if incomplete && r.Incarnation == h.Incarnation {
-				found = true
-				w.free = w.free.Sub(j.Spec.Steps[id.Step].ReservedResources())
-				continue
-			}
-			s.options.Logger.Info("attempt_not_begun", zap.String("job", id.Job), zap.Int("step", id.Step), zap.Int("index", id.Index),
-				zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
-				zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation), zap.Int("ends", len(h.Ended)))
-			s.endAttempt(batch.AttemptEnd{Task: id, Attempt: r.Number, Kind: batch.EndWorkerLost})
+	missing := func(id attemptID, r *jobs.Attempt) bool { return isMissing(w, h, ended, id, r) }
+	for _, id := range s.attemptsOn(w, missing) {
+		j, t := s.findTask(id.task)
+		r := t.FindAttempt(id.attempt)
+		if incomplete || w.isHeld(id) && !s.outlivesReplies(w, h) {
+			found = found || incomplete
+			w.free = w.free.Sub(j.Spec.Steps[id.task.Step].ReservedResources())
+			continue
+		}
+		s.options.Logger.Info("attempt_not_begun", zap.String("job", id.task.Job), zap.Int("step", id.task.Step),
+			zap.Int("index", id.task.Index), zap.Int("attempt", r.Number), zap.String("worker", w.id), zap.Uint64("ordered", r.Sequence),
+			zap.Uint64("sequence", h.Sequence), zap.Int64("ordered_incarnation", r.Incarnation), zap.Int("ends", len(h.Ended)))
+		if w.isHeld(id) {
+			s.endInDoubt(w, id)
+		} else {
+			s.endAttempt(lostEnd(id))
 		}
 	}
 	if !incomplete || !found {
@@ -145,16 +148,17 @@
 	return h.MoreEnds || h.UnreadRunning > w.unreadRunning || h.UnreadEnded > w.unreadEnded
 }
 
-// isMissing reports whether an attempt on a worker was ordered before a heartbeat was sent and isn't listed by it. An order to
-// a former incarnation that still stands once this one was answered was committed after the restart.
+// isMissing reports whether an attempt on a worker isn't listed by a heartbeat, and either was ordered before that was sent or is
+// in doubt. What else was ordered from a former incarnation has ended with it, or its order wasn't sent.
 func isMissing(w *worker, h *batch.Heartbeat, ended map[attemptID]bool, id attemptID, r *jobs.Attempt) bool {
-	if r.Incarnation != h.Incarnation {
-		return r.Incarnation < h.Incarnation && w.answeredSequence > 0
-	}
-	if a := w.running[id.task]; a != nil && a.number == id.attempt {
+	switch {
+	case w.lists(id) || ended[id]:
 		return false
+	case r.Incarnation != h.Incarnation:
+		return w.isHeld(id)
+	default:
+		return r.Sequence < h.Sequence
 	}
-	return r.Sequence < h.Sequence && !ended[id]
 }
 
 // listedEnds returns the attempts that a heartbeat lists as ended.
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -207,6 +207,7 @@
 	w.inherited, w.heardMs = true, s.activeSinceMs
 	// Upper bound of any lease that a former leader granted, on the oldest confirmation it may have used.
 	w.leaseEndMs = s.activeSinceMs + withClockDrift(s.workerLeaseMs()) + maxConfirmationAgeMs
+	w.repliesEndMs = s.activeSinceMs + maxConfirmationAgeMs + replyExpiresMs
 	for task := range s.options.Log.Batch().TasksOn(id) {
 		_, t := s.findTask(task)
 		for _, r := range t.Attempts {
@@ -220,6 +221,7 @@
 			}
 		}
 	}
+	s.adoptDoubts(w)
 }
 
 // refreshChangedJobs updates the scheduler's view of the jobs that applied log entries have changed, by themselves or
@@ -260,6 +262,7 @@
 	}
 	s.expireLeases(now)
 	s.dropAbandoned(now)
+	s.awaitSettling(now)
 	s.openDueOccurrences()
 	s.planGangs(now)
 	s.manageFleet(now)
--- a/internal/ctrl/sched/unfit.go
+++ b/internal/ctrl/sched/unfit.go
@@ -17,6 +17,7 @@
 	unfitProbation                      // on_probation
 	unfitLeaving                        // leaving
 	unfitVM                             // awaits_vm
+	unfitRestarted                      // just_restarted
 	unfitTrial                          // starts_suspect
 	unfitKeptFree                       // kept_free
 	unfitRoom                           // no_room
@@ -27,7 +28,7 @@
 
 // isBrief reports whether a worker takes a task now, or will as soon as it has reported.
 func (r unfitReason) isBrief() bool {
-	return r == fit || r == unfitTrial || r == unfitVM
+	return r == fit || r == unfitTrial || r == unfitVM || r == unfitRestarted
 }
 
 // closedTo returns why a worker takes no tasks at all, or only certain ones.
@@ -37,6 +38,8 @@
 		return unfitSilent
 	case w.draining || w.left:
 		return unfitDraining
+	case now < w.formerRepliesEndMs:
+		return unfitRestarted
 	case now < w.quarantineUntilMs:
 		return unfitQuarantined
 	case s.fleet.leaving(w):
--- a/internal/ctrl/sched/unseen.go
+++ b/internal/ctrl/sched/unseen.go
@@ -64,9 +64,6 @@
 
 // noteOrdered notes that the reply to a heartbeat is sent with its orders now.
 func (w *worker) noteOrdered(h *batch.Heartbeat, o *batch.Orders, now int64) {
-	if w.incarnation != h.Incarnation {
-		return
-	}
 	w.answeredSequence = max(w.answeredSequence, h.Sequence)
 	if len(o.Start) > 0 {
 		w.lastOrderMs = now
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -118,7 +118,7 @@
 		f.vms[v.Name] = known
 	}
 	if known.unverifiedMs > 0 && asked >= known.unverifiedMs {
-		s.verify(known, v)
+		s.verify(known, v, asked)
 	}
 	if known.orderPending || known.awayUntilMs > asked {
 		// An order is in flight or took effect after the list was requested, so the list is outdated for this VM.
@@ -152,9 +152,9 @@
 		}
 		switch cause := "vm_listed_" + v.State.String(); {
 		case v.State == VMDown || v.State == VMUp && id != v.Worker && v.Pool == w.pool:
-			s.handleCrash(w, cause)
+			s.handleCrash(w, cause, asked)
 		case id != v.Worker:
-			s.loseAttempts(w, w.incarnation, cause)
+			s.loseAttempts(w, w.incarnation, cause, asked)
 		default:
 			continue
 		}
@@ -196,6 +196,7 @@
 			delete(f.vms, name)
 		}
 	}
+	s.settleGone(f.listRequestedMs)
 }
 
 // mayBeUnread reports whether the last list may have had the row of a VM without its being readable: the row bears the
@@ -211,21 +212,21 @@
 	s.fleet.listWanted = true
 }
 
-// verify compares a VM whose order is done with a list that was requested since.
-func (s *Scheduler) verify(known *vm, v VM) {
+// verify compares a VM whose order is done with a list that was requested since, at uptime asked.
+func (s *Scheduler) verify(known *vm, v VM, asked int64) {
 	known.unverifiedMs = 0
 	if v.State == VMUp && v.Worker != "" && v.Worker == known.Worker {
 		known.awayUntilMs = 0
 		s.options.Logger.Info("vm_order_was_done", zap.String("vm", v.Name), zap.String("worker", v.Worker))
 		return
 	}
-	s.endAllOn(known)
+	s.endAllOn(known, asked)
 }
 
-// endAllOn ends all attempts on a VM that this leader has ordered away.
-func (s *Scheduler) endAllOn(v *vm) {
+// endAllOn ends all attempts on a VM that this leader has ordered away, and which a list that was requested at uptime asked shows so.
+func (s *Scheduler) endAllOn(v *vm, asked int64) {
 	if w := s.workers[v.Worker]; w != nil {
-		s.loseAttempts(w, w.incarnation, "vm_ordered_away")
+		s.loseAttempts(w, w.incarnation, "vm_ordered_away", asked)
 		w.left = true
 		s.flush()
 	}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -21,8 +21,15 @@
 	// lastOrderMs the uptime at which it last ordered a start.
 	answeredSequence uint64
 	lastOrderMs      int64
-	// joinedMs is the uptime at which this leader first heard this incarnation.
-	joinedMs int64
+	// joinedMs is the uptime at which this leader first heard this incarnation, and firstClockMs the worker's clock in that
+	// heartbeat.
+	joinedMs     int64
+	firstClockMs int64
+	// repliesEndMs is the uptime from which no reply sent so far is obeyed any more, by this incarnation or a later one, and
+	// formerRepliesEndMs that for the replies to former incarnations.
+	repliesEndMs, formerRepliesEndMs int64
+	// inDoubt are the attempts of ended incarnations that a later one may still begin, with the ends that they get once it can't.
+	inDoubt map[attemptID]batch.AttemptEnd
 	// suspect is the suspect that it was last ordered to start; zero once that has ended.
 	suspect suspectStart
 	// keptFree is set while it runs a task alone, or gets no orders so that it can.
@@ -109,14 +116,15 @@
 	return labels[rackLabel]
 }
 
-// takesOrders reports whether a worker may be ordered to start tasks.
-func (w *worker) takesOrders() bool {
-	return !w.draining && !w.left && !w.inherited
+// takesOrders reports whether a worker may be ordered to start tasks. One that has restarted gets none while a reply to its
+// former incarnation may arrive: that would acknowledge ends of its own that the leader hasn't heard of.
+func (w *worker) takesOrders(now int64) bool {
+	return !w.draining && !w.left && !w.inherited && now >= w.formerRepliesEndMs
 }
 
 // usable reports whether a worker takes new tasks of any kind.
 func (w *worker) usable(now int64) bool {
-	return w.takesOrders() && now >= w.quarantineUntilMs
+	return w.takesOrders(now) && now >= w.quarantineUntilMs
 }
 
 // onProbation reports whether a worker on which attempts failed, and whose quarantine is over or that got none, has yet to
@@ -145,7 +153,7 @@
 		if w.leaseEndMs > 0 && w.leaseEndMs <= now {
 			w.leaseEndMs = 0
 			leaseExpiriesTotal.Inc()
-			s.loseAttempts(w, w.incarnation, "lease_lapsed")
+			s.loseAttempts(w, w.incarnation, "lease_lapsed", goneForGood)
 		}
 		if w.leaseEndMs == 0 && now-w.heardMs >= forgetMs {
 			delete(s.workers, id)
