A given-up attempt that is listed holds its task until it is gone

Callers saw a task run twice at a time. A worker that listed an attempt that the leader had given up was told to stop it, and its task was held for 500 ms after it was last listed; the reply renewed the worker's lease by 4.5 s. Cut off before the stop arrived, it ran the attempt on for four seconds beside the second start.

Change: the task is held until that worker's heartbeat doesn't list the attempt any more, its lease has expired, or another incarnation is heard. So it is also free as soon as the stop is reported, not 500 ms later.

Class: a permission is taken for over that its holder still has.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -163,7 +163,7 @@
 	left := 0
 	for _, id := range job.ready {
 		key := stepOf(id)
-		if len(orders) < maxStartsPerReply && key != refused && s.abandonedUntilMs[id] <= now {
+		if len(orders) < maxStartsPerReply && key != refused && s.abandoned[id] == 0 {
 			ticket, ok := s.mayRunStep(w, job, id, now)
 			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
 				allowed = key
@@ -182,7 +182,7 @@
 
 // mayRun reports whether a worker may run a task now, and with which ticket.
 func (s *Scheduler) mayRun(w *worker, job *activeJob, id batch.TaskID, now int64) (ticket string, ok bool) {
-	if s.abandonedUntilMs[id] > now {
+	if s.abandoned[id] > 0 {
 		return "", false
 	}
 	return s.mayRunStep(w, job, id, now)
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -126,6 +126,7 @@
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
+	s.releaseAbandoned(w)
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
 		joinedMs: s.now(), repliesEndMs: w.repliesEndMs, formerRepliesEndMs: w.repliesEndMs, inDoubt: w.inDoubt,
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -61,9 +61,6 @@
 	quarantineMs       = 4000
 	quarantineFailures = 3
 	probationMs        = 4000
-	// abandonedHoldMs is how long after an abandoned attempt was last listed no other attempt of its task starts;
-	// it is longer than the heartbeat interval.
-	abandonedHoldMs = 500
 	// listIntervalMs is the interval between reads of the platform's VM list.
 	listIntervalMs = 1000
 	// minListIntervalMs is the interval between reads when a new list is needed early.
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -33,7 +33,7 @@
 		s.noteBegun(j, t, r)
 		s.noteBegunLate(w, attemptID{task: r.Task, attempt: r.Attempt})
 		if t.FindAttempt(r.Attempt) == nil {
-			s.abandonedUntilMs[r.Task] = now + abandonedHoldMs
+			s.abandon(w, r.Task, r.Attempt)
 		}
 		switch {
 		case j.Phase.IsTerminal() || t.Done || t.FindAttempt(r.Attempt) == nil || step.Gang && gangBroken(j, r.Task, r.Attempt),
@@ -54,6 +54,7 @@
 		w.overfullMs = now
 	}
 	w.running = seen
+	s.releaseUnlisted(w, h)
 	s.endMissing(w, h)
 	return stops
 }
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -74,9 +74,9 @@
 	tookOver      bool
 	// formerStopsUntilMs is the uptime until which a worker may still obey a stop that a former leader ordered.
 	formerStopsUntilMs int64
-	// abandonedUntilMs holds the tasks of which a worker still lists an attempt that was given up; no attempt of
-	// them starts before that uptime.
-	abandonedUntilMs map[batch.TaskID]int64
+	// abandoned counts, by task, the workers that may still run an attempt of it that was given up; no attempt of it starts until
+	// none may.
+	abandoned map[batch.TaskID]int
 	// stopping holds, by task, the attempt of a long-running task that is being stopped to restart on another VM.
 	stopping map[batch.TaskID]int
 
@@ -128,7 +128,7 @@
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
 	s.gangJobs, s.scheduledJobs = map[string]*activeJob{}, map[string]*activeJob{}
-	s.stopping, s.abandonedUntilMs = map[batch.TaskID]int{}, map[batch.TaskID]int64{}
+	s.stopping, s.abandoned = map[batch.TaskID]int{}, map[batch.TaskID]int{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
 	s.crashedMs, s.submitting = map[string]int64{}, map[string]*jobRecord{}
@@ -261,7 +261,6 @@
 		s.confirmLeadership()
 	}
 	s.expireLeases(now)
-	s.dropAbandoned(now)
 	s.awaitSettling(now)
 	s.openDueOccurrences()
 	s.planGangs(now)
--- a/internal/ctrl/sched/unplaced.go
+++ b/internal/ctrl/sched/unplaced.go
@@ -171,6 +171,6 @@
 	s.options.Logger.Info("task_unplaced", zap.String("job", id.Job), zap.Int("occurrence", id.Occurrence), zap.Int("step", id.Step),
 		zap.Int("index", id.Index), zap.Int64("waited_ms", waitedMs), zap.Bool("suspect", slices.Contains(job.suspects, id)),
 		zap.Bool("alone", slices.Contains(job.alone, id)), zap.Bool("step_suspected", s.stepSuspected(job, stepOf(id))),
-		zap.Bool("abandoned_runs", s.abandonedUntilMs[id] > now), zap.Any("workers", workers), zap.String("pool", job.pool),
+		zap.Bool("abandoned_runs", s.abandoned[id] > 0), zap.Any("workers", workers), zap.String("pool", job.pool),
 		zap.Uint64("term", s.term))
 }
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -63,6 +63,8 @@
 	endsDropped bool
 	// running are the attempts that the last heartbeat listed.
 	running map[batch.TaskID]*attempt
+	// abandoned holds, by task, the attempt that it has listed after that was given up, as long as it may still run.
+	abandoned map[batch.TaskID]int
 	// starting is the number of starts that are proposed and not yet applied.
 	starting int
 	// failures counts the attempts that failed or stalled there since the last one that was done; no tasks are
@@ -154,6 +156,7 @@
 			w.leaseEndMs = 0
 			leaseExpiriesTotal.Inc()
 			s.loseAttempts(w, w.incarnation, "lease_lapsed", goneForGood)
+			s.releaseAbandoned(w)
 		}
 		if w.leaseEndMs == 0 && now-w.heardMs >= forgetMs {
 			delete(s.workers, id)
@@ -161,15 +164,6 @@
 	}
 }
 
-// dropAbandoned removes tasks whose abandoned attempts are no longer listed, so that new attempts may start.
-func (s *Scheduler) dropAbandoned(now int64) {
-	for id, until := range s.abandonedUntilMs {
-		if until <= now {
-			delete(s.abandonedUntilMs, id)
-		}
-	}
-}
-
 // forgetMs is how long after its last heartbeat a worker is remembered, in milliseconds.
 const forgetMs = 15_000
 
