A late deregistration of a former incarnation ends nothing that its worker runs

Callers saw a task run twice at a time, by reading and in a script. One that was delayed until its worker was back was taken for the present incarnation's: its attempts were ended and started elsewhere while they ran on, and its heartbeats got no lease any more.

Change: after one that names no incarnation the worker gets no orders, and what it runs goes on until a VM list that was requested since shows it gone, or its lease is over. A worker that a later list shows up and that is heard 1.5 s later hadn't left.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -81,7 +81,7 @@
 		s.beginIncarnation(w, h)
 	case h.Sequence <= w.sequence:
 		return false
-	case w.left:
+	case w.left && !s.returns(w, now):
 		// This incarnation has ended; the heartbeat was sent before that.
 		s.options.Logger.Info("heartbeat_outdated", zap.String("worker", w.id), zap.Int64("incarnation", h.Incarnation),
 			zap.Uint64("sequence", h.Sequence))
@@ -98,6 +98,7 @@
 			zap.Bool("draining", h.Draining), zap.Int64("remaining_ms", h.RemainingMs), zap.Uint64("sequence", h.Sequence))
 	}
 	s.workerByAddress[h.Address] = w.id
+	w.left, w.unnamedLeaveMs = false, 0
 	w.discountSilence(now)
 	w.inherited = false
 	w.sequence, w.heardMs = h.Sequence, now
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -6,7 +6,12 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored.
+// returnMs is how long after a deregistration that named no incarnation a heartbeat may still come that was sent before.
+const returnMs = 1500
+
+// handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored. One that
+// names no incarnation may be a former one's: what runs goes on until the VM list shows that the worker is gone, or its lease has
+// expired.
 func (s *Scheduler) handleDeregistration(l *batch.Deregistration, reply func(batch.Reply)) {
 	w := s.workers[l.Worker]
 	if supersedes(l.Incarnation, w) && s.farAhead(l.Incarnation) {
@@ -17,29 +22,40 @@
 		w.left = true
 		s.options.Logger.Info("worker_left", zap.String("worker", w.id), zap.String("pool", w.pool),
 			zap.Int64("incarnation", l.Incarnation), zap.Int("running", len(s.options.Log.Batch().TasksOn(w.id))))
-		s.loseAttempts(w, w.incarnation, "worker_left", neverGone)
+		if l.Incarnation == 0 {
+			w.unnamedLeaveMs = s.now()
+		} else {
+			s.loseAttempts(w, w.incarnation, "worker_left", neverGone)
+		}
 	}
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
 }
 
+// returns reports whether a worker that is heard wasn't the one that left: its deregistration named no incarnation, and the VM
+// list shows it up since.
+func (s *Scheduler) returns(w *worker, now int64) bool {
+	return w.unnamedLeaveMs > 0 && now-w.unnamedLeaveMs >= returnMs && w.listedUpMs > w.unnamedLeaveMs
+}
+
 // settleGone ends what is left on workers that have left, once a complete VM list that was requested at uptime asked shows that
 // they are gone.
 func (s *Scheduler) settleGone(asked int64) {
 	for _, w := range s.workers {
-		if w.left && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayRun(w) {
+		if w.left && asked >= w.unnamedLeaveMs && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayRun(w) {
 			s.loseAttempts(w, w.incarnation, "worker_gone", asked)
 		}
 	}
 }
 
-// awaitSettling requests a VM list where one could show that workers that have left are gone: once the last reply to one
-// has expired.
+// awaitSettling requests a VM list where one could show that workers that have left are gone: after a deregistration, and once the
+// last reply to a worker has expired.
 func (s *Scheduler) awaitSettling(now int64) {
 	for _, w := range s.workers {
 		if !w.left || len(s.options.Log.Batch().TasksOn(w.id)) == 0 {
 			continue
 		}
-		if s.fleet.listRequestedMs < w.repliesEndMs && w.repliesEndMs <= now {
+		asked := s.fleet.listRequestedMs
+		if asked < w.unnamedLeaveMs || asked < w.repliesEndMs && w.repliesEndMs <= now {
 			s.fleet.listWanted = true
 		}
 	}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -40,6 +40,8 @@
 	inherited bool
 	draining  bool
 	left      bool
+	// unnamedLeaveMs is the uptime of a deregistration that named no incarnation, and may be a former one's; 0 for none.
+	unnamedLeaveMs int64
 	// crashed is set once it was found to have crashed or restarted, and listedDown once the VM list shows its VM down.
 	crashed    bool
 	listedDown bool
