An address that is taken over leaves its worker's last order in doubt

Found by the review of the fix, in a script: a worker that was back at another address, and not heard yet, obeyed an order to its former incarnation; the takeover of its former address was taken for its end, and the task started elsewhere beside it.

A takeover tells nothing of where the worker is. Its last order stays in doubt until the VM list shows the worker gone, or its lease is over. The script address-taken-over-while-former-worker-is-back-elsewhere failed with a second start.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -90,7 +90,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.handleSuccessor(other, h, "address_taken_over", now)
+		s.handleSuccessor(other, h, "address_taken_over", neverGone)
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
