An attempt in doubt is settled where its worker restarts time and again

The doubt ends at a heartbeat that doesn't list the attempt, once the lease has passed that the ended incarnation had, whatever the clock tells; a worker without a clock is handled by the same rule.

--- a/internal/ctrl/sched/indoubt.go
+++ b/internal/ctrl/sched/indoubt.go
@@ -17,6 +17,14 @@
 	goneForGood = math.MaxInt64
 )
 
+// doubt is what is known of an attempt that was ordered from an incarnation that is over, and that a later one may still begin.
+type doubt struct {
+	// end is the end that the attempt gets once it can't.
+	end batch.AttemptEnd
+	// untilMs is the uptime from which a heartbeat that doesn't list it shows that it can't, whatever the worker's clock tells.
+	untilMs int64
+}
+
 // lists reports whether a worker's last heartbeat lists an attempt as running.
 func (w *worker) lists(id attemptID) bool {
 	a := w.running[id.task]
@@ -36,9 +44,9 @@
 // holdInDoubt keeps the end of an attempt that may still begin.
 func (s *Scheduler) holdInDoubt(w *worker, id attemptID, end batch.AttemptEnd) {
 	if w.inDoubt == nil {
-		w.inDoubt = map[attemptID]batch.AttemptEnd{}
+		w.inDoubt = map[attemptID]doubt{}
 	}
-	w.inDoubt[id] = end
+	w.inDoubt[id] = doubt{end: end, untilMs: max(w.leaseEndMs, w.repliesEndMs)}
 	s.refreshJob(id.task.Job)
 }
 
@@ -50,13 +58,13 @@
 
 // endInDoubt ends an attempt in doubt that can't begin or run any more, as it was judged when it came to be in doubt.
 func (s *Scheduler) endInDoubt(w *worker, id attemptID) {
-	s.endAttempt(w.inDoubt[id])
+	s.endAttempt(w.inDoubt[id].end)
 	delete(w.inDoubt, id)
 }
 
 // noteBegunLate notes that a worker lists an attempt in doubt: no crash was due to it.
 func (s *Scheduler) noteBegunLate(w *worker, id attemptID) {
-	if end, held := w.inDoubt[id]; held && end != lostEnd(id) {
+	if d, held := w.inDoubt[id]; held && d.end != lostEnd(id) {
 		s.holdInDoubt(w, id, lostEnd(id))
 		s.options.Logger.Info("attempt_begun_late", zap.String("worker", w.id), zap.Strings("tasks", taskNames([]attemptID{id})),
 			zap.Int("attempt", id.attempt))
@@ -116,15 +124,13 @@
 func (s *Scheduler) mayHaveCrashed(t *jobs.Task, id batch.TaskID) bool {
 	return slices.ContainsFunc(t.Attempts, func(r jobs.Attempt) bool {
 		w := s.workers[r.Worker]
-		return w != nil && w.inDoubt[attemptID{task: id, attempt: r.Number}].Crashed
+		return w != nil && w.inDoubt[attemptID{task: id, attempt: r.Number}].end.Crashed
 	})
 }
 
-// outlivesReplies reports whether a heartbeat shows that its incarnation has run for longer than a reply to a former one could
-// be on its way. A worker that tells no clock is given as long as its lease.
-func (s *Scheduler) outlivesReplies(w *worker, h *batch.Heartbeat) bool {
-	if h.ClockMs == 0 || w.firstClockMs == 0 {
-		return s.now()-max(w.joinedMs, s.activeSinceMs) >= withClockDrift(s.workerLeaseMs())
-	}
-	return h.ClockMs-w.firstClockMs >= replyExpiresMs
+// mayBegin reports whether an attempt in doubt that a heartbeat doesn't list may still begin: its incarnation hasn't run for
+// longer than a reply to a former one could be on its way.
+func (s *Scheduler) mayBegin(w *worker, h *batch.Heartbeat, id attemptID) bool {
+	outlived := h.ClockMs > 0 && w.firstClockMs > 0 && h.ClockMs-w.firstClockMs >= replyExpiresMs
+	return !outlived && s.now() < w.inDoubt[id].untilMs
 }
--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -123,7 +123,7 @@
 	for _, id := range s.attemptsOn(w, missing) {
 		j, t := s.findTask(id.task)
 		r := t.FindAttempt(id.attempt)
-		if incomplete || w.isHeld(id) && !s.outlivesReplies(w, h) {
+		if incomplete || w.isHeld(id) && s.mayBegin(w, h, id) {
 			found = found || incomplete
 			w.free = w.free.Sub(j.Spec.Steps[id.task.Step].ReservedResources())
 			continue
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -28,8 +28,8 @@
 	// repliesEndMs is the uptime from which no reply sent so far is obeyed any more, by this incarnation or a later one, and
 	// formerRepliesEndMs that for the replies to former incarnations.
 	repliesEndMs, formerRepliesEndMs int64
-	// inDoubt are the attempts of ended incarnations that a later one may still begin, with the ends that they get once it can't.
-	inDoubt map[attemptID]batch.AttemptEnd
+	// inDoubt are the attempts of ended incarnations that a later one may still begin.
+	inDoubt map[attemptID]doubt
 	// suspect is the suspect that it was last ordered to start; zero once that has ended.
 	suspect suspectStart
 	// keptFree is set while it runs a task alone, or gets no orders so that it can.
