An attempt that a restarted worker begins late counts from then

A suspect that a later incarnation ran by an order to its former one never counted as having outlived its start, so that its step's other tasks waited; and where it was listed once before the next crash, it did count so, since its order had no time there.

--- a/internal/ctrl/sched/running.go
+++ b/internal/ctrl/sched/running.go
@@ -64,6 +64,9 @@
 	a := w.running[r.Task]
 	if a == nil || a.number != r.Attempt {
 		a = &attempt{number: r.Attempt, orderedMs: w.lastOrderMs, sinceMs: now, progressMs: now, share: fullSharePercent}
+		if _, late := w.inDoubt[attemptID{task: r.Task, attempt: r.Attempt}]; late {
+			a.orderedMs = now
+		}
 	}
 	if a.percent != r.Percent {
 		a.percent, a.progressMs = r.Percent, now
--- a/internal/ctrl/sched/suspects.go
+++ b/internal/ctrl/sched/suspects.go
@@ -170,7 +170,7 @@
 // hasOutlivingAttempt reports whether a worker lists an attempt of a task that has outlived its start.
 func (s *Scheduler) hasOutlivingAttempt(job *activeJob, id batch.TaskID) bool {
 	for _, r := range job.state.Task(id).Attempts {
-		if w := s.workers[r.Worker]; w != nil && w.incarnation == r.Incarnation && w.hasOutlivedStart(job.state, id, r.Number) {
+		if w := s.workers[r.Worker]; w != nil && w.hasOutlivedStart(job.state, id, r.Number) {
 			return true
 		}
 	}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -88,7 +88,7 @@
 	percent int
 	// load is the tail latency in milliseconds of a long-running task, and the CPU use in millicores of any other.
 	load float64
-	// orderedMs is the uptime by which its start was ordered; 0 if a former leader may have ordered it.
+	// orderedMs is the uptime by which it had begun or its start was ordered; 0 if a former leader may have ordered it.
 	orderedMs int64
 	// sinceMs and progressMs are the uptimes at which it was first listed and at which its progress last changed.
 	sinceMs    int64
