A late reply without orders counts as one that may arrive too

Found by the review of the fix, in a script: a reply that came too late to order anything still acknowledges ends. A worker that restarted while it was on its way was ordered tasks at once, whose first ends it would have forgotten by that acknowledgement. The script late-acknowledgement-to-former-incarnation failed with a start.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -54,6 +54,7 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
+			w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyExpiresMs)
 			if s.now()-arrivedMs > maxReplyDelayMs || w.sequence != h.Sequence || w.left {
 				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
 				// or where a newer heartbeat shows no room for it.
@@ -61,7 +62,6 @@
 				orders.Start, orders.LeaseMs = nil, 0
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
-				w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyExpiresMs)
 				w.noteOrdered(h, &orders, s.now())
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
