--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -73,7 +73,7 @@
 // worker.
 func (s *Scheduler) acceptHeartbeat(w *worker, h *batch.Heartbeat, now int64) bool {
 	switch {
-	case h.Incarnation < w.incarnation:
+	case h.Incarnation < w.incarnation || h.Incarnation > 0 && h.Incarnation <= w.leftIncarnation:
 		s.options.Logger.Info("heartbeat_outdated", zap.String("worker", w.id), zap.Int64("incarnation", h.Incarnation),
 			zap.Int64("known", w.incarnation))
 		return false
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -25,6 +25,7 @@
 		if l.Incarnation == 0 {
 			w.unnamedLeaveMs = s.now()
 		} else {
+			w.leftIncarnation = l.Incarnation
 			s.loseAttempts(w, w.incarnation, "worker_left", neverGone)
 		}
 	}
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -42,6 +42,8 @@
 	left      bool
 	// unnamedLeaveMs is the uptime of a deregistration that named no incarnation, and may be a former one's; 0 for none.
 	unnamedLeaveMs int64
+	// leftIncarnation is the newest incarnation that has deregistered, which may never have been heard.
+	leftIncarnation int64
 	// crashed is set once it was found to have crashed or restarted, and listedDown once the VM list shows its VM down.
 	crashed    bool
 	listedDown bool
