Given-up attempts hold planned gangs too, and no longer than their worker

Found by the review of the fix, in scripts: a gang that was planned before one of its members was found to run on started beside it (gang-plan-waits-for-given-up-member); a task waited for a worker that had left (given-up-attempt-of-worker-that-left; in the script draining two tasks start for that reason where they waited), and for ever where the worker had no lease of this leader (given-up-attempt-of-worker-without-lease). Each failed; start-committed-after-lease, about a start that is committed too late, passes and stays.

--- a/internal/ctrl/sched/abandoned.go
+++ b/internal/ctrl/sched/abandoned.go
@@ -12,6 +12,8 @@
 		s.abandoned[id]++
 	}
 	w.abandoned[id] = attempt
+	// It runs on a lease that may be of a former leader.
+	w.leaseEndMs = max(w.leaseEndMs, s.now()+withClockDrift(s.workerLeaseMs()))
 }
 
 // releaseUnlisted lets the tasks start again of which a worker's heartbeat doesn't list the attempt that was given up.
--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -162,6 +162,9 @@
 func (s *Scheduler) assignGangs(w *worker, sequence uint64) []batch.StartOrder {
 	var orders []batch.StartOrder
 	for _, g := range s.gangs {
+		if s.awaitsAbandoned(g) {
+			continue
+		}
 		for id, workerID := range g.workers {
 			j, t := s.findTask(id)
 			if workerID != w.id || t == nil || !w.free.Covers(g.need) {
@@ -173,3 +176,13 @@
 	}
 	return orders
 }
+
+// awaitsAbandoned reports whether a given-up attempt of a planned member may still run.
+func (s *Scheduler) awaitsAbandoned(g *gangPlan) bool {
+	for id := range g.workers {
+		if s.abandoned[id] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -27,6 +27,7 @@
 		} else {
 			w.leftIncarnation = l.Incarnation
 			s.loseAttempts(w, w.incarnation, "worker_left", neverGone)
+			s.releaseAbandoned(w)
 		}
 	}
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
