--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -122,15 +122,13 @@
 			}
 		}
 		status, text := c.call(http.MethodGet, c.soak.nextProcess().callers(), "/q/"+job.id, "")
-		var shown struct {
-			State string `json:"state"`
-		}
-		if status == http.StatusOK && json.Unmarshal(text, &shown) != nil {
+		state, err := parseState(text)
+		if status == http.StatusOK && err != nil {
 			c.soak.checker.withLock(func() {
 				c.soak.checker.addViolation("inconsistent: the state of job %s is not valid JSON: %q", job.id, text)
 			})
 		}
-		c.soak.checker.jobState(job, status, shown.State)
+		c.soak.checker.jobState(job, status, state)
 		finalState := ""
 		c.soak.checker.withLock(func() { finalState = job.finalState })
 		if finalState != "" {
@@ -140,6 +138,15 @@
 	c.soak.checker.withLock(func() { c.soak.checker.addViolation("lost: job %s did not end in time", job.id) })
 }
 
+// parseState returns the state in the answer to a question for a job's state.
+func parseState(text []byte) (string, error) {
+	var m struct {
+		State string `json:"state"`
+	}
+	err := json.Unmarshal(text, &m)
+	return m.State, err
+}
+
 // replaceConfigurations sends configurations with rising versions and reads them back: a read must not return a version
 // older than one that was acknowledged before the read.
 func (c *siteCaller) replaceConfigurations(faultsDone <-chan struct{}) {
--- a/internal/app/chaos/soak_capacity_test.go
+++ b/internal/app/chaos/soak_capacity_test.go
@@ -67,7 +67,7 @@
 
 // capacityUsed checks that a start brings a worker that doesn't check it over neither its capacity nor the one that it
 // reported in the heartbeat that the start answers; what is being stopped counts.
-func (c *checker) capacityUsed(w *siteWorker, name string, attempt, used int) {
+func (c *checker) capacityUsed(w *siteWorker, name string, attempt, used, reported int) {
 	counted := w.capacity.counted(shrinkGrace + w.interval)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,8 +75,8 @@
 	if used > counted {
 		c.addViolation("limit: %s#%d brings %s to %d of %d", name, attempt, w.id, used, counted)
 	}
-	if used > w.reported {
-		c.addViolation("limit: %s#%d brings %s to %d, it reported %d", name, attempt, w.id, used, w.reported)
+	if used > reported {
+		c.addViolation("limit: %s#%d brings %s to %d, it reported %d", name, attempt, w.id, used, reported)
 	}
 }
 
--- a/internal/app/chaos/soak_checker_test.go
+++ b/internal/app/chaos/soak_checker_test.go
@@ -61,6 +61,13 @@
 	c.violations = append(c.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// count adds to a count.
+func (c *checker) count(name string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[name] += n
+}
+
 // withLock runs a function under the lock.
 func (c *checker) withLock(f func()) {
 	c.mu.Lock()
@@ -97,9 +104,9 @@
 	case spec != job.spec:
 		c.addViolation("unrequested: %s#%d has the spec %q", name, attempt, spec)
 	case len(t.active) > 0:
-		c.addViolation("duplicate: %s#%d starts on %s while %v run", name, attempt, w.id, t.active)
+		c.addViolation("duplicate: %s#%d starts on %s while %v run", name, attempt, w, t.active)
 	case t.acknowledged:
-		c.addViolation("duplicate: %s#%d starts on %s after the task was done", name, attempt, w.id)
+		c.addViolation("duplicate: %s#%d starts on %s after the task was done", name, attempt, w)
 	case !job.cancelled.IsZero() && time.Since(job.cancelled) > cancelGrace:
 		c.addViolation("unrequested: %s#%d starts %v after its job was cancelled", name, attempt, time.Since(job.cancelled))
 	case step > 0 && !c.stepDone(job, step-1):
--- a/internal/app/chaos/soak_provider_test.go
+++ b/internal/app/chaos/soak_provider_test.go
@@ -12,9 +12,11 @@
 
 // siteVM is one VM of the simulated provider; holder, token and orderedAt are of the last order for it.
 type siteVM struct {
-	pool      string
-	worker    *siteWorker
-	stop      chan struct{}
+	pool   string
+	worker *siteWorker
+	stop   chan struct{}
+	// former is the worker that has crashed and is to come back under its identity, unless another starts before.
+	former    *siteWorker
 	holder    string
 	token     uint64
 	orderedAt time.Time
@@ -66,8 +68,13 @@
 	if v.pool == "spare" || p.closed {
 		return
 	}
-	v.worker, v.stop = p.soak.newSiteWorker(name, v.pool), make(chan struct{})
-	w, stop := v.worker, v.stop
+	p.runWorker(v, p.soak.newSiteWorker(name, v.pool))
+}
+
+// runWorker runs a worker on a VM; the caller holds the lock.
+func (p *provider) runWorker(v *siteVM, w *siteWorker) {
+	stop := make(chan struct{})
+	v.worker, v.stop, v.former = w, stop, nil
 	p.workers.Go(func() { w.run(stop) })
 }
 
@@ -171,7 +178,7 @@
 		return
 	}
 	p.stopWorker(m.Machine)
-	v.pool = m.Pool
+	v.pool, v.former = m.Pool, nil
 	name := m.Machine
 	time.AfterFunc(moveDuration, func() { p.restartWorker(name) })
 }
--- /dev/null
+++ b/internal/app/chaos/soak_rebirth_test.go
@@ -0,0 +1,151 @@
+package chaos_test
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// latestDelivery is how long after a former life's heartbeat its reply is delivered at the latest, so that it still counts.
+const latestDelivery = replyTimeout - 100*time.Millisecond
+
+// rebirth is a crash of a worker, just before a reply reaches it, after which it comes back under its old identity. The reply
+// then reaches the new life.
+type rebirth struct {
+	// onStart is set if the reply has to order a start.
+	onStart bool
+	// dark is the time between the two lives.
+	dark time.Duration
+	// deliverAfter is the number of its own leases after which the reply reaches the new life; if deliverAtEnd is set, it does
+	// once an attempt has ended there.
+	deliverAfter int
+	deliverAtEnd bool
+	// cutAfter is the number of its own leases after which the new life is cut off for a while, 0 for never. The last of them is
+	// lost in the cut if loseLast is set.
+	cutAfter int
+	cut      time.Duration
+	loseLast bool
+}
+
+// formerLife is what a worker's former life left to the new one.
+type formerLife struct {
+	plan *rebirth
+	// reply is the reply that was on its way, nil once it has been delivered.
+	reply *heartbeatReply
+	// wasCut is set once the new life was cut off.
+	wasCut bool
+}
+
+// crashesBefore reports whether the worker crashes while a reply is on its way to it.
+func (w *siteWorker) crashesBefore(r *heartbeatReply) bool {
+	plan := w.rebirth.Load()
+	if plan == nil || !r.valid() || w.isCut() || w.soak.calm.Load() {
+		return false
+	}
+	var o orders
+	err := json.Unmarshal(r.text, &o)
+	return err == nil && o.HoldMs > 0 && (!plan.onStart || len(o.Start) > 0)
+}
+
+// beginDarkness ends a worker's life, and begins the next one under its identity after a while, to which a reply is on its
+// way.
+func (p *provider) beginDarkness(w *siteWorker, r *heartbeatReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.vms[w.vm]
+	if v.worker != w {
+		return
+	}
+	v.worker, v.former = nil, w
+	time.AfterFunc(w.rebirth.Load().dark, func() { p.beginNextLife(w, r) })
+}
+
+// beginNextLife starts a worker again under its identity, unless its VM was moved or another one has started there.
+func (p *provider) beginNextLife(former *siteWorker, r *heartbeatReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.vms[former.vm]
+	if v.former != former || p.closed {
+		return
+	}
+	w := p.soak.newSiteWorker(former.vm, former.pool)
+	w.id, w.born = former.id, max(w.born, former.born+1)
+	w.capacity, w.attemptDuration = nil, former.attemptDuration
+	if former.capacity != nil {
+		w.capacity = newChangingCapacity(w.random)
+	}
+	w.former = &formerLife{plan: former.rebirth.Load(), reply: r}
+	p.soak.checker.count("reborn", 1)
+	p.runWorker(v, w)
+}
+
+// obeyFormerReply obeys the reply to the former life's last heartbeat when it is delivered, if it still counts then.
+func (w *siteWorker) obeyFormerReply() {
+	if w.former == nil || w.former.reply == nil || !w.formerReplyArrives() {
+		return
+	}
+	r := w.former.reply
+	w.former.reply = nil
+	if !r.valid() || w.isCut() {
+		w.soak.checker.count("stale_dropped", 1)
+		return
+	}
+	var o orders
+	if err := json.Unmarshal(r.text, &o); err != nil {
+		panic(err)
+	}
+	w.soak.checker.count("stale_obeyed", 1)
+	w.soak.checker.count("stale_orders", len(o.Start))
+	leases := w.leases
+	w.handleOrders(r)
+	w.leases = leases
+}
+
+// formerReplyArrives reports whether the reply to the former life's last heartbeat arrives now.
+func (w *siteWorker) formerReplyArrives() bool {
+	plan := w.former.plan
+	switch {
+	case time.Since(w.former.reply.sent) >= latestDelivery:
+		return true
+	case plan.deliverAtEnd:
+		return len(w.ended) > 0
+	default:
+		return w.leases >= plan.deliverAfter
+	}
+}
+
+// cutAfterLeases cuts the worker off if its former life's plan does so after a number of leases.
+func (w *siteWorker) cutAfterLeases(leases int) {
+	if w.former == nil || w.former.wasCut || w.former.plan.cutAfter == 0 || leases < w.former.plan.cutAfter {
+		return
+	}
+	// What arrives together with the last reply still counts.
+	w.obeyFormerReply()
+	w.former.wasCut = true
+	w.cutUntil = time.Now().Add(w.former.plan.cut)
+	w.soak.checker.count("worker_cuts", 1)
+}
+
+// isCut reports whether nothing passes between the worker and the system, in either direction.
+func (w *siteWorker) isCut() bool {
+	return time.Now().Before(w.cutUntil) && !w.soak.calm.Load()
+}
+
+// addWorker adds a VM whose worker checks its capacity, and takes the same time for each attempt.
+func (p *provider) addWorker(name string, attemptDuration time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := &siteVM{pool: "pool"}
+	p.vms[name] = v
+	w := p.soak.newSiteWorker(name, v.pool)
+	w.capacity, w.attemptDuration = nil, attemptDuration
+	p.runWorker(v, w)
+}
+
+// armRebirth has the worker that runs on a VM, if any, crash at its next reply that fits the plan.
+func (p *provider) armRebirth(name string, plan *rebirth) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.vms[name].worker; w != nil {
+		w.rebirth.Store(plan)
+	}
+}
--- a/internal/app/chaos/soak_test.go
+++ b/internal/app/chaos/soak_test.go
@@ -73,6 +73,8 @@
 	// calm is set once the faults have ended.
 	calm      atomic.Bool
 	pickCount atomic.Uint64
+	// leaderAddress is the leader's address for workers in the last reply that named one, nil before.
+	leaderAddress atomic.Pointer[string]
 }
 
 // nextProcess returns the processes in turn, with a stride of 7 from an offset by the seed.
@@ -86,10 +88,10 @@
 // TestSoak runs the seeds of testdata/soak, which failed once or give CI a short run, and those that the flags ask for.
 func TestSoak(t *testing.T) {
 	for _, seed := range readSoakSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoak(t, seed).execute() })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoak(t, seed, soakProcesses, soakVMs).execute() })
 	}
 	for i := range uint64(*soakSeeds) {
-		t.Run(fmt.Sprint(*soakSeed+i), func(t *testing.T) { newSoak(t, *soakSeed+i).execute() })
+		t.Run(fmt.Sprint(*soakSeed+i), func(t *testing.T) { newSoak(t, *soakSeed+i, soakProcesses, soakVMs).execute() })
 	}
 }
 
@@ -113,7 +115,8 @@
 	return seeds
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// newSoak returns a soak test with a number of processes and of VMs that run workers.
+func newSoak(t *testing.T, seed uint64, processes, vms int) *soak {
 	t.Helper()
 	is := is.New(t)
 	s := &soak{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), folder: t.TempDir(), checker: newChecker()}
@@ -121,8 +124,8 @@
 	is.NoErr(err)
 	s.port = probe.Addr().(*net.TCPAddr).Port
 	is.NoErr(probe.Close())
-	s.provider = newProvider(s, soakVMs)
-	for i := range soakProcesses {
+	s.provider = newProvider(s, vms)
+	for i := range processes {
 		p := &siteProcess{
 			name: fmt.Sprintf("p%d", i), host: fmt.Sprintf("127.77.1.%d", i+1), bind: fmt.Sprintf("127.77.2.%d", i+1), port: s.port,
 		}
@@ -173,25 +176,31 @@
 	_ = p.command.Wait() // The error reports the signal that ended the process.
 }
 
-func (s *soak) execute() {
+// startSite starts all processes, until the test ends, and the workers, and applies the first configuration.
+func (s *soak) startSite(configuration string) *siteCaller {
 	for _, p := range s.processes {
 		s.writeSettings(p, true)
 		s.start(p)
-		defer func() {
+		s.t.Cleanup(func() {
 			s.stop(p, syscall.SIGKILL)
 			is.New(s.t).NoErr(p.log.Close())
-		}()
+		})
 	}
 	s.provider.startWorkers()
-	defer s.provider.close()
+	s.t.Cleanup(s.provider.close)
 	operator := &siteCaller{soak: s, random: rand.New(rand.NewPCG(s.seed, 2)), client: &http.Client{Timeout: 2 * time.Second}}
 	s.await("the first configuration", func() bool {
-		status, _ := operator.call(http.MethodPost, s.nextProcess().control(), "/-/config/replace", configurationText(1))
+		status, _ := operator.call(http.MethodPost, s.nextProcess().control(), "/-/config/replace", configuration)
 		return status == http.StatusOK
 	})
 	for _, p := range s.processes {
 		s.writeSettings(p, false)
 	}
+	return operator
+}
+
+func (s *soak) execute() {
+	operator := s.startSite(configurationText(1))
 	s.faultsUntil = time.Now().Add(*soakDuration)
 	faultsDone := make(chan struct{})
 	var clients sync.WaitGroup
@@ -204,6 +213,15 @@
 	s.calm.Store(true)
 	close(faultsDone)
 	clients.Wait()
+	s.awaitReady(operator)
+	s.await("the configuration", func() bool { return operator.checkConfiguration(s.version.Load()) })
+	s.watchers.Wait()
+	s.checkResult()
+}
+
+// awaitReady waits until all processes are ready.
+func (s *soak) awaitReady(operator *siteCaller) {
+	s.t.Helper()
 	s.await("all processes ready", func() bool {
 		for _, p := range s.processes {
 			if status, _ := operator.call(http.MethodGet, p.address(2), "/-/readyz", ""); status != http.StatusOK {
@@ -212,9 +230,6 @@
 		}
 		return true
 	})
-	s.await("the configuration", func() bool { return operator.checkConfiguration(s.version.Load()) })
-	s.watchers.Wait()
-	s.checkResult()
 }
 
 func (s *soak) await(what string, done func() bool) {
@@ -245,6 +260,12 @@
 			s.t.Errorf("seed %d: no task was completed", s.seed)
 		}
 	})
+	s.checkLogs()
+	s.saveLogs()
+}
+
+// checkLogs fails the test if a log shows a fault of the program.
+func (s *soak) checkLogs() {
 	for _, p := range s.processes {
 		text, err := os.ReadFile(p.log.Name())
 		is.New(s.t).NoErr(err)
@@ -254,7 +275,6 @@
 			}
 		}
 	}
-	s.saveLogs()
 }
 
 // excerptBytes is how much of a log a failure shows: a report of the race detector with its stacks.
@@ -275,6 +295,6 @@
 	for _, p := range s.processes {
 		text, err := os.ReadFile(p.log.Name())
 		is.New(s.t).NoErr(err)
-		is.New(s.t).NoErr(os.WriteFile(filepath.Join(*soakLogFolder, fmt.Sprintf("%d-%s.log", s.seed, p.name)), text, 0o600))
+		is.New(s.t).NoErr(os.WriteFile(filepath.Join(*soakLogFolder, filepath.Base(s.t.Name())+"-"+p.name+".log"), text, 0o600))
 	}
 }
--- a/internal/app/chaos/soak_worker_test.go
+++ b/internal/app/chaos/soak_worker_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 	due, stopDue time.Time
 }
 
-// siteWorker is one incarnation of a simulated worker; only its own goroutine uses it.
+// siteWorker is one incarnation of a simulated worker; only its own goroutine uses it, but for rebirth.
 type siteWorker struct {
 	soak   *soak
 	random *rand.Rand
@@ -36,53 +37,110 @@
 	pool   string
 	born   int64
 
-	sequence  int
-	token     uint64
-	lease     time.Time
-	address   string
-	running   map[string]runningAttempt
-	ended     [][]any
+	sequence int
+	token    uint64
+	lease    time.Time
+	address  string
+	running  map[string]runningAttempt
+	ended    [][]any
+	// endNumber is the number of the last end.
 	endNumber int
-	// capacity is nil if the worker refuses what doesn't fit. reported is the capacity in its last heartbeat, and interval
-	// the time until the next one.
+	// capacity is nil if the worker refuses what doesn't fit. interval is the time between the last two heartbeats.
 	capacity *changingCapacity
-	reported int
 	interval time.Duration
 	// highestEnded holds the highest attempt of each task that has ended here.
 	highestEnded map[string]int
+	// attemptDuration is how long each attempt takes, 0 for durations that differ, where some attempts fail.
+	attemptDuration time.Duration
+	// rebirth is set once the worker is to crash and to come back under its identity.
+	rebirth atomic.Pointer[rebirth]
+	// former is nil unless the worker has come back under the identity of a former life.
+	former *formerLife
+	// leases is the number of replies with a lease that it has received, and cutUntil the time until which it is cut off.
+	leases   int
+	cutUntil time.Time
+}
+
+// String identifies the worker's life in the messages of the checker.
+func (w *siteWorker) String() string { return fmt.Sprintf("%s (born %d)", w.id, w.born) }
+
+// heartbeatReply is the reply to a heartbeat that was sent at a time and reported a capacity.
+type heartbeatReply struct {
+	// text is nil if no reply came.
+	text     []byte
+	sent     time.Time
+	reported int
 }
 
-// run sends heartbeats and follows their orders until stop closes. It then tells the checker which completed tasks the
-// leader has not acknowledged.
+// valid reports whether a worker obeys the reply if it arrives now.
+func (r *heartbeatReply) valid() bool {
+	return r.text != nil && time.Since(r.sent) <= replyTimeout
+}
+
+const (
+	// replyTimeout is how long after its heartbeat was sent a reply still counts.
+	replyTimeout = time.Second
+	// noReplyInterval is the time until the next heartbeat if there was no reply.
+	noReplyInterval = 100 * time.Millisecond
+	// endInterval is the longest time until the next heartbeat once an attempt has ended.
+	endInterval = 50 * time.Millisecond
+	// tickInterval is the time between two looks at what is due.
+	tickInterval = 10 * time.Millisecond
+)
+
+// run sends heartbeats and follows their orders until stop closes or the worker crashes to be reborn. It then tells the checker
+// which completed tasks the leader has not acknowledged.
 func (w *siteWorker) run(stop <-chan struct{}) {
-	defer func() {
-		var unacknowledged []string
-		for _, e := range w.ended {
-			if e[3] == "done" {
-				unacknowledged = append(unacknowledged, e[1].(string))
-			}
-		}
-		w.soak.checker.workerEnded(w, unacknowledged)
-	}()
-	client := &http.Client{Timeout: time.Second}
+	defer w.finish()
+	client := &http.Client{Timeout: replyTimeout}
+	replies := make(chan heartbeatReply, 1)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	// An attempt that ends while a reply is outstanding is reported soon after that reply.
+	next, outstanding, ended := time.Now(), false, false
 	for {
-		w.interval = w.heartbeat(client)
-		for end := time.Now().Add(w.interval); time.Now().Before(end); {
-			select {
-			case <-stop:
+		w.obeyFormerReply()
+		if !outstanding && !time.Now().Before(next) {
+			outstanding, ended = true, false
+			w.sendHeartbeat(client, replies)
+		}
+		select {
+		case <-stop:
+			return
+		case r := <-replies:
+			if w.crashesBefore(&r) {
+				w.soak.provider.beginDarkness(w, &r)
 				return
-			case <-time.After(10 * time.Millisecond):
 			}
+			outstanding = false
+			w.interval = w.handleReply(&r)
+			next = time.Now().Add(w.interval)
+			if ended {
+				next = time.Now().Add(min(w.interval, endInterval))
+			}
+		case <-ticker.C:
 			if w.capacity != nil {
 				w.capacity.update(w.soak.calm.Load())
 			}
 			if w.endDue() {
-				end = time.Now().Add(min(time.Until(end), 50*time.Millisecond))
+				ended = true
+				next = time.Now().Add(min(time.Until(next), endInterval))
 			}
 		}
 	}
 }
 
+// finish tells the checker that the worker's life is over.
+func (w *siteWorker) finish() {
+	var unacknowledged []string
+	for _, e := range w.ended {
+		if e[3] == "done" {
+			unacknowledged = append(unacknowledged, e[1].(string))
+		}
+	}
+	w.soak.checker.workerEnded(w, unacknowledged)
+}
+
 // endDue ends the attempts that are due, or all if the lease has lapsed, and returns whether it ended any.
 func (w *siteWorker) endDue() bool {
 	ended := false
@@ -94,7 +152,7 @@
 			w.end(name, "stopped")
 		case !r.stopDue.IsZero():
 			continue
-		case time.Now().After(r.due) && w.random.IntN(40) == 0:
+		case time.Now().After(r.due) && w.attemptDuration == 0 && w.random.IntN(40) == 0:
 			w.end(name, "failed")
 		case time.Now().After(r.due):
 			w.end(name, "done")
@@ -114,40 +172,71 @@
 	w.soak.checker.taskEnded(w, name, kind)
 }
 
-// heartbeat sends one heartbeat and returns the time until the next one.
-func (w *siteWorker) heartbeat(client *http.Client) time.Duration {
+// sendHeartbeat sends a heartbeat, whose reply arrives in replies; it is lost while the worker is cut off.
+func (w *siteWorker) sendHeartbeat(client *http.Client, replies chan<- heartbeatReply) {
 	w.sequence++
-	w.reported = workerMilliCores
+	r := heartbeatReply{reported: workerMilliCores, sent: time.Now()}
 	if w.capacity != nil {
-		w.reported = w.capacity.now()
+		r.reported = w.capacity.now()
 	}
-	w.soak.checker.heartbeatSent(w.reported, len(w.running)*taskMilliCores)
+	w.soak.checker.heartbeatSent(r.reported, len(w.running)*taskMilliCores)
+	if w.isCut() {
+		replies <- r
+		return
+	}
+	if w.address == "" {
+		w.address = w.soak.nextProcess().control()
+	}
+	url, report := "http://"+w.address+"/-/instances/"+w.id+"/heartbeat", w.report(r.reported)
+	go func() {
+		r.text = exchange(client, url, report)
+		replies <- r
+	}()
+}
+
+// report returns the content of a heartbeat that reports a capacity.
+func (w *siteWorker) report(capacity int) []byte {
 	running := [][]any{}
 	for name, r := range w.running {
 		running = append(running, []any{name, r.attempt, "", w.random.IntN(100)})
 	}
 	report, err := json.Marshal(map[string]any{
 		"service": w.pool, "address": w.id + ":1", "state": "ready", "seq": w.sequence, "born": w.born, "zone": "dc", "slots": 8,
-		"capacity": map[string]int{"cpu": w.reported, "memMb": 4000}, "labels": []string{"a", "r1"}, "running": running, "ended": w.ended,
+		"clockMs": time.Now().UnixMilli() - w.born, "capacity": map[string]int{"cpu": capacity, "memMb": 4000},
+		"labels": []string{"a", "r1"}, "running": running, "ended": w.ended,
 	})
 	if err != nil {
 		panic(err)
 	}
-	if w.address == "" {
-		w.address = w.soak.nextProcess().control()
-	}
-	sent := time.Now()
-	response, err := client.Post("http://"+w.address+"/-/instances/"+w.id+"/heartbeat", "application/json", bytes.NewReader(report))
+	return report
+}
+
+// exchange posts a heartbeat and returns the text of the reply, nil without any.
+func exchange(client *http.Client, url string, report []byte) []byte {
+	response, err := client.Post(url, "application/json", bytes.NewReader(report))
 	if err != nil {
-		w.address = ""
-		return 100 * time.Millisecond
+		return nil
 	}
 	text, err := io.ReadAll(response.Body)
-	if closed := response.Body.Close(); err != nil || closed != nil || response.StatusCode != http.StatusOK || time.Since(sent) > time.Second {
+	if closed := response.Body.Close(); err != nil || closed != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	return text
+}
+
+// handleReply follows the reply to this life's last heartbeat, unless it is lost or late, and returns the time until the next
+// heartbeat.
+func (w *siteWorker) handleReply(r *heartbeatReply) time.Duration {
+	if w.former != nil && w.former.plan.loseLast && r.valid() {
+		w.cutAfterLeases(w.leases + 1)
+	}
+	if !r.valid() || w.isCut() {
 		w.address = ""
-		return 100 * time.Millisecond
+		return noReplyInterval
 	}
-	return w.handleOrders(text, sent)
+	interval := w.handleOrders(r)
+	w.cutAfterLeases(w.leases)
+	return interval
 }
 
 // orders is the answer to a heartbeat.
@@ -161,18 +250,19 @@
 	HeartbeatURL string  `json:"heartbeatUrl"`
 }
 
-// handleOrders follows the answer to a heartbeat that was sent at the given time, unless its fencing token is outdated.
-// It returns the time until the next heartbeat.
-func (w *siteWorker) handleOrders(text []byte, sent time.Time) time.Duration {
+// handleOrders follows the reply to a heartbeat, unless its fencing token is outdated. It returns the time until the next
+// heartbeat.
+func (w *siteWorker) handleOrders(r *heartbeatReply) time.Duration {
 	var o orders
-	if err := json.Unmarshal(text, &o); err != nil {
-		return 100 * time.Millisecond
+	if err := json.Unmarshal(r.text, &o); err != nil {
+		return noReplyInterval
 	}
 	if o.HeartbeatURL != "" {
 		w.address = o.HeartbeatURL
+		w.soak.leaderAddress.Store(&o.HeartbeatURL)
 	}
 	if o.FenceToken < w.token {
-		return 100 * time.Millisecond
+		return noReplyInterval
 	}
 	w.token = o.FenceToken
 	for len(w.ended) > 0 && w.ended[0][0].(int) <= o.Observed {
@@ -180,11 +270,12 @@
 		w.ended = w.ended[1:]
 	}
 	if o.HoldMs > 0 {
-		if lease := sent.Add(time.Duration(min(o.HoldMs, 6000)) * time.Millisecond); lease.After(w.lease) {
+		w.leases++
+		if lease := r.sent.Add(time.Duration(min(o.HoldMs, 6000)) * time.Millisecond); lease.After(w.lease) {
 			w.lease = lease
 		}
 		for _, s := range o.Start {
-			w.start(s[0].(string), int(s[1].(float64)), s[2].(string))
+			w.start(s[0].(string), int(s[1].(float64)), s[2].(string), r.reported)
 		}
 	}
 	for _, s := range o.Stop {
@@ -197,8 +288,8 @@
 }
 
 // start starts an attempt, or refuses it if the task runs already, the attempt is outdated, or the worker checks its
-// capacity and has too little.
-func (w *siteWorker) start(name string, attempt int, spec string) {
+// capacity and has too little. The start answers a heartbeat that reported a capacity.
+func (w *siteWorker) start(name string, attempt int, spec string, reported int) {
 	used := (len(w.running) + 1) * taskMilliCores
 	if _, ok := w.running[name]; ok || attempt <= w.highestEnded[name] || w.capacity == nil && used > workerMilliCores {
 		w.endNumber++
@@ -207,9 +298,13 @@
 	}
 	w.soak.checker.taskStarted(w, name, attempt, spec)
 	if w.capacity != nil {
-		w.soak.checker.capacityUsed(w, name, attempt, used)
+		w.soak.checker.capacityUsed(w, name, attempt, used, reported)
+	}
+	duration := w.attemptDuration
+	if duration == 0 {
+		duration = time.Duration(50+w.random.IntN(400)) * time.Millisecond
 	}
-	w.running[name] = runningAttempt{attempt: attempt, due: time.Now().Add(time.Duration(50+w.random.IntN(400)) * time.Millisecond)}
+	w.running[name] = runningAttempt{attempt: attempt, due: time.Now().Add(duration)}
 }
 
 // parseTaskName returns the job, step and index in the name that a task has on the wire.
