The soak's workers come back under their old identity and are cut off

A new kind of fault beside the others, with a random sequence of its own, so that the others stay as they were: a worker crashes while a reply is on its way to it, is back 0.3 to 0.6 s later under its identity, obeys that reply if it comes within a second of its heartbeat, and is mostly cut off soon after for 1 to 6 s. An eighth of the jobs takes 2 to 4 s a task. The counts reborn, stale_orders, worker_cuts and leader_kills show what a run has played.

--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -57,12 +58,22 @@
 	}
 }
 
+// longSpec begins the specification of a job that takes long, and maxLongTasks is the number of its tasks at most.
+const (
+	longSpec     = "long "
+	maxLongTasks = 2
+)
+
 func (c *siteCaller) newJob() *observedJob {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
 	job := &observedJob{id: id, spec: "text of " + id, tasks: map[string]*observedTask{}}
 	for range 1 + c.random.IntN(2) {
 		job.steps = append(job.steps, 1+c.random.IntN(4))
 	}
+	// An eighth of all jobs takes long: the second hexadecimal digit of the identity is 0 or 1.
+	if id[1] < '2' {
+		job.spec, job.steps = longSpec+job.spec, []int{min(job.steps[0], maxLongTasks)}
+	}
 	c.soak.checker.withLock(func() { c.soak.checker.jobs[id] = job })
 	return job
 }
@@ -74,9 +85,13 @@
 
 // submit submits a job up to five times until it is accepted.
 func (c *siteCaller) submit(job *observedJob) {
+	estimateMs := 300
+	if strings.HasPrefix(job.spec, longSpec) {
+		estimateMs = 3000
+	}
 	var steps []map[string]any
 	for i, count := range job.steps {
-		step := map[string]any{"count": count, "cpu": taskMilliCores, "memMb": 10, "estimateMs": 300}
+		step := map[string]any{"count": count, "cpu": taskMilliCores, "memMb": 10, "estimateMs": estimateMs}
 		if i > 0 {
 			step["after"] = []int{i - 1}
 		}
--- a/internal/app/chaos/soak_faults_test.go
+++ b/internal/app/chaos/soak_faults_test.go
@@ -60,6 +60,9 @@
 	f := p.forwarder
 	switch kind {
 	case 2, 3:
+		if leader := s.leaderAddress.Load(); leader != nil && *leader == p.control() {
+			s.checker.count("leader_kills", 1)
+		}
 		s.stop(p, syscall.SIGKILL)
 		if wipe {
 			is.New(s.t).NoErr(os.RemoveAll(p.folder))
--- a/internal/app/chaos/soak_rebirth_test.go
+++ b/internal/app/chaos/soak_rebirth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 )
 
@@ -26,6 +27,34 @@
 	loseLast bool
 }
 
+// maxDeliverAfter bounds the leases that a new life has before the reply to its former life comes: later it mostly counts no more.
+const maxDeliverAfter = 4
+
+// newRebirth returns a random rebirth; three in four end in a cut soon after.
+func newRebirth(random *rand.Rand) *rebirth {
+	plan := &rebirth{
+		onStart: random.IntN(4) > 0, dark: time.Duration(300+random.IntN(300)) * time.Millisecond, deliverAfter: random.IntN(maxDeliverAfter + 1),
+	}
+	if random.IntN(4) > 0 {
+		plan.cutAfter = 1 + plan.deliverAfter + random.IntN(3)
+		plan.cut = time.Duration(1000+random.IntN(5000)) * time.Millisecond
+		plan.loseLast = random.IntN(2) == 0
+	}
+	return plan
+}
+
+// injectRebirths has random workers crash and come back under their identities until the faults end.
+func (s *soak) injectRebirths() {
+	random := rand.New(rand.NewPCG(s.seed, 3))
+	for time.Now().Before(s.faultsUntil) {
+		time.Sleep(time.Duration(400+random.IntN(1000)) * time.Millisecond)
+		plan, names := newRebirth(random), s.provider.runningVMs()
+		if len(names) > 0 {
+			s.provider.armRebirth(names[random.IntN(len(names))], plan)
+		}
+	}
+}
+
 // formerLife is what a worker's former life left to the new one.
 type formerLife struct {
 	plan *rebirth
@@ -75,6 +104,7 @@
 	}
 	w.former = &formerLife{plan: former.rebirth.Load(), reply: r}
 	p.soak.checker.count("reborn", 1)
+	p.soak.t.Logf("%s %v is back, %+v", time.Now().Format("15:04:05.000"), w, *w.former.plan)
 	p.runWorker(v, w)
 }
 
@@ -123,6 +153,7 @@
 	w.former.wasCut = true
 	w.cutUntil = time.Now().Add(w.former.plan.cut)
 	w.soak.checker.count("worker_cuts", 1)
+	w.soak.t.Logf("%s %v is cut off for %v, it runs %d", time.Now().Format("15:04:05.000"), w, w.former.plan.cut, len(w.running))
 }
 
 // isCut reports whether nothing passes between the worker and the system, in either direction.
--- a/internal/app/chaos/soak_worker_test.go
+++ b/internal/app/chaos/soak_worker_test.go
@@ -300,11 +300,19 @@
 	if w.capacity != nil {
 		w.soak.checker.capacityUsed(w, name, attempt, used, reported)
 	}
-	duration := w.attemptDuration
-	if duration == 0 {
-		duration = time.Duration(50+w.random.IntN(400)) * time.Millisecond
+	w.running[name] = runningAttempt{attempt: attempt, due: time.Now().Add(w.durationOf(spec))}
+}
+
+// durationOf returns how long an attempt takes.
+func (w *siteWorker) durationOf(spec string) time.Duration {
+	switch {
+	case w.attemptDuration > 0:
+		return w.attemptDuration
+	case strings.HasPrefix(spec, longSpec):
+		return time.Duration(2000+w.random.IntN(2000)) * time.Millisecond
+	default:
+		return time.Duration(50+w.random.IntN(400)) * time.Millisecond
 	}
-	w.running[name] = runningAttempt{attempt: attempt, due: time.Now().Add(duration)}
 }
 
 // parseTaskName returns the job, step and index in the name that a task has on the wire.
