--- a/internal/app/chaos/restart_test.go
+++ b/internal/app/chaos/restart_test.go
@@ -37,7 +37,8 @@
 	`"targetLatencyMs":3000,"service":"pool","maxAttempts":%d,"slackFactor":2}],"services":[{"name":"pool","admissionCheck":true}]}`,
 	queueHost, maxTaskFailures)
 
-// restartScript runs the steps of one script, which testdata/restarts describes.
+// restartScript runs the steps of one script: "worker" adds a worker, "restart" plans its restart (see parseRestart), "submit"
+// submits a job of one task, "kill leader" kills the leader, and "await" waits until a job is completed or a worker is cut off.
 type restartScript struct {
 	soak   *soak
 	caller *siteCaller
@@ -75,8 +76,8 @@
 		duration, err := time.ParseDuration(arguments["takes"])
 		is.New(r.soak.t).NoErr(err)
 		r.soak.provider.addWorker(words[1], duration)
-	case "rebirth":
-		r.soak.provider.armRebirth(words[1], r.parseRebirth(arguments))
+	case "restart":
+		r.soak.provider.armRestart(words[1], r.parseRestart(arguments))
 	case "kill":
 		r.killLeader()
 	case "await":
@@ -86,11 +87,11 @@
 	}
 }
 
-// parseRebirth reads a rebirth: crash=reply or crash=start, deliver=end or the number of leases, and the number of leases until
+// parseRestart reads a restart: crash=reply or crash=start, deliver=end or the number of leases, and the number of leases until
 // the cut, in which the last of them is lost if last=lost.
-func (r *restartScript) parseRebirth(arguments map[string]string) *rebirth {
+func (r *restartScript) parseRestart(arguments map[string]string) *restart {
 	is := is.New(r.soak.t)
-	plan := &rebirth{onStart: arguments["crash"] == "start", deliverAtEnd: arguments["deliver"] == "end", cut: waitTimeout, loseLast: arguments["last"] == "lost"}
+	plan := &restart{onStart: arguments["crash"] == "start", deliverAtEnd: arguments["deliver"] == "end", cut: waitTimeout, loseLast: arguments["last"] == "lost"}
 	var err error
 	if !plan.deliverAtEnd {
 		plan.deliverAfter, err = strconv.Atoi(arguments["deliver"])
--- a/internal/app/chaos/soak_rebirth_test.go
+++ b/internal/app/chaos/soak_restart_test.go
@@ -9,13 +9,13 @@
 // latestDelivery is how long after a former life's heartbeat its reply is delivered at the latest, so that it still counts.
 const latestDelivery = replyTimeout - 100*time.Millisecond
 
-// rebirth is a crash of a worker, just before a reply reaches it, after which it comes back under its old identity. The reply
+// restart is a crash of a worker, just before a reply reaches it, after which it comes back under its old identity. The reply
 // then reaches the new life.
-type rebirth struct {
+type restart struct {
 	// onStart is set if the reply has to order a start.
 	onStart bool
-	// dark is the time between the two lives.
-	dark time.Duration
+	// downtime is the time between the two lives.
+	downtime time.Duration
 	// deliverAfter is the number of its own leases after which the reply reaches the new life; if deliverAtEnd is set, it does
 	// once an attempt has ended there.
 	deliverAfter int
@@ -30,10 +30,10 @@
 // maxDeliverAfter bounds the leases that a new life has before the reply to its former life comes: later it mostly counts no more.
 const maxDeliverAfter = 4
 
-// newRebirth returns a random rebirth; three in four end in a cut soon after.
-func newRebirth(random *rand.Rand) *rebirth {
-	plan := &rebirth{
-		onStart: random.IntN(4) > 0, dark: time.Duration(300+random.IntN(300)) * time.Millisecond, deliverAfter: random.IntN(maxDeliverAfter + 1),
+// newRestart returns a random restart; three in four end in a cut soon after.
+func newRestart(random *rand.Rand) *restart {
+	plan := &restart{
+		onStart: random.IntN(4) > 0, downtime: time.Duration(300+random.IntN(300)) * time.Millisecond, deliverAfter: random.IntN(maxDeliverAfter + 1),
 	}
 	if random.IntN(4) > 0 {
 		plan.cutAfter = 1 + plan.deliverAfter + random.IntN(3)
@@ -43,21 +43,21 @@
 	return plan
 }
 
-// injectRebirths has random workers crash and come back under their identities until the faults end.
-func (s *soak) injectRebirths() {
+// injectRestarts has random workers crash and come back under their identities until the faults end.
+func (s *soak) injectRestarts() {
 	random := rand.New(rand.NewPCG(s.seed, 3))
 	for time.Now().Before(s.faultsUntil) {
 		time.Sleep(time.Duration(400+random.IntN(1000)) * time.Millisecond)
-		plan, names := newRebirth(random), s.provider.runningVMs()
+		plan, names := newRestart(random), s.provider.runningVMs()
 		if len(names) > 0 {
-			s.provider.armRebirth(names[random.IntN(len(names))], plan)
+			s.provider.armRestart(names[random.IntN(len(names))], plan)
 		}
 	}
 }
 
-// formerLife is what a worker's former life left to the new one.
-type formerLife struct {
-	plan *rebirth
+// formerIncarnation is what a worker's former life left to the new one.
+type formerIncarnation struct {
+	plan *restart
 	// reply is the reply that was on its way, nil once it has been delivered.
 	reply *heartbeatReply
 	// wasCut is set once the new life was cut off.
@@ -66,7 +66,7 @@
 
 // crashesBefore reports whether the worker crashes while a reply is on its way to it.
 func (w *siteWorker) crashesBefore(r *heartbeatReply) bool {
-	plan := w.rebirth.Load()
+	plan := w.restart.Load()
 	if plan == nil || !r.valid() || w.isCut() || w.soak.calm.Load() {
 		return false
 	}
@@ -75,9 +75,9 @@
 	return err == nil && o.HoldMs > 0 && (!plan.onStart || len(o.Start) > 0)
 }
 
-// beginDarkness ends a worker's life, and begins the next one under its identity after a while, to which a reply is on its
+// beginRestart ends a worker's life, and begins the next one under its identity after a while, to which a reply is on its
 // way.
-func (p *provider) beginDarkness(w *siteWorker, r *heartbeatReply) {
+func (p *provider) beginRestart(w *siteWorker, r *heartbeatReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.vms[w.vm]
@@ -85,11 +85,11 @@
 		return
 	}
 	v.worker, v.former = nil, w
-	time.AfterFunc(w.rebirth.Load().dark, func() { p.beginNextLife(w, r) })
+	time.AfterFunc(w.restart.Load().downtime, func() { p.finishRestart(w, r) })
 }
 
-// beginNextLife starts a worker again under its identity, unless its VM was moved or another one has started there.
-func (p *provider) beginNextLife(former *siteWorker, r *heartbeatReply) {
+// finishRestart starts a worker again under its identity, unless its VM was moved or another one has started there.
+func (p *provider) finishRestart(former *siteWorker, r *heartbeatReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.vms[former.vm]
@@ -102,8 +102,8 @@
 	if former.capacity != nil {
 		w.capacity = newChangingCapacity(w.random)
 	}
-	w.former = &formerLife{plan: former.rebirth.Load(), reply: r}
-	p.soak.checker.count("reborn", 1)
+	w.former = &formerIncarnation{plan: former.restart.Load(), reply: r}
+	p.soak.checker.count("restarted", 1)
 	p.soak.t.Logf("%s %v is back, %+v", time.Now().Format("15:04:05.000"), w, *w.former.plan)
 	p.runWorker(v, w)
 }
@@ -172,11 +172,11 @@
 	p.runWorker(v, w)
 }
 
-// armRebirth has the worker that runs on a VM, if any, crash at its next reply that fits the plan.
-func (p *provider) armRebirth(name string, plan *rebirth) {
+// armRestart has the worker that runs on a VM, if any, crash at its next reply that fits the plan.
+func (p *provider) armRestart(name string, plan *restart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.vms[name].worker; w != nil {
-		w.rebirth.Store(plan)
+		w.restart.Store(plan)
 	}
 }
--- a/internal/app/chaos/soak_test.go
+++ b/internal/app/chaos/soak_test.go
@@ -209,10 +209,10 @@
 		c := &siteCaller{soak: s, random: rand.New(rand.NewPCG(s.seed, uint64(10+i))), client: &http.Client{Timeout: 2 * time.Second}}
 		clients.Go(func() { c.submitJobs(faultsDone) })
 	}
-	var rebirths sync.WaitGroup
-	rebirths.Go(s.injectRebirths)
+	var restarts sync.WaitGroup
+	restarts.Go(s.injectRestarts)
 	s.injectFaults()
-	rebirths.Wait()
+	restarts.Wait()
 	s.calm.Store(true)
 	close(faultsDone)
 	clients.Wait()
--- a/internal/app/chaos/soak_worker_test.go
+++ b/internal/app/chaos/soak_worker_test.go
@@ -28,7 +28,7 @@
 	due, stopDue time.Time
 }
 
-// siteWorker is one incarnation of a simulated worker; only its own goroutine uses it, but for rebirth.
+// siteWorker is one incarnation of a simulated worker; only its own goroutine uses it, but for restart.
 type siteWorker struct {
 	soak   *soak
 	random *rand.Rand
@@ -52,10 +52,10 @@
 	highestEnded map[string]int
 	// attemptDuration is how long each attempt takes, 0 for durations that differ, where some attempts fail.
 	attemptDuration time.Duration
-	// rebirth is set once the worker is to crash and to come back under its identity.
-	rebirth atomic.Pointer[rebirth]
+	// restart is set once the worker is to crash and to come back under its identity.
+	restart atomic.Pointer[restart]
 	// former is nil unless the worker has come back under the identity of a former life.
-	former *formerLife
+	former *formerIncarnation
 	// leases is the number of replies with a lease that it has received, and cutUntil the time until which it is cut off.
 	leases   int
 	cutUntil time.Time
@@ -88,7 +88,7 @@
 	tickInterval = 10 * time.Millisecond
 )
 
-// run sends heartbeats and follows their orders until stop closes or the worker crashes to be reborn. It then tells the checker
+// run sends heartbeats and follows their orders until stop closes or the worker crashes to restart. It then tells the checker
 // which completed tasks the leader has not acknowledged.
 func (w *siteWorker) run(stop <-chan struct{}) {
 	defer w.finish()
@@ -109,7 +109,7 @@
 			return
 		case r := <-replies:
 			if w.crashesBefore(&r) {
-				w.soak.provider.beginDarkness(w, &r)
+				w.soak.provider.beginRestart(w, &r)
 				return
 			}
 			outstanding = false
