--- a/internal/ctrl/sched/crash.go
+++ b/internal/ctrl/sched/crash.go
@@ -12,11 +12,10 @@
 
 // handleCrash ends all attempts on a worker that has crashed or restarted. Those that it was ordered to start and hadn't
 // reported since count as the crash's possible causes.
-// goneMs is as in endAttemptsOn.
-func (s *Scheduler) handleCrash(w *worker, cause string, goneMs int64) {
+func (s *Scheduler) handleCrash(w *worker, cause string, gone goneAt) {
 	w.crashed = w.crashed || !w.left
 	if s.allHeld(w) {
-		s.loseAttempts(w, w.incarnation, cause, goneMs)
+		s.loseAttempts(w, w.incarnation, cause, gone)
 		return
 	}
 	lost := len(s.options.Log.Batch().TasksOn(w.id))
@@ -28,7 +27,7 @@
 		zap.Uint64("sequence", w.sequence), zap.Int("lost", lost), zap.Int("unseen", len(unseen)), zap.Strings("tasks", taskNames(unseen)),
 		zap.Stringer("excuse", excuse), zap.Bool("together", together))
 	if excuse != excuseNone {
-		s.loseAttempts(w, w.incarnation, cause, goneMs)
+		s.loseAttempts(w, w.incarnation, cause, gone)
 		return
 	}
 	crashesTotal.Inc()
@@ -38,24 +37,23 @@
 		maps.Copy(spared, s.spareTasksOn(w, unseen))
 	}
 	unseen = slices.DeleteFunc(unseen, func(u attemptID) bool { return spared[u.task] })
-	s.endAttemptsOn(w, w.incarnation, cause, goneMs,
+	s.endAttemptsOn(w, w.incarnation, cause, gone,
 		&evidence{blamed: s.blameStarts(w, unseen, together), spared: spared, together: together})
 }
 
-// loseAttempts ends all attempts on a worker up to and including an incarnation as lost; goneMs is as in endAttemptsOn.
-func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string, goneMs int64) {
-	s.endAttemptsOn(w, incarnation, cause, goneMs, nil)
+// loseAttempts ends all attempts on a worker up to and including an incarnation as lost.
+func (s *Scheduler) loseAttempts(w *worker, incarnation int64, cause string, gone goneAt) {
+	s.endAttemptsOn(w, incarnation, cause, gone, nil)
 }
 
 // endAttemptsOn ends all attempts on a worker up to and including an incarnation as lost, except those that a later incarnation
-// may still begin: they are in doubt. goneMs is an uptime at which nothing ran under the worker's identity. The evidence is that of
-// the worker's crash; nil if it didn't crash, or that shows nothing.
-func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, goneMs int64, e *evidence) {
+// may still begin: they are in doubt. The evidence is that of the worker's crash; nil if it didn't crash, or that shows nothing.
+func (s *Scheduler) endAttemptsOn(w *worker, incarnation int64, cause string, gone goneAt, e *evidence) {
 	var lost, doubted []attemptID
 	upTo := func(_ attemptID, r *jobs.Attempt) bool { return r.Incarnation <= incarnation }
 	for _, id := range s.attemptsOn(w, upTo) {
 		j, t := s.findTask(id.task)
-		switch mayBegin, held := w.mayStillBegin(id, t.FindAttempt(id.attempt), goneMs), w.isHeld(id); {
+		switch mayBegin, held := w.mayStillBegin(id, t.FindAttempt(id.attempt), gone), w.isHeld(id); {
 		case mayBegin && held:
 			continue
 		case mayBegin:
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -54,7 +54,7 @@
 				return
 			}
 			s.completeOrders(w, h, &orders, acknowledge)
-			w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyExpiresMs)
+			w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyWindowMs)
 			if s.now()-arrivedMs > maxReplyDelayMs || w.sequence != h.Sequence || w.left {
 				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
 				// or where a newer heartbeat shows no room for it.
@@ -81,7 +81,7 @@
 		s.beginIncarnation(w, h)
 	case h.Sequence <= w.sequence:
 		return false
-	case w.left && !s.returns(w, now):
+	case w.left && !s.hasReturned(w, now):
 		// This incarnation has ended; the heartbeat was sent before that.
 		s.options.Logger.Info("heartbeat_outdated", zap.String("worker", w.id), zap.Int64("incarnation", h.Incarnation),
 			zap.Uint64("sequence", h.Sequence))
@@ -90,7 +90,7 @@
 	if other := s.workerAt(h.Address); other != w && supersedes(h.Incarnation, other) {
 		// A newer incarnation serves at this address: the former worker is gone, unless it has returned at another
 		// address.
-		s.handleSuccessor(other, h, "address_taken_over", neverGone)
+		s.handleSuccessor(other, h, "address_taken_over")
 		other.left = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
@@ -111,19 +111,19 @@
 }
 
 // handleSuccessor ends all attempts on a worker in whose place another incarnation has sent a heartbeat. In its pool it has
-// crashed; in another pool it was replaced or moved. goneMs is as in endAttemptsOn.
-func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string, goneMs int64) {
+// crashed; in another pool it was replaced or moved.
+func (s *Scheduler) handleSuccessor(w *worker, h *batch.Heartbeat, cause string) {
 	if h.Pool == w.pool {
-		s.handleCrash(w, cause, goneMs)
+		s.handleCrash(w, cause, neverGone)
 		return
 	}
-	s.loseAttempts(w, w.incarnation, cause, goneMs)
+	s.loseAttempts(w, w.incarnation, cause, neverGone)
 }
 
 // beginIncarnation resets a worker that has restarted; the attempts of its former incarnation are lost, or in doubt.
 func (s *Scheduler) beginIncarnation(w *worker, h *batch.Heartbeat) {
 	if w.incarnation > 0 {
-		s.handleSuccessor(w, h, "worker_restarted", neverGone)
+		s.handleSuccessor(w, h, "worker_restarted")
 	}
 	s.options.Logger.Info("worker_joined", zap.String("worker", w.id), zap.String("pool", h.Pool),
 		zap.Int64("incarnation", h.Incarnation), zap.Int64("former", w.incarnation), zap.Strings("labels", h.Labels))
@@ -213,7 +213,7 @@
 	switch {
 	case w.moreEnds:
 		return max(minIntervalMs, moreEndsHeartbeatMs)
-	case now < w.formerRepliesEndMs || len(w.inDoubt) > 0 && now-w.joinedMs <= 2*replyExpiresMs:
+	case now < w.formerRepliesEndMs || len(w.inDoubt) > 0 && now-w.joinedMs <= 2*replyWindowMs:
 		return max(minIntervalMs, demandHeartbeatMs)
 	case !w.usable(now):
 		return max(minIntervalMs, unusableHeartbeatMs)
--- a/internal/ctrl/sched/indoubt.go
+++ b/internal/ctrl/sched/indoubt.go
@@ -10,11 +10,14 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// neverGone means that no time is known at which nothing ran under a worker's identity, goneForGood that whatever ran or may begin
-// there has ended.
+// goneAt is an uptime in milliseconds at which nothing ran under a worker's identity.
+type goneAt int64
+
 const (
-	neverGone   = math.MinInt64
-	goneForGood = math.MaxInt64
+	// neverGone means that no such time is known.
+	neverGone goneAt = math.MinInt64
+	// goneForGood means that whatever has run or may begin there has ended.
+	goneForGood goneAt = math.MaxInt64
 )
 
 // doubt is what is known of an attempt that was ordered from an incarnation that is over, and that a later one may still begin.
@@ -33,12 +36,12 @@
 
 // mayStillBegin reports whether an attempt that was ordered from an incarnation that is over may still begin: a later
 // incarnation obeys a reply that was on its way to this one. What the incarnation has listed has ended with it, and a reply to an
-// earlier heartbeat than its last was no longer on its way. goneMs is as in endAttemptsOn.
-func (w *worker) mayStillBegin(id attemptID, r *jobs.Attempt, goneMs int64) bool {
+// earlier heartbeat than its last was no longer on its way.
+func (w *worker) mayStillBegin(id attemptID, r *jobs.Attempt, gone goneAt) bool {
 	if w.lists(id) || r.Incarnation == w.incarnation && r.Sequence < w.sequence {
 		return false
 	}
-	return goneMs < w.repliesEndMs
+	return int64(gone) < w.repliesEndMs
 }
 
 // holdInDoubt keeps the end of an attempt that may still begin.
@@ -131,6 +134,6 @@
 // mayBegin reports whether an attempt in doubt that a heartbeat doesn't list may still begin: its incarnation hasn't run for
 // longer than a reply to a former one could be on its way.
 func (s *Scheduler) mayBegin(w *worker, h *batch.Heartbeat, id attemptID) bool {
-	outlived := h.ClockMs > 0 && w.firstClockMs > 0 && h.ClockMs-w.firstClockMs >= replyExpiresMs
+	outlived := h.ClockMs > 0 && w.firstClockMs > 0 && h.ClockMs-w.firstClockMs >= replyWindowMs
 	return !outlived && s.now() < w.inDoubt[id].untilMs
 }
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -6,9 +6,6 @@
 	"cowslipstack/internal/model/batch"
 )
 
-// returnMs is how long after a deregistration that named no incarnation a heartbeat may still come that was sent before.
-const returnMs = 1500
-
 // handleDeregistration records that a worker's incarnation has ended; late messages of a former incarnation are ignored. One that
 // names no incarnation may be a former one's: what runs goes on until the VM list shows that the worker is gone, or its lease has
 // expired.
@@ -33,9 +30,9 @@
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
 }
 
-// returns reports whether a worker that is heard wasn't the one that left: its deregistration named no incarnation, and the VM
+// hasReturned reports whether a worker that is heard wasn't the one that left: its deregistration named no incarnation, and the VM
 // list shows it up since.
-func (s *Scheduler) returns(w *worker, now int64) bool {
+func (s *Scheduler) hasReturned(w *worker, now int64) bool {
 	return w.unnamedLeaveMs > 0 && now-w.unnamedLeaveMs >= returnMs && w.listedUpMs > w.unnamedLeaveMs
 }
 
@@ -43,8 +40,8 @@
 // they are gone.
 func (s *Scheduler) settleGone(asked int64) {
 	for _, w := range s.workers {
-		if w.left && asked >= w.unnamedLeaveMs && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayRun(w) {
-			s.loseAttempts(w, w.incarnation, "worker_gone", asked)
+		if w.left && asked >= w.unnamedLeaveMs && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayBeUp(w) {
+			s.loseAttempts(w, w.incarnation, "worker_gone", goneAt(asked))
 		}
 	}
 }
@@ -63,9 +60,9 @@
 	}
 }
 
-// mayRun reports whether a worker may run by the last VM list: it is listed on a VM that is up, or the row of its VM couldn't be
+// mayBeUp reports whether a worker may be up by the last VM list: it is listed on a VM that is up, or the row of its VM couldn't be
 // read.
-func (f *fleetView) mayRun(w *worker) bool {
+func (f *fleetView) mayBeUp(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
 	return v != nil && (v.State == VMUp || f.mayBeUnread(v.Name))
 }
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -15,8 +15,10 @@
 	// replyValidMs is how long after it was made a heartbeat reply may still be obeyed: the worker drops later
 	// ones.
 	replyValidMs = 1250
-	// replyExpiresMs is how long after a heartbeat was sent a reply to it may be obeyed, by any worker's clock.
-	replyExpiresMs = 1050
+	// replyWindowMs is how long after a heartbeat was sent a reply to it may be obeyed, by any worker's clock.
+	replyWindowMs = 1050
+	// returnMs is how long after a deregistration that names no incarnation a heartbeat may come that was sent before.
+	returnMs = 1500
 	// driftPercent and driftMarginMs allow for a worker's slow clock.
 	driftPercent  = 3
 	driftMarginMs = 50
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -21,8 +21,7 @@
 	// ready are the tasks that could start now, except those of gangs.
 	ready []batch.TaskID
 	// suspects are the tasks that could start under which a worker has crashed, and onTrial those that have started since or
-	// whose attempt is in doubt;
-	// none of them is in ready, nor of a gang.
+	// whose attempt is in doubt; none of them is in ready, nor of a gang.
 	suspects, onTrial []batch.TaskID
 	// alone are the tasks that could start where nothing else can be the cause of a crash; none of them is in the lists above.
 	alone []batch.TaskID
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -207,7 +207,7 @@
 	w.inherited, w.heardMs = true, s.activeSinceMs
 	// Upper bound of any lease that a former leader granted, on the oldest confirmation it may have used.
 	w.leaseEndMs = s.activeSinceMs + withClockDrift(s.workerLeaseMs()) + maxConfirmationAgeMs
-	w.repliesEndMs = s.activeSinceMs + maxConfirmationAgeMs + replyExpiresMs
+	w.repliesEndMs = s.activeSinceMs + maxConfirmationAgeMs + replyWindowMs
 	for task := range s.options.Log.Batch().TasksOn(id) {
 		_, t := s.findTask(task)
 		for _, r := range t.Attempts {
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -152,9 +152,9 @@
 		}
 		switch cause := "vm_listed_" + v.State.String(); {
 		case v.State == VMDown || v.State == VMUp && id != v.Worker && v.Pool == w.pool:
-			s.handleCrash(w, cause, asked)
+			s.handleCrash(w, cause, goneAt(asked))
 		case id != v.Worker:
-			s.loseAttempts(w, w.incarnation, cause, asked)
+			s.loseAttempts(w, w.incarnation, cause, goneAt(asked))
 		default:
 			continue
 		}
@@ -226,7 +226,7 @@
 // endAllOn ends all attempts on a VM that this leader has ordered away, and which a list that was requested at uptime asked shows so.
 func (s *Scheduler) endAllOn(v *vm, asked int64) {
 	if w := s.workers[v.Worker]; w != nil {
-		s.loseAttempts(w, w.incarnation, "vm_ordered_away", asked)
+		s.loseAttempts(w, w.incarnation, "vm_ordered_away", goneAt(asked))
 		w.left = true
 		s.flush()
 	}
