--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -63,6 +63,7 @@
 			} else {
 				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
 				w.noteOrdered(h, &orders, s.now())
+				s.logOrders(w, h, orders.Start)
 			}
 			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
 		})
@@ -200,11 +201,6 @@
 		j, t := s.findTask(start.Task)
 		return t == nil || j.Phase.IsTerminal() || t.FindAttempt(start.Attempt) == nil
 	})
-	for i := range o.Start {
-		start := &o.Start[i]
-		startsTotal.Inc()
-		s.logOrdered(w, h.Sequence, start)
-	}
 }
 
 // nextHeartbeatMs returns after how many milliseconds a worker sends its next heartbeat.
--- a/internal/ctrl/sched/orderlog.go
+++ b/internal/ctrl/sched/orderlog.go
@@ -11,13 +11,17 @@
 // maxOrdersPerLine limits the orders that one line of the log names.
 const maxOrdersPerLine = 64
 
-// logOrdered adds a start that a worker is told to the log. Orders share lines, so that none is left out where there are
-// more of them than lines of one event that may be written.
-func (s *Scheduler) logOrdered(w *worker, sequence uint64, start *batch.StartOrder) {
-	s.ordered = append(s.ordered, fmt.Sprintf("%s.%d.%d.%d#%d %s/%d",
-		start.Task.Job, start.Task.Occurrence, start.Task.Step, start.Task.Index, start.Attempt, w.id, sequence))
-	if len(s.ordered) >= maxOrdersPerLine {
-		s.flushOrdered()
+// logOrders adds the starts that a worker is told in the reply to a heartbeat to the log. Orders share lines, so that none is left
+// out where there are more of them than lines of one event that may be written.
+func (s *Scheduler) logOrders(w *worker, h *batch.Heartbeat, starts []batch.StartOrder) {
+	for i := range starts {
+		start := &starts[i]
+		startsTotal.Inc()
+		s.ordered = append(s.ordered, fmt.Sprintf("%s.%d.%d.%d#%d %s/%d",
+			start.Task.Job, start.Task.Occurrence, start.Task.Step, start.Task.Index, start.Attempt, w.id, h.Sequence))
+		if len(s.ordered) >= maxOrdersPerLine {
+			s.flushOrdered()
+		}
 	}
 }
 
