--- a/internal/ctrl/sched/indoubt.go
+++ b/internal/ctrl/sched/indoubt.go
@@ -49,8 +49,11 @@
 	if w.inDoubt == nil {
 		w.inDoubt = map[attemptID]doubt{}
 	}
+	mayHaveCrashed := w.inDoubt[id].end.Crashed
 	w.inDoubt[id] = doubt{end: end, untilMs: max(w.leaseEndMs, w.repliesEndMs)}
-	s.refreshJob(id.task.Job)
+	if mayHaveCrashed != end.Crashed {
+		s.refreshJob(id.task.Job)
+	}
 }
 
 // isHeld reports whether an attempt is in doubt and its worker doesn't list it.
