A crash under an attempt in doubt counts at once, and under the next leader

The count is a part of its own in the record now (crashes), and is taken back where the attempt begins after all (begun_late). An older build that follows ignores both: it counts such a crash not at all, and its attempts stay the same.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -30,6 +30,12 @@
 	for i := range c.Ends {
 		m.endAttempt(&c.Ends[i], nowMs)
 	}
+	for _, id := range c.Crashes {
+		m.noteCrash(id, 1)
+	}
+	for _, id := range c.BegunLate {
+		m.noteCrash(id, -1)
+	}
 	for i := range c.Starts {
 		m.startAttempt(&c.Starts[i])
 	}
--- a/internal/ctrl/jobs/crash.go
+++ b/internal/ctrl/jobs/crash.go
@@ -31,3 +31,16 @@
 		t.CrashesBeside = 0
 	}
 }
+
+// noteCrash adds to the crashes of workers that were starting an attempt of a task.
+func (m *StateMachine) noteCrash(id batch.TaskID, n int) {
+	j, t := m.FindTask(id)
+	if t == nil || j.Phase.IsTerminal() {
+		return
+	}
+	t.Crashes = max(0, t.Crashes+n)
+	if !j.Spec.Steps[id.Step].Gang {
+		t.CrashesBeside = max(0, t.CrashesBeside+n)
+	}
+	m.markChanged(id.Job)
+}
--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -69,6 +69,8 @@
 	s.options.Logger.Info("record_refused", zap.Uint64("term", term), zap.Error(err))
 	c.inFlight--
 	c.pending.Ends = append(c.pending.Ends, unreported(change.Ends)...)
+	c.pending.Crashes = append(c.pending.Crashes, change.Crashes...)
+	c.pending.BegunLate = append(c.pending.BegunLate, change.BegunLate...)
 	s.clearStarting(change.Starts)
 	for _, start := range change.Starts {
 		s.refreshJob(start.Task.Job)
--- a/internal/ctrl/sched/indoubt.go
+++ b/internal/ctrl/sched/indoubt.go
@@ -51,6 +51,9 @@
 	}
 	mayHaveCrashed := w.inDoubt[id].end.Crashed
 	w.inDoubt[id] = doubt{end: end, untilMs: max(w.leaseEndMs, w.repliesEndMs)}
+	if end.Crashed {
+		s.proposals.pending.Crashes = append(s.proposals.pending.Crashes, id.task)
+	}
 	if mayHaveCrashed != end.Crashed {
 		s.refreshJob(id.task.Job)
 	}
@@ -64,13 +67,19 @@
 
 // endInDoubt ends an attempt in doubt that can't begin or run any more, as it was judged when it came to be in doubt.
 func (s *Scheduler) endInDoubt(w *worker, id attemptID) {
-	s.endAttempt(w.inDoubt[id].end)
+	end := w.inDoubt[id].end
+	// The crash was counted when the doubt began.
+	end.Crashed = false
+	s.endAttempt(end)
 	delete(w.inDoubt, id)
 }
 
 // noteBegunLate notes that a worker lists an attempt in doubt: no crash was due to it.
 func (s *Scheduler) noteBegunLate(w *worker, id attemptID) {
 	if d, held := w.inDoubt[id]; held && d.end != lostEnd(id) {
+		if d.end.Crashed {
+			s.proposals.pending.BegunLate = append(s.proposals.pending.BegunLate, id.task)
+		}
 		s.holdInDoubt(w, id, lostEnd(id))
 		s.options.Logger.Info("attempt_begun_late", zap.String("worker", w.id), zap.Strings("tasks", taskNames([]attemptID{id})),
 			zap.Int("attempt", id.attempt))
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -12,6 +12,10 @@
 	BegunJobs []string
 	// Ends are the attempts that have ended.
 	Ends []AttemptEnd
+	// Crashes are the tasks under which a worker has crashed while it started an attempt that may still begin, and so hasn't ended.
+	Crashes []TaskID
+	// BegunLate are tasks of Crashes whose attempt has begun since: the crash wasn't due to them.
+	BegunLate []TaskID
 	// Starts are the attempts to start, with their workers.
 	Starts []AttemptStart
 	// Wave is a maintenance wave to add; nil for none.
@@ -37,7 +41,7 @@
 // IsEmpty reports whether the change has no effect; Leader is not considered.
 func (c *Change) IsEmpty() bool {
 	return c.Configuration == nil && c.Wave == nil &&
-		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Starts)+len(c.MaintenanceStarts)+len(c.OrderedVMs) == 0
+		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+len(c.OrderedVMs) == 0
 }
 
 // AttemptStart assigns one attempt of a task to a worker.
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -25,6 +25,12 @@
 			CrashedLater: e.CrashedLater, RanLong: e.RanLong,
 		})
 	}
+	for _, t := range c.Crashes {
+		w.Crashes = append(w.Crashes, taskIDToWire(t))
+	}
+	for _, t := range c.BegunLate {
+		w.BegunLate = append(w.BegunLate, taskIDToWire(t))
+	}
 	for _, s := range c.Starts {
 		w.Starts = append(w.Starts, &peer.BatchStart{
 			Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt), Worker: s.Worker, Incarnation: s.Incarnation, Sequence: s.Sequence,
@@ -57,6 +63,12 @@
 			CrashedLater: e.GetCrashedLater(), RanLong: e.GetRanLong(),
 		})
 	}
+	for _, t := range w.GetCrashes() {
+		c.Crashes = append(c.Crashes, taskIDFromWire(t))
+	}
+	for _, t := range w.GetBegunLate() {
+		c.BegunLate = append(c.BegunLate, taskIDFromWire(t))
+	}
 	for _, s := range w.GetStarts() {
 		c.Starts = append(c.Starts, batch.AttemptStart{
 			Task: taskIDFromWire(s.GetTask()), Attempt: int(s.GetAttempt()), Worker: s.GetWorker(),
