Workers that are gone by the VM list: each attempt ends once

Attempts in doubt are settled by themselves now, and a deregistration without an incarnation once. attempt_begun_late has the fields of its like.

--- a/internal/ctrl/sched/indoubt.go
+++ b/internal/ctrl/sched/indoubt.go
@@ -74,6 +74,18 @@
 	delete(w.inDoubt, id)
 }
 
+// endDoubts ends all attempts in doubt on a worker that is gone, which can't begin any more.
+func (s *Scheduler) endDoubts(w *worker) {
+	held := func(id attemptID, _ *jobs.Attempt) bool { return w.isHeld(id) }
+	ended := s.attemptsOn(w, held)
+	for _, id := range ended {
+		s.endInDoubt(w, id)
+	}
+	if len(ended) > 0 {
+		s.options.Logger.Info("attempts_lost", s.lostFields(w, w.incarnation, ended, "worker_gone")...)
+	}
+}
+
 // noteBegunLate notes that a worker lists an attempt in doubt: no crash was due to it.
 func (s *Scheduler) noteBegunLate(w *worker, id attemptID) {
 	if d, held := w.inDoubt[id]; held && d.end != lostEnd(id) {
@@ -81,8 +93,8 @@
 			s.proposals.pending.BegunLate = append(s.proposals.pending.BegunLate, id.task)
 		}
 		s.holdInDoubt(w, id, lostEnd(id))
-		s.options.Logger.Info("attempt_begun_late", zap.String("worker", w.id), zap.Strings("tasks", taskNames([]attemptID{id})),
-			zap.Int("attempt", id.attempt))
+		s.options.Logger.Info("attempt_begun_late", zap.String("job", id.task.Job), zap.Int("step", id.task.Step),
+			zap.Int("index", id.task.Index), zap.Int("attempt", id.attempt), zap.String("worker", w.id))
 	}
 }
 
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -40,21 +40,27 @@
 // they are gone.
 func (s *Scheduler) settleGone(asked int64) {
 	for _, w := range s.workers {
-		if w.left && asked >= w.unnamedLeaveMs && len(s.options.Log.Batch().TasksOn(w.id)) > 0 && !s.fleet.mayBeUp(w) {
+		if !w.left || s.fleet.mayBeUp(w) {
+			continue
+		}
+		if w.unnamedLeaveMs > 0 && asked >= w.unnamedLeaveMs {
+			w.unnamedLeaveMs = 0
 			s.loseAttempts(w, w.incarnation, "worker_gone", goneAt(asked))
 		}
+		if asked >= w.repliesEndMs {
+			s.endDoubts(w)
+		}
 	}
 }
 
-// awaitSettling requests a VM list where one could show that workers that have left are gone: after a deregistration, and once the
-// last reply to a worker has expired.
+// awaitSettling requests a VM list where one could show that workers that have left are gone: after a deregistration that named no
+// incarnation, and once the last reply to a worker with attempts in doubt has expired.
 func (s *Scheduler) awaitSettling(now int64) {
+	asked := s.fleet.listRequestedMs
 	for _, w := range s.workers {
-		if !w.left || len(s.options.Log.Batch().TasksOn(w.id)) == 0 {
-			continue
-		}
-		asked := s.fleet.listRequestedMs
-		if asked < w.unnamedLeaveMs || asked < w.repliesEndMs && w.repliesEndMs <= now {
+		leaves := w.unnamedLeaveMs > 0 && asked < w.unnamedLeaveMs
+		expired := len(w.inDoubt) > 0 && asked < w.repliesEndMs && w.repliesEndMs <= now
+		if w.left && (leaves || expired) {
 			s.fleet.listWanted = true
 		}
 	}
