A VM with another worker settles the doubts of the one before

The wait was longer than needed where the VM list shows another worker on the VM: one machine has one worker, so no later incarnation of the former one can obey its reply. Its attempts end then. A takeover of the address asks for the list at once. The script worker-of-vm-with-another-worker-is-gone-at-once fails without the change.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -93,6 +93,7 @@
 		// address.
 		s.handleSuccessor(other, h, "address_taken_over")
 		other.left = true
+		s.fleet.listWanted = true
 	}
 	if w.draining != h.Draining || w.pool != h.Pool {
 		s.options.Logger.Info("worker_changed", zap.String("worker", w.id), zap.String("pool", h.Pool),
@@ -131,7 +132,7 @@
 	s.releaseAbandoned(w)
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
-		joinedMs: s.now(), repliesEndMs: w.repliesEndMs, formerRepliesEndMs: w.repliesEndMs, inDoubt: w.inDoubt,
+		joinedMs: s.now(), repliesEndMs: w.repliesEndMs, formerRepliesEndMs: w.repliesEndMs, inDoubt: w.inDoubt, vm: w.vm,
 	}
 }
 
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -47,7 +47,7 @@
 			w.unnamedLeaveMs = 0
 			s.loseAttempts(w, w.incarnation, "worker_gone", goneAt(asked))
 		}
-		if asked >= w.repliesEndMs {
+		if asked >= w.repliesEndMs || s.fleet.hasReplaced(w) {
 			s.endDoubts(w)
 		}
 	}
@@ -72,3 +72,9 @@
 	v := f.vms[f.byWorker[w.id]]
 	return v != nil && (v.State == VMUp || f.mayBeUnread(v.Name))
 }
+
+// hasReplaced reports whether by the last VM list another worker runs on a worker's VM, so that no later incarnation of it does.
+func (f *fleetView) hasReplaced(w *worker) bool {
+	v := f.vms[w.vm]
+	return v != nil && v.State == VMUp && v.Worker != "" && v.Worker != w.id
+}
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -138,7 +138,7 @@
 // noteUp notes that a worker was up on its VM at uptime asked.
 func (s *Scheduler) noteUp(v VM, asked int64) {
 	if w := s.workers[v.Worker]; w != nil && v.State == VMUp {
-		w.listedUpMs = asked
+		w.listedUpMs, w.vm = asked, v.Name
 	}
 }
 
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -47,6 +47,8 @@
 	// crashed is set once it was found to have crashed or restarted, and listedDown once the VM list shows its VM down.
 	crashed    bool
 	listedDown bool
+	// vm is the name of the VM on which it was last listed; empty for none.
+	vm string
 	// listedUpMs is the uptime of the last request for the VM list that shows it up on its VM.
 	listedUpMs int64
 	capacity   batch.Resources
