Client accounts: keys in force decide whose call it is

Callers saw calls with any key, or none, accepted at deployments whose configuration names client accounts: the configuration's accounts were not read.

The configuration has accounts with key digests, weight and limit, and public queues. The leader decides each call on the state that a quorum confirms; a job belongs to the account that submitted it. Entries keep a copy of the access table, so that a call without a valid key gets 401 before its body is read, and ask the leader at most once in 250 ms for a newer one. Faults of the accounts refuse the configuration. A configuration without accounts is served as before.

--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -19,6 +19,7 @@
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/ctrl/sched"
+	"cowslipstack/internal/edge/access"
 	"cowslipstack/internal/edge/proxy"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/platform"
@@ -85,7 +86,7 @@
 		fx.Supply(settings, o, logger, logWriter),
 		fx.Provide(
 			newClock, newUptime, newLoop, newGroup, newMembership, newConnections, newReplica, newClient, newOrderExecutor, newOrderQueues, newScheduler,
-			newLocal, newProxy, newPeerHandler, newGossiper, newServer, newListeners, newDrainer, newReloader,
+			newLocal, newProxy, newGate, newPeerHandler, newGossiper, newServer, newListeners, newDrainer, newReloader,
 		),
 		fx.Invoke(start),
 	)
@@ -144,6 +145,10 @@
 	})
 }
 
-func newServer(p *proxy.Proxy, d *drainer, logger *zap.Logger) *platform.Server {
-	return platform.NewServer(platform.Options{Proxy: p, Ready: d.ready, Logger: logger})
+func newGate(p *proxy.Proxy, c clock.Clock, logger *zap.Logger) *access.Gate {
+	return access.New(access.Options{Leader: p, Clock: c, Logger: logger})
+}
+
+func newServer(p *proxy.Proxy, g *access.Gate, d *drainer, logger *zap.Logger) *platform.Server {
+	return platform.NewServer(platform.Options{Proxy: p, Access: g, Ready: d.ready, Logger: logger})
 }
--- a/internal/app/site/site_test.go
+++ b/internal/app/site/site_test.go
@@ -37,6 +37,8 @@
 // group is a system of processes on loopback addresses.
 type group struct {
 	t *testing.T
+	// key is the client account's key that calls present; empty for none.
+	key string
 	// port is the peer port; the other ports of a process follow it.
 	port    int
 	members []*member
@@ -98,6 +100,9 @@
 			g.t.Fatal(err)
 		}
 		r.Host = "queue.example"
+		if g.key != "" {
+			r.Header.Set("Authorization", "Bearer "+g.key)
+		}
 		answer, err := http.DefaultClient.Do(r)
 		if err != nil {
 			last = err.Error()
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -27,15 +27,17 @@
 	}
 	switch {
 	case c.Submit != nil:
-		s.submit(c.Submit, reply)
+		s.submit(c, reply)
 	case c.Cancel != nil:
-		s.afterSubmission(lastSegment(c.Cancel.Path), func() { s.cancel(c.Cancel, reply) })
+		s.afterSubmission(lastSegment(c.Cancel.Path), func() { s.cancel(c, reply) })
 	case c.JobState != nil:
-		s.afterSubmission(lastSegment(c.JobState.Path), func() {
-			s.replyWhenConfirmed(reply, func() batch.Reply { return s.jobState(c.JobState) })
-		})
+		s.afterSubmission(lastSegment(c.JobState.Path), func() { s.jobState(c, reply) })
 	case c.Pending != nil:
-		s.replyWhenConfirmed(reply, func() batch.Reply { return s.pendingJobs(c.Pending) })
+		s.pendingJobs(c, reply)
+	case c.ReadAccess != nil:
+		s.replyWhenConfirmed(reply, func() batch.Reply {
+			return batch.Reply{Code: batch.CodeOK, Access: s.currentConfiguration().AccessTable(c.ReadAccess.KnownVersion)}
+		})
 	case c.Heartbeat != nil:
 		s.handleHeartbeat(c.Heartbeat, arrivedMs, reply)
 	case c.Deregister != nil:
@@ -97,20 +99,29 @@
 	return &s.options.Log.Batch().State().Configuration
 }
 
-func (s *Scheduler) submit(submission *batch.Submission, reply func(batch.Reply)) {
+func (s *Scheduler) submit(c *batch.Call, reply func(batch.Reply)) {
+	submission := c.Submit
 	q, id := s.currentConfiguration().Match(submission.Host, submission.Path)
 	if q == nil {
 		s.replyNotFound(reply, submission.Host, submission.Path, "no queue has this host and path")
 		return
 	}
+	if !s.maySubmit(c, q) {
+		s.replyUnauthorized(reply, submission.Host, submission.Path)
+		return
+	}
 	job := submission.Job
-	job.ID, job.Queue, job.Pool = id, q.Key(), q.Pool
+	job.ID, job.Queue, job.Pool, job.Account = id, q.Key(), q.Pool, s.callerOf(c)
 	job.MaxAttempts, job.AcceptedMs = q.MaxAttempts, s.wallMs()
 	if err := job.Check(); err != nil {
 		s.options.Logger.Info("job_refused", zap.String("job", id), zap.String("host", submission.Host), zap.Error(err))
 		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
 		return
 	}
+	if s.conflicts(&job) {
+		s.replyConflict(reply, &job)
+		return
+	}
 	if existing := s.options.Log.Batch().Job(id); existing != nil {
 		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeOK, Phase: existing.Phase} })
 		return
@@ -119,8 +130,8 @@
 		return
 	}
 	s.proposals.pending.NewJobs = append(s.proposals.pending.NewJobs, job)
-	record := s.noteSubmitting(id)
-	s.options.Logger.Info("job_accepting", zap.String("job", id), zap.String("pool", q.Pool), zap.Int("steps", len(job.Steps)),
+	record := s.noteSubmitting(&job)
+	s.options.Logger.Info("job_accepting", zap.String("job", id), zap.String("account", job.Account), zap.String("pool", q.Pool), zap.Int("steps", len(job.Steps)),
 		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term))
 	s.replyWhenCommitted(func(r batch.Reply) {
 		reply(r)
@@ -135,9 +146,12 @@
 	s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeNotFound, Detail: detail} })
 }
 
-func (s *Scheduler) cancel(l *batch.RequestTarget, reply func(batch.Reply)) {
-	id := lastSegment(l.Path)
+func (s *Scheduler) cancel(c *batch.Call, reply func(batch.Reply)) {
+	id := lastSegment(c.Cancel.Path)
 	j := s.options.Log.Batch().Job(id)
+	if s.active && s.refuseAccess(c, c.Cancel, j, reply) {
+		return
+	}
 	if !s.active || j == nil {
 		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeGone, Detail: "no such job"} })
 		return
@@ -152,12 +166,18 @@
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK, Phase: batch.PhaseCancelled})
 }
 
-func (s *Scheduler) jobState(l *batch.RequestTarget) batch.Reply {
-	j := s.options.Log.Batch().Job(lastSegment(l.Path))
-	if j == nil {
-		return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}
+func (s *Scheduler) jobState(c *batch.Call, reply func(batch.Reply)) {
+	id := lastSegment(c.JobState.Path)
+	if s.active && s.refuseAccess(c, c.JobState, s.options.Log.Batch().Job(id), reply) {
+		return
 	}
-	return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
+	s.replyWhenConfirmed(reply, func() batch.Reply {
+		j := s.options.Log.Batch().Job(id)
+		if j == nil {
+			return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}
+		}
+		return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
+	})
 }
 
 // lastSegment returns what follows the last slash of a path.
@@ -165,12 +185,19 @@
 	return path[strings.LastIndexByte(path, '/')+1:]
 }
 
-func (s *Scheduler) pendingJobs(l *batch.RequestTarget) batch.Reply {
-	q, rest := s.currentConfiguration().Match(l.Host, l.Path)
-	if q == nil || rest != "" {
-		return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}
+func (s *Scheduler) pendingJobs(c *batch.Call, reply func(batch.Reply)) {
+	l := c.Pending
+	if q, rest := s.currentConfiguration().Match(l.Host, l.Path); q != nil && rest == "" && !s.maySubmit(c, q) {
+		s.replyUnauthorized(reply, l.Host, l.Path)
+		return
 	}
-	return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q)}
+	s.replyWhenConfirmed(reply, func() batch.Reply {
+		q, rest := s.currentConfiguration().Match(l.Host, l.Path)
+		if q == nil || rest != "" {
+			return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}
+		}
+		return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q)}
+	})
 }
 
 func (s *Scheduler) configure(c *batch.Configuration, reply func(batch.Reply)) {
--- a/internal/ctrl/sched/doc.go
+++ b/internal/ctrl/sched/doc.go
@@ -3,4 +3,4 @@
 // leader. All of it runs on the process's control loop.
 package sched
 
-//go:generate go tool -modfile=../../../tools/go.mod stringer -type=OrderKind,OrderCode,VMState,crashExcuse,unfitReason -linecomment -output=enums_gen.go
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=OrderKind,OrderCode,VMState,crashExcuse,unfitReason,access -linecomment -output=enums_gen.go
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -23,6 +23,7 @@
 	// givenUpRunningTotal counts the attempts that workers list after they were given up.
 	givenUpRunningTotal = metrics.NewCounter("cowslip_given_up_attempts_running_total")
 	commandsLostTotal   = metrics.NewCounter("cowslip_records_lost_total")
+	unauthorizedTotal   = metrics.NewCounter("cowslip_calls_unauthorized_total")
 )
 
 // countEnd counts an attempt's end by its kind.
--- a/internal/ctrl/sched/parse_test.go
+++ b/internal/ctrl/sched/parse_test.go
@@ -26,9 +26,49 @@
 	if added := stringArg(d, "add_pool", ""); added != "" {
 		c.Pools = append(c.Pools, batch.Pool{Name: added, AdmissionCheck: true})
 	}
+	if stringArg(d, "public_queue", "") != "" {
+		c.Queues = append(c.Queues, batch.Queue{Host: "h", Prefix: "/public/", Pool: pool, MaxAttempts: 2, SlackFactor: 2, TimeoutMs: 3000, Public: true})
+	}
+	c.Accounts = parseAccounts(t, d)
+	c.RequiresKeys = len(c.Accounts) > 0 || stringArg(d, "requires_keys", "") != ""
 	return c
 }
 
+// parseAccounts reads client accounts: one per line, such as "account a keys=k1,k2 weight=2 cpu=4000".
+func parseAccounts(t *testing.T, d *datadriven.TestData) []batch.Account {
+	t.Helper()
+	var all []batch.Account
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		a := batch.Account{Name: strings.Trim(fields[1], `"`), Weight: 1}
+		for _, pair := range fields[2:] {
+			key, value, _ := strings.Cut(pair, "=")
+			n, _ := strconv.ParseFloat(value, 64)
+			switch key {
+			case "keys":
+				for _, k := range strings.Split(value, ",") {
+					a.Keys = append(a.Keys, batch.DigestOf(k))
+				}
+			case "weight":
+				a.Weight = n
+			case "cpu":
+				a.Limit.CPUMilli = int64(n)
+			case "memory":
+				a.Limit.MemoryMB = int64(n)
+			case "accelerators":
+				a.Limit.Accelerators = int64(n)
+			default:
+				t.Fatalf("%s: unknown key %s", d.Pos, key)
+			}
+		}
+		all = append(all, a)
+	}
+	return all
+}
+
 // parseJob reads a job: one step per line, as key=value pairs.
 func parseJob(t *testing.T, d *datadriven.TestData) batch.Job {
 	t.Helper()
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/ctrl/acct"
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/model/record"
@@ -80,6 +81,8 @@
 	// stopping holds, by task, the attempt of a long-running task that is being stopped to restart on another VM.
 	stopping map[batch.TaskID]int
 
+	// accounts are the client accounts of the configuration in force.
+	accounts *acct.Accounts
 	// submitting holds, by identity, the new jobs whose record is proposed and not yet applied.
 	submitting map[string]*jobRecord
 
@@ -131,7 +134,7 @@
 	s.stopping, s.abandoned = map[batch.TaskID]int{}, map[batch.TaskID]int{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
-	s.crashedMs, s.submitting = map[string]int64{}, map[string]*jobRecord{}
+	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New()
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -123,20 +123,22 @@
 	switch d.Cmd {
 	case "configure":
 		h.call("configure", &batch.Call{Configure: parseConfiguration(t, d)})
+	case "read-access":
+		h.readAccess(t, d)
 	case "read-configuration":
 		h.call("configuration", &batch.Call{ReadConfiguration: true})
 	case "submit":
-		h.call("submit", &batch.Call{Submit: &batch.Submission{
-			Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a")), Job: parseJob(t, d),
-		}})
+		h.call("submit", &batch.Call{Credential: credential(d), Submit: &batch.Submission{Host: "h", Path: jobPath(d), Job: parseJob(t, d)}})
 	case "cancel":
-		h.call("cancel", &batch.Call{Cancel: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
+		h.call("cancel", &batch.Call{
+			Credential: credential(d), Operator: stringArg(d, "operator", "") != "", Cancel: &batch.RequestTarget{Host: "h", Path: jobPath(d)},
+		})
 	case "state":
-		h.call("state", &batch.Call{JobState: &batch.RequestTarget{Host: "h", Path: "/q/" + jobID(stringArg(d, "job", "a"))}})
+		h.call("state", &batch.Call{Credential: credential(d), JobState: &batch.RequestTarget{Host: "h", Path: jobPath(d)}})
 	case "queue-delay":
 		h.queuedMs = intArg(t, d, "ms", 0)
 	case "count-waiting":
-		h.countWaiting()
+		h.countWaiting(d)
 	case "heartbeat":
 		h.sendHeartbeat(t, d)
 	case "leave":
@@ -190,9 +192,35 @@
 	}
 }
 
+// readAccess asks for the access table.
+func (h *harness) readAccess(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	known := uint64(intArg(t, d, "known", 0))
+	h.scheduler.Call(&batch.Call{ReadAccess: &batch.AccessRequest{KnownVersion: known}}, h.uptime.ms, func(r batch.Reply) {
+		if r.Access == nil {
+			h.replies = append(h.replies, describe(r))
+			return
+		}
+		h.replies = append(h.replies, fmt.Sprintf("version %d, requires keys %t, %d keys, public %v, unchanged %t",
+			r.Access.Version, r.Access.RequiresKeys, len(r.Access.Keys), r.Access.Public, r.Access.Unchanged))
+	})
+	h.log.commitAll()
+}
+
+// credential returns the digest of the key that a command presents.
+func credential(d *datadriven.TestData) batch.KeyDigest {
+	return batch.DigestOf(stringArg(d, "key", ""))
+}
+
+// jobPath returns the path of the job that a command names.
+func jobPath(d *datadriven.TestData) string {
+	return stringArg(d, "queue", "/q/") + jobID(stringArg(d, "job", "a"))
+}
+
 // countWaiting asks how many jobs of the queue wait.
-func (h *harness) countWaiting() {
-	h.scheduler.Call(&batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: "/q/"}}, h.uptime.ms-h.queuedMs, func(r batch.Reply) {
+func (h *harness) countWaiting(d *datadriven.TestData) {
+	c := &batch.Call{Credential: credential(d), Pending: &batch.RequestTarget{Host: "h", Path: stringArg(d, "queue", "/q/")}}
+	h.scheduler.Call(c, h.uptime.ms-h.queuedMs, func(r batch.Reply) {
 		h.replies = append(h.replies, fmt.Sprintf("%s; %d jobs wait", r.Code, r.Pending))
 	})
 	h.log.commitAll()
--- a/internal/ctrl/sched/submitting.go
+++ b/internal/ctrl/sched/submitting.go
@@ -1,19 +1,23 @@
 package sched
 
+import "cowslipstack/internal/model/batch"
+
 // jobRecord is the record of a new job that is proposed and not yet applied.
 type jobRecord struct {
 	// calls counts the submissions that wait for it.
 	calls int
+	// account is the client account of the job.
+	account string
 	// after are called once the record is applied or lost.
 	after []func()
 }
 
 // noteSubmitting counts a submission of a job whose record is about to be proposed.
-func (s *Scheduler) noteSubmitting(id string) *jobRecord {
-	record := s.submitting[id]
+func (s *Scheduler) noteSubmitting(job *batch.Job) *jobRecord {
+	record := s.submitting[job.ID]
 	if record == nil {
-		record = &jobRecord{}
-		s.submitting[id] = record
+		record = &jobRecord{account: job.Account}
+		s.submitting[job.ID] = record
 	}
 	record.calls++
 	return record
--- /dev/null
+++ b/internal/edge/access/gate.go
@@ -0,0 +1,139 @@
+package access
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/model/batch"
+)
+
+// Leader makes calls on the leader.
+type Leader interface {
+	// Do makes a call; the code of the reply tells whether it succeeded.
+	Do(ctx context.Context, c *batch.Call) batch.Reply
+}
+
+// Options configures a Gate; all fields are required.
+type Options struct {
+	// Leader tells the access table in force.
+	Leader Leader
+	// Clock measures the age of the table.
+	Clock clock.Clock
+	// Logger receives each new table.
+	Logger *zap.Logger
+}
+
+// Gate decides which calls of callers are read; its methods are safe for concurrent use.
+type Gate struct {
+	options Options
+	table   atomic.Pointer[table]
+
+	mu sync.Mutex
+	// asking is the request to the leader that is in progress, nil if there is none.
+	asking *request
+	// confirmed is when the last request that succeeded was made.
+	confirmed time.Time
+}
+
+// request is one request for the table; done is closed once reply is set.
+type request struct {
+	done  chan struct{}
+	reply batch.Reply
+}
+
+// New returns a gate without a table; it starts no goroutine.
+func New(o Options) *Gate {
+	return &Gate{options: o}
+}
+
+// minInterval is the least time between two requests for the table. A call without a valid key makes the gate ask, so it
+// bounds what such calls cost the leader. It is a tenth of the time in which a new key has to work.
+const minInterval = 250 * time.Millisecond
+
+var (
+	tablesTotal  = metrics.NewCounter("cowslip_access_tables_total")
+	refusedTotal = metrics.NewCounter("cowslip_access_refused_total")
+)
+
+// Admit returns a reply with CodeOK if a call with a credential may be read. Otherwise the reply is the answer to the call:
+// the table in force has no such key, or it can't be told which one is in force.
+func (g *Gate) Admit(ctx context.Context, credential batch.KeyDigest, target *batch.RequestTarget) batch.Reply {
+	if t := g.table.Load(); t != nil && t.admits(credential, target) {
+		return batch.Reply{Code: batch.CodeOK}
+	}
+	if reply := g.refresh(ctx); reply.Code != batch.CodeOK {
+		return reply
+	}
+	if g.table.Load().admits(credential, target) {
+		return batch.Reply{Code: batch.CodeOK}
+	}
+	refusedTotal.Inc()
+	return batch.Reply{Code: batch.CodeUnauthorized, Detail: "the call needs a key of a client account"}
+}
+
+// refresh makes sure that the table was confirmed at most minInterval ago. Calls that need it at the same time share a
+// request.
+func (g *Gate) refresh(ctx context.Context) batch.Reply {
+	g.mu.Lock()
+	r := g.asking
+	switch {
+	case r != nil:
+	case g.table.Load() != nil && g.options.Clock.Now().Sub(g.confirmed) < minInterval:
+		g.mu.Unlock()
+		return batch.Reply{Code: batch.CodeOK}
+	default:
+		r = &request{done: make(chan struct{})}
+		g.asking = r
+		g.mu.Unlock()
+		// Other calls wait for the reply, so it doesn't end with this one.
+		g.ask(context.WithoutCancel(ctx), r)
+		return r.reply
+	}
+	g.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.reply
+	case <-ctx.Done():
+		return batch.Reply{Code: batch.CodeNotRun, Detail: "the access table was not read in time"}
+	}
+}
+
+// ask asks the leader for the table and takes it over.
+func (g *Gate) ask(ctx context.Context, r *request) {
+	known := g.table.Load()
+	asked := g.options.Clock.Now()
+	c := &batch.Call{ReadAccess: &batch.AccessRequest{}}
+	if known != nil {
+		c.ReadAccess.KnownVersion = known.version
+	}
+	r.reply = g.options.Leader.Do(ctx, c)
+	if r.reply.Code == batch.CodeInvalid {
+		// A leader of a former version, which has no accounts, doesn't know the call.
+		r.reply = batch.Reply{Code: batch.CodeOK, Access: &batch.AccessTable{}}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.reply.Code == batch.CodeOK {
+		g.confirmed = asked
+		g.take(known, r.reply.Access)
+	}
+	g.asking = nil
+	close(r.done)
+}
+
+// take replaces the known table unless the leader's is the same.
+func (g *Gate) take(known *table, t *batch.AccessTable) {
+	if known != nil && t.Unchanged {
+		return
+	}
+	g.table.Store(newTable(t))
+	tablesTotal.Inc()
+	g.options.Logger.Info("access_table_read", zap.Uint64("configuration", t.Version), zap.Bool("requires_keys", t.RequiresKeys),
+		zap.Int("keys", len(t.Keys)), zap.Int("public_queues", len(t.Public)))
+}
--- a/internal/edge/proxy/describe.go
+++ b/internal/edge/proxy/describe.go
@@ -25,6 +25,8 @@
 		return "start_wave"
 	case c.Inspect != nil:
 		return "inspect"
+	case c.ReadAccess != nil:
+		return "read_access"
 	default:
 		return "wave_state"
 	}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -153,10 +153,16 @@
 // settle returns the reply to a call of which an earlier attempt may have run. A submission that is refused for good by now, such
 // as since its queue was removed, was accepted if the leader holds the job; its outcome is unknown if that can't be told.
 func (p *Proxy) settle(ctx context.Context, c *batch.Call, reply batch.Reply) batch.Reply {
+	if c.Submit != nil && reply.Code == batch.CodeUnauthorized {
+		// The key was withdrawn since: the state of the job can't be asked for with it any more.
+		return batch.Reply{Code: batch.CodeUnknown, Detail: reply.Detail}
+	}
 	if c.Submit == nil || reply.Code != batch.CodeNotFound && reply.Code != batch.CodeInvalid {
 		return reply
 	}
-	state, _ := p.attempt(ctx, &batch.Call{JobState: &batch.RequestTarget{Host: c.Submit.Host, Path: c.Submit.Path}})
+	state, _ := p.attempt(ctx, &batch.Call{
+		Credential: c.Credential, JobState: &batch.RequestTarget{Host: c.Submit.Host, Path: c.Submit.Path},
+	})
 	p.options.Logger.Info("submission_settled", zap.String("subject", subject(c)), zap.Stringer("refusal", reply.Code),
 		zap.String("cause", reply.Detail), zap.Stringer("state", state.Code), zap.Uint64("term", p.options.Tracker.Leader().Term))
 	switch state.Code {
--- a/internal/model/batch/call.go
+++ b/internal/model/batch/call.go
@@ -22,10 +22,20 @@
 	// CodeRefused means that a job was not accepted because it can't be finished in time; its caller may come back after
 	// Reply.RetryAfterMs.
 	CodeRefused // refused
+	// CodeUnauthorized means that the call needs a key of a client account and has none that is valid; nothing was done.
+	CodeUnauthorized // unauthorized
+	// CodeConflict means that another account's job has the identity of a job that was submitted; nothing was done.
+	CodeConflict // conflict
 )
 
-// Call is one call on the leader; exactly one field is set.
+// Call is one call on the leader; exactly one field is set, besides Credential and Operator.
 type Call struct {
+	// Credential is the digest of the key that the caller presented; the zero value stands for none.
+	Credential KeyDigest
+	// Operator means that an operator makes the call, who needs no key.
+	Operator bool
+	// ReadAccess asks for the access table.
+	ReadAccess *AccessRequest
 	// Submit submits a job.
 	Submit *Submission
 	// Cancel cancels a job.
@@ -102,4 +112,6 @@
 	Complete bool
 	// Inspection answers an Inspect call; nil for other calls.
 	Inspection *Inspection
+	// Access answers a ReadAccess call; nil for other calls.
+	Access *AccessTable
 }
--- a/internal/model/batch/configuration.go
+++ b/internal/model/batch/configuration.go
@@ -14,6 +14,10 @@
 	Queues []Queue
 	// Pools are the pools of workers; their names are unique.
 	Pools []Pool
+	// RequiresKeys means that callers of queues that aren't public need a key of an account.
+	RequiresKeys bool
+	// Accounts are the client accounts; their names are unique, and no two have the same key.
+	Accounts []Account
 	// Text is the configuration as the operator sent it.
 	Text []byte
 }
@@ -38,6 +42,8 @@
 	TimeoutMs int64
 	// RequiresPermit means that a worker needs a permit from the queue's policy to run a step.
 	RequiresPermit bool
+	// Public means that callers need no key.
+	Public bool
 }
 
 // Pool is a set of workers that run the same service.
@@ -125,5 +131,5 @@
 		}
 		keys[q.Key()] = true
 	}
-	return nil
+	return c.checkAccounts()
 }
--- a/internal/model/batch/enums_gen.go
+++ b/internal/model/batch/enums_gen.go
@@ -63,11 +63,13 @@
 	_ = x[CodeUnknown-6]
 	_ = x[CodeOverloaded-7]
 	_ = x[CodeRefused-8]
+	_ = x[CodeUnauthorized-9]
+	_ = x[CodeConflict-10]
 }
 
-const _Code_name = "oknot_foundgoneinvalidnot_rununknownoverloadedrefused"
+const _Code_name = "oknot_foundgoneinvalidnot_rununknownoverloadedrefusedunauthorizedconflict"
 
-var _Code_index = [...]uint8{0, 2, 11, 15, 22, 29, 36, 46, 53}
+var _Code_index = [...]uint8{0, 2, 11, 15, 22, 29, 36, 46, 53, 65, 73}
 
 func (i Code) String() string {
 	idx := int(i) - 1
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -82,6 +82,8 @@
 	MaxAttempts int
 	// AcceptedMs is when the leader accepted the job, in Unix milliseconds.
 	AcceptedMs int64
+	// Account is the name of the client account that submitted the job; empty for none.
+	Account string
 }
 
 const (
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -87,32 +87,39 @@
 
 // ConfigurationToWire encodes a batch configuration as a message.
 func ConfigurationToWire(c *batch.Configuration) *peer.BatchConfiguration {
-	w := &peer.BatchConfiguration{Version: c.Version, Text: c.Text}
+	w := &peer.BatchConfiguration{Version: c.Version, Text: c.Text, RequiresKeys: c.RequiresKeys}
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &peer.BatchQueue{
 			Host: q.Host, Prefix: q.Prefix, Pool: q.Pool, Priority: intToWire(q.Priority), MaxAttempts: intToWire(q.MaxAttempts),
 			SlackFactor: q.SlackFactor, TargetLatencyMs: q.TargetLatencyMs, TimeoutMs: q.TimeoutMs, Advised: q.RequiresPermit,
+			Public: q.Public,
 		})
 	}
 	for _, p := range c.Pools {
 		w.Pools = append(w.Pools, &peer.BatchPool{Name: p.Name, Guarded: p.AdmissionCheck, Standby: p.Standby})
 	}
+	for i := range c.Accounts {
+		w.Accounts = append(w.Accounts, accountToWire(&c.Accounts[i]))
+	}
 	return w
 }
 
 // ConfigurationFromWire decodes a batch configuration from a message.
 func ConfigurationFromWire(w *peer.BatchConfiguration) *batch.Configuration {
-	c := &batch.Configuration{Version: w.GetVersion(), Text: w.GetText()}
+	c := &batch.Configuration{Version: w.GetVersion(), Text: w.GetText(), RequiresKeys: w.GetRequiresKeys()}
 	for _, q := range w.GetQueues() {
 		c.Queues = append(c.Queues, batch.Queue{
 			Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: q.GetPool(), Priority: int(q.GetPriority()),
 			MaxAttempts: int(q.GetMaxAttempts()), SlackFactor: q.GetSlackFactor(), TargetLatencyMs: q.GetTargetLatencyMs(),
-			TimeoutMs: q.GetTimeoutMs(), RequiresPermit: q.GetAdvised(),
+			TimeoutMs: q.GetTimeoutMs(), RequiresPermit: q.GetAdvised(), Public: q.GetPublic(),
 		})
 	}
 	for _, p := range w.GetPools() {
 		c.Pools = append(c.Pools, batch.Pool{Name: p.GetName(), AdmissionCheck: p.GetGuarded(), Standby: p.GetStandby()})
 	}
+	for _, a := range w.GetAccounts() {
+		c.Accounts = append(c.Accounts, accountFromWire(a))
+	}
 	return c
 }
 
@@ -120,6 +127,7 @@
 	w := &peer.BatchJob{
 		Id: j.ID, Host: j.Queue.Host, Prefix: j.Queue.Prefix, Pool: j.Pool, Text: j.Text, Times: intToWire(j.RunCount),
 		FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, MaxAttempts: intToWire(j.MaxAttempts),
+		Account: j.Account,
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -142,7 +150,7 @@
 	j := batch.Job{
 		ID: w.GetId(), Queue: batch.QueueKey{Host: w.GetHost(), Prefix: w.GetPrefix()}, Pool: w.GetPool(), Text: w.GetText(),
 		RunCount: int(w.GetTimes()), FirstDueMs: w.GetFirstDueMs(), IntervalMs: w.GetIntervalMs(),
-		AcceptedMs: w.GetAcceptedMs(), MaxAttempts: int(w.GetMaxAttempts()),
+		AcceptedMs: w.GetAcceptedMs(), MaxAttempts: int(w.GetMaxAttempts()), Account: w.GetAccount(),
 	}
 	for _, s := range w.GetSteps() {
 		step := batch.Step{
--- a/internal/wire/codec/call.go
+++ b/internal/wire/codec/call.go
@@ -7,7 +7,13 @@
 
 // CallToWire encodes a call on the leader as a message.
 func CallToWire(c *batch.Call) *peer.LinkCall {
-	w := &peer.LinkCall{ReadConfiguration: c.ReadConfiguration, WaveState: c.WaveState, Inspect: InspectRequestToWire(c.Inspect)}
+	w := &peer.LinkCall{
+		ReadConfiguration: c.ReadConfiguration, WaveState: c.WaveState, Inspect: InspectRequestToWire(c.Inspect),
+		Credential: digestToWire(c.Credential), Operator: c.Operator,
+	}
+	if c.ReadAccess != nil {
+		w.ReadAccess = &peer.LinkReadAccess{KnownVersion: c.ReadAccess.KnownVersion}
+	}
 	if c.Submit != nil {
 		w.Submit = batchJobToWire(&c.Submit.Job)
 		w.SubmitTo = &peer.LinkLookup{Host: c.Submit.Host, Path: c.Submit.Path}
@@ -30,7 +36,13 @@
 
 // CallFromWire decodes a call from a message.
 func CallFromWire(w *peer.LinkCall) *batch.Call {
-	c := &batch.Call{ReadConfiguration: w.GetReadConfiguration(), WaveState: w.GetWaveState(), Inspect: InspectRequestFromWire(w.GetInspect())}
+	c := &batch.Call{
+		ReadConfiguration: w.GetReadConfiguration(), WaveState: w.GetWaveState(), Inspect: InspectRequestFromWire(w.GetInspect()),
+		Credential: digestFromWire(w.GetCredential()), Operator: w.GetOperator(),
+	}
+	if r := w.GetReadAccess(); r != nil {
+		c.ReadAccess = &batch.AccessRequest{KnownVersion: r.GetKnownVersion()}
+	}
 	if w.GetSubmit() != nil {
 		c.Submit = &batch.Submission{Host: w.GetSubmitTo().GetHost(), Path: w.GetSubmitTo().GetPath(), Job: batchJobFromWire(w.GetSubmit())}
 	}
@@ -114,7 +126,7 @@
 func ReplyToWire(r *batch.Reply) *peer.LinkReply {
 	w := &peer.LinkReply{
 		Code: uint32(r.Code), Detail: r.Detail, Phase: uint32(r.Phase), Pending: int64(r.Pending), Text: r.Text,
-		Complete: r.Complete, Inspection: InspectionToWire(r.Inspection), RetryAfterMs: r.RetryAfterMs,
+		Complete: r.Complete, Inspection: InspectionToWire(r.Inspection), RetryAfterMs: r.RetryAfterMs, Access: accessToWire(r.Access),
 	}
 	o := &r.Orders
 	w.Orders = &peer.LinkOrders{
@@ -142,7 +154,7 @@
 	r := batch.Reply{
 		Code: batch.Code(w.GetCode()), Detail: w.GetDetail(), Phase: batch.Phase(w.GetPhase()), Pending: int(w.GetPending()),
 		Text: w.GetText(), Complete: w.GetComplete(), Inspection: InspectionFromWire(w.GetInspection()),
-		RetryAfterMs: w.GetRetryAfterMs(),
+		RetryAfterMs: w.GetRetryAfterMs(), Access: accessFromWire(w.GetAccess()),
 		Orders: batch.Orders{
 			LeaseMs: o.GetLeaseMs(), Acknowledged: o.GetAcknowledged(), FencingToken: o.GetFencingToken(), NextHeartbeatMs: o.GetNextMs(),
 			Leader: o.GetLeader(),
--- a/internal/wire/serve/batch.go
+++ b/internal/wire/serve/batch.go
@@ -44,7 +44,7 @@
 	if !batch.ValidID(r.Msg.GetJob()) {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Newf("%q is no job's identity", r.Msg.GetJob()))
 	}
-	reply := s.Proxy.Do(ctx, &batch.Call{Cancel: &batch.RequestTarget{Path: "/" + r.Msg.GetJob()}})
+	reply := s.Proxy.Do(ctx, &batch.Call{Operator: true, Cancel: &batch.RequestTarget{Path: "/" + r.Msg.GetJob()}})
 	if err := replyError(reply); err != nil {
 		return nil, err
 	}
