Client accounts: limits on what an account has running

The replicated state sums what each account's committed attempts need; ctrl/acct adds the starts that are proposed, the members of planned gangs and the attempts that were given up and are still listed. A start, or a gang's plan, that would bring the sum above the limit isn't made. A task that waits for its account's limit is no demand for VMs. The log, the metrics and cowslip batch job tell which account is at its limit.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -94,6 +94,7 @@
 		Number: start.Attempt, Worker: start.Worker, Incarnation: start.Incarnation, Sequence: start.Sequence,
 	})
 	j.LiveAttempts++
+	m.reserve(j, start.Task)
 	m.indexAttempt(start.Worker, start.Task)
 	m.markChanged(start.Task.Job)
 }
@@ -145,6 +146,7 @@
 func (m *StateMachine) removeAttempt(j *Job, t *Task, id batch.TaskID, a Attempt) {
 	t.Attempts = slices.DeleteFunc(t.Attempts, func(r Attempt) bool { return r.Number == a.Number })
 	j.LiveAttempts--
+	m.release(j, id)
 	if !slices.ContainsFunc(t.Attempts, func(r Attempt) bool { return r.Worker == a.Worker }) {
 		m.unindexAttempt(a.Worker, id)
 	}
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -104,6 +104,8 @@
 	state State
 	// jobs are the jobs of the state, by identity.
 	jobs map[string]*Job
+	// reserved is what the attempts of each account's jobs need.
+	reserved map[string]batch.Resources
 	// tasksByWorker are the tasks with attempts on each worker.
 	tasksByWorker map[string]map[batch.TaskID]struct{}
 	// ended are the identities of ended jobs, by time of end.
@@ -134,6 +136,7 @@
 	}
 	m.jobs = make(map[string]*Job, len(s.Jobs))
 	m.state, m.tasksByWorker, m.ended, m.changed = s, map[string]map[batch.TaskID]struct{}{}, nil, nil
+	m.reserved = map[string]batch.Resources{}
 	for id, r := range s.Jobs {
 		j := &Job{JobRecord: r}
 		j.derive()
@@ -144,6 +147,7 @@
 		for index := range j.Tasks {
 			for _, r := range j.Tasks[index].Attempts {
 				m.indexAttempt(r.Worker, j.TaskID(index))
+				m.reserve(j, j.TaskID(index))
 			}
 		}
 	}
@@ -159,6 +163,30 @@
 	})
 }
 
+// Reserved returns what the attempts of an account's jobs that may be running need, over all workers.
+func (m *StateMachine) Reserved(account string) batch.Resources {
+	return m.reserved[account]
+}
+
+func (m *StateMachine) reserve(j *Job, id batch.TaskID) {
+	if account := j.Spec.Account; account != "" {
+		m.reserved[account] = m.reserved[account].Add(j.Spec.Steps[id.Step].Need)
+	}
+}
+
+func (m *StateMachine) release(j *Job, id batch.TaskID) {
+	account := j.Spec.Account
+	if account == "" {
+		return
+	}
+	left := m.reserved[account].Sub(j.Spec.Steps[id.Step].Need)
+	if left == (batch.Resources{}) {
+		delete(m.reserved, account)
+		return
+	}
+	m.reserved[account] = left
+}
+
 // TasksOn returns the tasks with attempts that may be running on a worker; the map must not be changed.
 func (m *StateMachine) TasksOn(worker string) map[batch.TaskID]struct{} {
 	return m.tasksByWorker[worker]
--- a/internal/ctrl/sched/abandoned.go
+++ b/internal/ctrl/sched/abandoned.go
@@ -12,6 +12,9 @@
 		s.abandoned[id]++
 	}
 	w.abandoned[id] = attempt
+	if j, t := s.findTask(id); t != nil {
+		s.accounts.Abandon(id, w.id, j.Spec.Account, j.Spec.Steps[id.Step].Need)
+	}
 	// It runs on a lease that may be of a former leader.
 	w.leaseEndMs = max(w.leaseEndMs, s.now()+withClockDrift(s.workerLeaseMs()))
 }
@@ -38,6 +41,7 @@
 
 func (s *Scheduler) release(w *worker, id batch.TaskID) {
 	delete(w.abandoned, id)
+	s.accounts.Release(id, w.id)
 	if s.abandoned[id]--; s.abandoned[id] <= 0 {
 		delete(s.abandoned, id)
 	}
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -165,6 +165,7 @@
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandoned[id] == 0 {
 			ticket, ok := s.mayRunStep(w, job, id, now)
+			ok = ok && s.mayHoldMore(job.state, id, 1)
 			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
 				allowed = key
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
@@ -182,7 +183,7 @@
 
 // mayRun reports whether a worker may run a task now, and with which ticket.
 func (s *Scheduler) mayRun(w *worker, job *activeJob, id batch.TaskID, now int64) (ticket string, ok bool) {
-	if s.abandoned[id] > 0 {
+	if s.abandoned[id] > 0 || !s.mayHoldMore(job.state, id, 1) {
 		return "", false
 	}
 	return s.mayRunStep(w, job, id, now)
@@ -244,6 +245,7 @@
 		number = s.gangs[stepOf(id)].attempt
 	}
 	w.free = w.free.Sub(step.ReservedResources())
+	s.accounts.Propose(id, j.Spec.Account, step.Need)
 	s.starting[id] = true
 	s.startingWorker[id] = w.id
 	w.starting++
--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -173,6 +173,7 @@
 		if w := s.workers[s.startingWorker[start.Task]]; w != nil {
 			w.starting = max(0, w.starting-1)
 		}
+		s.accounts.Settle(start.Task)
 		delete(s.starting, start.Task)
 		delete(s.startingWorker, start.Task)
 	}
--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -29,13 +29,22 @@
 	// plannedMs is the uptime at which the plan was made.
 	plannedMs int64
 	need      batch.Resources
+	// account is the client account of the job, and charged what each member counts for it.
+	account string
+	charged batch.Resources
+}
+
+// dropGangPlan drops the plan of a gang, with the members that weren't ordered.
+func (s *Scheduler) dropGangPlan(key stepKey, g *gangPlan) {
+	s.accounts.Unplan(g.account, g.charged, len(g.workers))
+	delete(s.gangs, key)
 }
 
 // planGangs plans gangs that could start, and drops plans that weren't carried out in time.
 func (s *Scheduler) planGangs(now int64) {
 	for key, g := range s.gangs {
 		if len(g.workers) == 0 || now-g.plannedMs > s.options.PlatformLimits.GangMs/2 || s.jobs[key.job] == nil {
-			delete(s.gangs, key)
+			s.dropGangPlan(key, g)
 		}
 	}
 	rooms := map[string]*poolRoom{}
@@ -69,6 +78,9 @@
 		return false
 	}
 	step, pool := &j.Spec.Steps[stepIndex], s.poolOf(j)
+	if !s.mayHoldMore(j, batch.TaskID{Step: stepIndex}, step.Count) {
+		return false
+	}
 	if rooms[pool] == nil {
 		rooms[pool] = s.roomOf(pool, now)
 	}
@@ -77,12 +89,13 @@
 	}
 	g := &gangPlan{
 		attempt: attempt, workers: map[batch.TaskID]string{}, tickets: map[batch.TaskID]string{}, plannedMs: now,
-		need: step.ReservedResources(),
+		need: step.ReservedResources(), account: j.Spec.Account, charged: step.Need,
 	}
 	if !s.placeGang(j, occurrence, stepIndex, g, rooms[pool], now) {
 		return false
 	}
 	s.gangs[key] = g
+	s.accounts.Plan(g.account, g.charged, len(g.workers))
 	s.options.Logger.Info("gang_planned", zap.String("job", j.Spec.ID), zap.Int("step", stepIndex), zap.Int("attempt", g.attempt),
 		zap.Int("members", step.Count))
 	return true
@@ -171,6 +184,7 @@
 				continue
 			}
 			delete(g.workers, id)
+			s.accounts.Unplan(g.account, g.charged, 1)
 			orders = append(orders, s.startAttempt(w, j, id, g.tickets[id], sequence))
 		}
 	}
--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -140,6 +140,9 @@
 	if !j.StepOpen(occurrence, stepIndex) {
 		return fmt.Sprintf("for steps %v", step.After)
 	}
+	if !s.mayHoldMore(j, batch.TaskID{Step: stepIndex}, 1) {
+		return fmt.Sprintf("for the limit of the account %s", j.Spec.Account)
+	}
 	need := step.ReservedResources()
 	usable, labelled, capable, fitting, mostFree := 0, 0, 0, 0, batch.Resources{}
 	for _, w := range s.workers {
--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -66,10 +66,10 @@
 func (s *Scheduler) poolInputs(now int64) []pools.Pool {
 	c := s.currentConfiguration()
 	all := make([]pools.Pool, 0, len(c.Pools))
-	index := map[string]int{}
+	index, limited := map[string]int{}, s.limitedDemand()
 	for _, p := range c.Pools {
 		index[p.Name] = len(all)
-		all = append(all, s.demandOf(p))
+		all = append(all, s.demandOf(p, limited))
 	}
 	// A pool without VMs is sized with the VM size of another pool.
 	var fallbackVM pools.Resources
@@ -106,20 +106,20 @@
 	return all
 }
 
-// demandOf returns a pool without VMs, and what its jobs need.
-func (s *Scheduler) demandOf(p batch.Pool) pools.Pool {
+// demandOf returns a pool without VMs, and what its jobs need as far as their accounts' limits allow.
+func (s *Scheduler) demandOf(p batch.Pool, limited *limitedDemand) pools.Pool {
 	input := pools.Pool{Name: p.Name, Standby: p.Standby}
 	wallMs := s.wallMs()
 	for _, job := range s.queueOf(p.Name).jobs {
 		input.MinVMs = max(input.MinVMs, job.minVMs)
 		switch {
 		case s.isLate(job, wallMs):
-			input.Late = input.Late.Add(job.demand())
+			input.Late = input.Late.Add(limited.part(job))
 			continue
 		case job.item.LongRunning:
-			input.LongRunning = input.LongRunning.Add(job.demand().Total())
+			input.LongRunning = input.LongRunning.Add(limited.part(job).Total())
 		}
-		input.InTime = input.InTime.Add(job.demand())
+		input.InTime = input.InTime.Add(limited.part(job))
 	}
 	return input
 }
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -115,6 +115,8 @@
 	// countedPools are the pools whose waiting jobs were last counted for the metrics, at the uptime waitingCountedMs.
 	countedPools     []string
 	waitingCountedMs int64
+	// countedAccounts are the accounts that the metrics were last set for.
+	countedAccounts []string
 }
 
 // New returns a scheduler that is inactive until its process leads.
@@ -127,6 +129,8 @@
 func (s *Scheduler) reset() {
 	clearWaitingGauges(s.countedPools)
 	s.countedPools = nil
+	clearAccountGauges(s.countedAccounts)
+	s.countedAccounts = nil
 	s.active, s.formerStopsUntilMs = false, 0
 	s.workers, s.workerByAddress = map[string]*worker{}, map[string]string{}
 	s.queues, s.jobs = map[string]*poolQueue{}, map[string]*activeJob{}
@@ -134,7 +138,7 @@
 	s.stopping, s.abandoned = map[batch.TaskID]int{}, map[batch.TaskID]int{}
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
-	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New()
+	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New(s.options.Log.Batch())
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -99,6 +99,7 @@
 		s.countedPools = append(s.countedPools, p.Name)
 	}
 	clearWaitingGauges(slices.DeleteFunc(former, func(pool string) bool { return slices.Contains(s.countedPools, pool) }))
+	s.observeAccounts(wallMs)
 	s.logUnplaced(now)
 }
 
--- a/internal/model/batch/resources.go
+++ b/internal/model/batch/resources.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// Times returns n times c.
+func (c Resources) Times(n int) Resources {
+	return Resources{CPUMilli: c.CPUMilli * int64(n), MemoryMB: c.MemoryMB * int64(n), Accelerators: c.Accelerators * int64(n)}
+}
+
 // Sub returns c minus need; dimensions may become negative.
 func (c Resources) Sub(need Resources) Resources {
 	return Resources{
