--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -120,8 +120,7 @@
 	}
 	s.proposals.pending.NewJobs = append(s.proposals.pending.NewJobs, job)
 	record := s.noteSubmitting(id)
-	s.options.Logger.Info("job_accepting", zap.String("job", id), zap.String("pool", q.Pool), zap.Int("steps", len(job.Steps)),
-		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term))
+	s.logAccepting(&job)
 	s.replyWhenCommitted(func(r batch.Reply) {
 		reply(r)
 		s.endSubmitting(id, record)
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -103,6 +103,7 @@
 	}
 	if j == nil || j.Phase.IsTerminal() {
 		if old != nil {
+			s.logEnded(old)
 			s.learnWork(old)
 			s.removeJob(old)
 			delete(s.jobs, id)
--- a/internal/ctrl/sched/refusal.go
+++ b/internal/ctrl/sched/refusal.go
@@ -31,7 +31,8 @@
 	}
 	jobsRefusedTotal.Inc()
 	s.options.Logger.Info("job_refused_as_hopeless", zap.String("job", spec.ID), zap.String("pool", spec.Pool),
-		zap.Int64("work_ms", job.item.RemainingWorkMs), zap.Int64("room_ms", v.RoomMs), zap.Int64("objective_ms", job.objectiveMs),
+		queueField(spec.Queue), zap.Int64("chain_ms", job.criticalPathMs), zap.Int64("work_ms", job.item.RemainingWorkMs),
+		zap.Int64("room_ms", v.RoomMs), zap.Int64("objective_ms", job.objectiveMs),
 		zap.Int64("drain_ms", v.DrainMs), zap.Int64("retry_after_ms", v.RetryAfterMs), zap.Float64("cores", load.Cores),
 		zap.Int64("known_ms_ago", s.now()-s.fleet.plannedMs), zap.Uint64("term", s.term))
 	reply(batch.Reply{
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -81,7 +81,7 @@
 	return waiting.count()
 }
 
-// observeWaitingJobs sets the metrics of waiting jobs, by pool, and logs what tasks wait for.
+// observeWaitingJobs sets the metrics of waiting jobs, by pool, and logs what tasks wait for and the capacity.
 func (s *Scheduler) observeWaitingJobs(now int64) {
 	if now-s.waitingCountedMs < waitingIntervalMs {
 		return
@@ -100,6 +100,7 @@
 	}
 	clearWaitingGauges(slices.DeleteFunc(former, func(pool string) bool { return slices.Contains(s.countedPools, pool) }))
 	s.logUnplaced(now)
+	s.logCapacity(now)
 }
 
 // clearWaitingGauges sets the metrics of waiting jobs to 0 for pools that are configured no more or that another leader counts.
