--- a/internal/ctrl/sched/loadlog.go
+++ b/internal/ctrl/sched/loadlog.go
@@ -29,8 +29,12 @@
 }
 
 // logCapacity logs the cores of the workers that are heard, by pool, and those of the listed VMs that aren't down. The
-// latter include VMs on standby, which have no worker and which a better plan could have used.
+// latter include VMs on standby, which have no worker and which a better plan could have used. A new leader logs nothing
+// until it knows the fleet: the capacity that its predecessor logged holds until then.
 func (s *Scheduler) logCapacity(now int64) {
+	if !s.fleet.listComplete {
+		return
+	}
 	workers, cores, byPool := 0, int64(0), map[string]float64{}
 	for _, w := range s.workers {
 		if w.inherited || w.left || now-w.heardMs >= maxSilenceMs {
--- a/internal/plan/order/order.go
+++ b/internal/plan/order/order.go
@@ -76,10 +76,14 @@
 	return i.SlackMs < lateSlackMs
 }
 
+// Value returns what the job is worth: a constant part and one that grows with its work, relative to the mean of its queue.
+func (i *Item) Value() float64 {
+	return min(maxValue, fixedValue+workValue*float64(i.TotalWorkMs)/float64(max(1, i.QueueMeanMs)))
+}
+
 // Density returns the job's value per remaining work, raised while its slack is short.
 func (i *Item) Density() float64 {
-	value := fixedValue + workValue*float64(i.TotalWorkMs)/float64(max(1, i.QueueMeanMs))
-	d := min(maxValue, value) / float64(max(1, i.RemainingWorkMs))
+	d := i.Value() / float64(max(1, i.RemainingWorkMs))
 	if !i.Late() && i.SlackMs < shortSlackMs {
 		d *= 1 + slackBoost*float64(shortSlackMs-max(0, i.SlackMs))/shortSlackMs
 	}
