A new leader learns no durations of tasks that a former one ordered

It counted the time of an attempt from when it first heard of it. Only attempts that the leader ordered itself correct the estimates now.

--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -176,7 +176,8 @@
 		})
 		delete(w.inDoubt, attemptID{task: report.Task, attempt: report.Attempt})
 		s.noteOutcome(w, report)
-		if report.Kind == batch.EndDone && tracked != nil {
+		if report.Kind == batch.EndDone && tracked != nil && tracked.orderedMs > 0 {
+			// Of what a former leader ordered it isn't known for how long it had run when this one first heard of it.
 			s.learnScale(j.Spec.Queue, s.now()-tracked.sinceMs, j.Spec.Steps[report.Task.Step].EstimateMs)
 		}
 		if report.Kind != batch.EndDone {
