Too little room: client accounts share by weight, and sizes take turns

The order by value for the work has no accounts, and leaves out large jobs first.

Where a pool has more than twice the work that can be done in time, jobs are ranked by the work of their account that goes before them, for its weight; among an account's jobs the sizes take turns by their work. Below that the order stays as it was. A job is refused where it can't be done by three times its SLO beside what is accepted, its account's share and limit. A refused job's SLO counts from its first submission. Deployments whose configuration has no accounts are served as before.

--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -112,7 +112,7 @@
 	}
 	job := submission.Job
 	job.ID, job.Queue, job.Pool, job.Account = id, q.Key(), q.Pool, s.callerOf(c)
-	job.MaxAttempts, job.AcceptedMs = q.MaxAttempts, s.wallMs()
+	job.MaxAttempts, job.AcceptedMs, job.FirstSubmittedMs = q.MaxAttempts, s.wallMs(), s.refusals.FirstMs(id)
 	if err := job.Check(); err != nil {
 		s.options.Logger.Info("job_refused", zap.String("job", id), zap.String("host", submission.Host), zap.Error(err))
 		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
--- a/internal/ctrl/sched/describe.go
+++ b/internal/ctrl/sched/describe.go
@@ -18,7 +18,7 @@
 			break
 		}
 		if job.sinceMs == 0 && !occurrenceDone(j, occurrence) {
-			job.sinceMs = max(j.Spec.AcceptedMs, j.Spec.DueMs(occurrence))
+			job.sinceMs = max(j.Spec.SubmittedMs(), j.Spec.DueMs(occurrence))
 		}
 		chains = chains[:0]
 		for stepIndex := range j.Spec.Steps {
--- a/internal/ctrl/sched/fleet.go
+++ b/internal/ctrl/sched/fleet.go
@@ -5,6 +5,7 @@
 
 	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/accept"
 	"cowslipstack/internal/plan/refuse"
 )
 
@@ -55,6 +56,11 @@
 	// loads holds, by pool, what a new job would wait for while there are too few VMs for the work that can still be in time;
 	// nil otherwise.
 	loads map[string]refuse.Load
+	// book is the work that is accepted and to be done in time, with the shares of the client accounts, while there is too little
+	// room and the configuration has accounts; nil otherwise.
+	book *accept.Book
+	// nextRanks holds, by pool and account, the rank of a job that comes before the jobs are ranked again; nil like the book.
+	nextRanks map[string]map[string]float64
 	// sharesLoggedMs is the uptime at which the shares were last logged.
 	sharesLoggedMs int64
 	// draining is set while VMs are drained to be moved.
--- a/internal/ctrl/sched/load_fleet_test.go
+++ b/internal/ctrl/sched/load_fleet_test.go
@@ -105,17 +105,52 @@
 	}
 	for _, q := range f.day.Queues {
 		rate := float64(q.PerMinute) / 60_000
-		if since := f.elapsedMs() - q.SurgeFrom; since >= 0 && since < q.SurgeFor {
+		if q.surges(f.elapsedMs()) {
 			rate *= float64(q.Surge) / 100
 		}
+		rate *= float64(f.askedPart(q)) / 100
 		for q.due += rate * sched.TickMs; q.due >= 1; q.due-- {
 			f.submit(f.newJob(q))
 		}
 	}
 }
 
+// askedPart returns what all accounts ask for at present, in percent of their usual.
+func (f *loadFleet) askedPart(q *loadQueue) int64 {
+	if len(f.day.Accounts) == 0 {
+		return 100
+	}
+	var part int64
+	for _, a := range f.day.Accounts {
+		part += a.asks(q, f.elapsedMs())
+	}
+	return part
+}
+
+// asks returns what an account asks of a queue, in percent of what all accounts usually ask for.
+func (a *loadAccount) asks(q *loadQueue, elapsedMs int64) int64 {
+	if q.surges(elapsedMs) {
+		return a.Part * a.Surge / 100
+	}
+	return a.Part
+}
+
+// drawAccount returns the account of a queue's next job, nil without accounts.
+func (f *loadFleet) drawAccount(q *loadQueue) *loadAccount {
+	if len(f.day.Accounts) == 0 {
+		return nil
+	}
+	left := q.random.Int64N(f.askedPart(q))
+	for _, a := range f.day.Accounts {
+		if left -= a.asks(q, f.elapsedMs()); left < 0 {
+			return a
+		}
+	}
+	return nil
+}
+
 func (f *loadFleet) newJob(q *loadQueue) *loadJob {
-	j := &loadJob{queue: q, sentMs: f.elapsedMs(), spec: batch.Job{Text: "text"}}
+	j := &loadJob{queue: q, account: f.drawAccount(q), sentMs: f.elapsedMs(), spec: batch.Job{Text: "text"}}
 	steps := 1 + q.random.Int64N(max(1, 2*q.Steps-1))
 	for i := range int(steps) {
 		s := batch.Step{
@@ -137,7 +172,11 @@
 }
 
 func (f *loadFleet) submit(j *loadJob) {
-	f.scheduler.Call(&batch.Call{Submit: &batch.Submission{Host: "h", Path: "/" + j.queue.Name + "/" + j.spec.ID, Job: j.spec}}, f.uptime.ms,
+	c := &batch.Call{Submit: &batch.Submission{Host: "h", Path: "/" + j.queue.Name + "/" + j.spec.ID, Job: j.spec}}
+	if j.account != nil {
+		c.Credential = batch.DigestOf(j.account.Name)
+	}
+	f.scheduler.Call(c, f.uptime.ms,
 		func(r batch.Reply) {
 			switch {
 			case r.Code == batch.CodeOK:
--- a/internal/ctrl/sched/load_test.go
+++ b/internal/ctrl/sched/load_test.go
@@ -41,6 +41,18 @@
 	LostPercent, LostAt     int64
 	ArrivalsMs, MinAccepted int64
 	Queues                  []*loadQueue
+	// Accounts are the client accounts, none for callers without keys.
+	Accounts []*loadAccount
+}
+
+// loadAccount is a client account of a load.
+type loadAccount struct {
+	Name string
+	// Weight is its weight, and Part the part of the usual jobs that it submits, in percent; during the queues' surge, from which
+	// time they are multiplied by Surge, in percent.
+	Weight, Part, Surge int64
+	// MinInTime is the least part of its work that must be done in time, in percent.
+	MinInTime int64
 }
 
 // loadQueue is a queue of a load and what came of its jobs.
@@ -59,10 +71,17 @@
 	random                *rand.Rand
 }
 
+// surges reports whether the queue's surge is on.
+func (q *loadQueue) surges(elapsedMs int64) bool {
+	since := elapsedMs - q.SurgeFrom
+	return since >= 0 && since < q.SurgeFor
+}
+
 // loadJob is a job of a caller.
 type loadJob struct {
 	spec                batch.Job
 	queue               *loadQueue
+	account             *loadAccount
 	sentMs, objectiveMs int64
 	chainMs, workMs     int64
 	refusals            int
@@ -176,6 +195,12 @@
 			}
 			day.Queues = append(day.Queues, q)
 		}
+		if fields[0] == "account" {
+			a := &loadAccount{Name: fields[1], Weight: 1, Surge: 100}
+			fields = fields[1:]
+			keys = map[string]*int64{"weight": &a.Weight, "part": &a.Part, "surge": &a.Surge, "min_in_time": &a.MinInTime}
+			day.Accounts = append(day.Accounts, a)
+		}
 		for _, pair := range fields[1:] {
 			key, value, _ := strings.Cut(pair, "=")
 			n, err := strconv.ParseInt(value, 10, 64)
@@ -206,6 +231,10 @@
 		})
 		f.addVMs(q.Name, q.VMs)
 	}
+	for _, a := range day.Accounts {
+		c.RequiresKeys = true
+		c.Accounts = append(c.Accounts, batch.Account{Name: a.Name, Weight: float64(a.Weight), Keys: []batch.KeyDigest{batch.DigestOf(a.Name)}})
+	}
 	f.addVMs("spare", day.Spare)
 	f.call("configure", &batch.Call{Configure: c})
 	f.began = f.uptime.ms
@@ -219,9 +248,14 @@
 
 // outcome sums the jobs of a queue, or of all queues if it is nil.
 func (f *loadFleet) outcome(q *loadQueue) loadOutcome {
+	return f.outcomeOf(func(j *loadJob) bool { return q == nil || j.queue == q })
+}
+
+// outcomeOf sums the jobs that a function picks.
+func (f *loadFleet) outcomeOf(picks func(*loadJob) bool) loadOutcome {
 	var o loadOutcome
 	for _, j := range f.jobs {
-		if q != nil && j.queue != q {
+		if !picks(j) {
 			continue
 		}
 		tookMs := j.doneMs - j.sentMs
@@ -254,6 +288,11 @@
 			lines = append(lines, fmt.Sprintf("%s: %d%% of the work is refused", q.Name, o.refused*100/o.asked))
 		}
 	}
+	for _, a := range f.day.Accounts {
+		if o := f.outcomeOf(func(j *loadJob) bool { return j.account == a }); o.inTime*100 < a.MinInTime*o.asked {
+			lines = append(lines, fmt.Sprintf("account %s: %d%% of the work is done in time", a.Name, o.inTime*100/o.asked))
+		}
+	}
 	if o := f.outcome(nil); (o.inTime+o.late)*100 < f.day.MinAccepted*o.accepted {
 		lines = append(lines, fmt.Sprintf("%d%% of what is accepted is done in time to count", (o.inTime+o.late)*100/o.accepted))
 	}
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -7,6 +7,7 @@
 
 	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/plan/accept"
 )
 
 var (
@@ -31,6 +32,12 @@
 	metrics.GetOrCreateCounter(hist.Series("cowslip_attempts_ended_total", hist.Label{Name: "kind", Value: k.String()})).Inc()
 }
 
+// countRefusal counts a refused job by its account and the reason.
+func countRefusal(account string, reason accept.Reason) {
+	metrics.GetOrCreateCounter(hist.Series("cowslip_account_jobs_refused_total", hist.Label{Name: "account", Value: account},
+		hist.Label{Name: "reason", Value: reason.String()})).Inc()
+}
+
 // observeFirstStart records the time from a job's acceptance to its first start, by pool.
 func observeFirstStart(pool string, waitedMs int64) {
 	hist.Observe("cowslip_first_start_seconds", hist.Labels{Service: pool}, time.Duration(max(0, waitedMs))*time.Millisecond)
--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -48,9 +48,14 @@
 	f := &s.fleet
 	f.loads = nil
 	if !shares.Scarce {
+		s.closeBook()
 		return
 	}
-	f.loads = s.loadsOf(inputs, shares.Targets)
+	if s.currentConfiguration().RequiresKeys {
+		s.openBook(inputs, shares.Targets, now)
+	} else {
+		f.loads = s.loadsOf(inputs, shares.Targets)
+	}
 	if now-f.sharesLoggedMs < shareLogIntervalMs {
 		return
 	}
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -119,6 +119,9 @@
 	updated.noteUnplaced(old, s.now())
 	if old != nil {
 		updated.spared, updated.crashedAt = old.spared, old.crashedAt
+		updated.item.Rank = old.item.Rank
+	} else {
+		updated.item.Rank = s.fleet.nextRanks[s.poolOf(j)][j.Spec.Account]
 	}
 	pool := s.poolOf(j)
 	if old != nil && old.pool == pool {
@@ -230,7 +233,7 @@
 
 // slackMs returns the time until the job's SLO less its longest remaining chain of dependent steps.
 func (s *Scheduler) slackMs(job *activeJob, wallMs int64) int64 {
-	slackMs := max(job.sinceMs, job.state.Spec.AcceptedMs) + job.objectiveMs - job.criticalPathMs - wallMs
+	slackMs := max(job.sinceMs, job.state.Spec.SubmittedMs()) + job.objectiveMs - job.criticalPathMs - wallMs
 	if job.allRunningMs > 0 {
 		// The chain gets shorter as its tasks run.
 		slackMs += min(job.openTaskMs, s.now()-job.allRunningMs)
--- a/internal/ctrl/sched/refusal.go
+++ b/internal/ctrl/sched/refusal.go
@@ -15,6 +15,9 @@
 // refuseHopeless refuses a new job that can't be finished by its SLO, and reports whether it did. Nothing of the job is
 // stored; a job that is proposed already is never refused.
 func (s *Scheduler) refuseHopeless(spec *batch.Job, reply func(batch.Reply)) bool {
+	if s.fleet.book != nil {
+		return s.refuseBeyondRoom(spec, reply)
+	}
 	load, scarce := s.fleet.loads[spec.Pool]
 	if !scarce || s.submitting[spec.ID] != nil {
 		return false
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -83,6 +83,8 @@
 
 	// accounts are the client accounts of the configuration in force.
 	accounts *acct.Accounts
+	// refusals are the jobs that were refused for want of room.
+	refusals *acct.Refusals
 	// submitting holds, by identity, the new jobs whose record is proposed and not yet applied.
 	submitting map[string]*jobRecord
 
@@ -139,6 +141,7 @@
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
 	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New(s.options.Log.Batch())
+	s.refusals = acct.NewRefusals()
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/model/batch/job.go
+++ b/internal/model/batch/job.go
@@ -84,6 +84,8 @@
 	AcceptedMs int64
 	// Account is the name of the client account that submitted the job; empty for none.
 	Account string
+	// FirstSubmittedMs is when the job was first submitted, in Unix milliseconds, if it was refused then; 0 otherwise.
+	FirstSubmittedMs int64
 }
 
 const (
@@ -128,6 +130,15 @@
 	return j.FirstDueMs + int64(occurrence)*j.IntervalMs
 }
 
+// SubmittedMs returns when the time to the job's SLO begins, in Unix milliseconds: at its first submission, also if that was
+// refused.
+func (j *Job) SubmittedMs() int64 {
+	if j.FirstSubmittedMs > 0 {
+		return j.FirstSubmittedMs
+	}
+	return j.AcceptedMs
+}
+
 // Check returns an error that says why the job can't be accepted, or nil.
 func (j *Job) Check() error {
 	if !ValidID(j.ID) {
--- a/internal/plan/order/order.go
+++ b/internal/plan/order/order.go
@@ -22,6 +22,8 @@
 	// SlackMs is the time until its SLO less its longest remaining chain of dependent steps; below 0 the SLO can't
 	// be met.
 	SlackMs int64
+	// Rank orders jobs that compete for too little room, lower ones first; 0 where there is room for all.
+	Rank float64
 	// CriticalPathMs is the longest remaining chain of dependent steps, in milliseconds.
 	CriticalPathMs int64
 }
@@ -46,8 +48,8 @@
 	slices.SortFunc(jobs, func(a, b T) int { return Compare(item(a), item(b)) })
 }
 
-// Compare returns a negative number if a goes before b: long-running jobs first, then by priority, then jobs whose
-// SLO can still be met, then by value per remaining work.
+// Compare returns a negative number if a goes before b: long-running jobs first, then by priority, then jobs whose SLO can still
+// be met, then by rank, then by value per remaining work.
 func Compare(a, b *Item) int {
 	switch {
 	case a.LongRunning != b.LongRunning:
@@ -56,6 +58,8 @@
 		return a.Priority - b.Priority
 	case a.Late() != b.Late():
 		return firstIf(!a.Late())
+	case a.Rank != b.Rank:
+		return firstIf(a.Rank < b.Rank)
 	}
 	if x, y := a.Density(), b.Density(); x != y {
 		return firstIf(x > y)
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -127,7 +127,7 @@
 	w := &peer.BatchJob{
 		Id: j.ID, Host: j.Queue.Host, Prefix: j.Queue.Prefix, Pool: j.Pool, Text: j.Text, Times: intToWire(j.RunCount),
 		FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs, AcceptedMs: j.AcceptedMs, MaxAttempts: intToWire(j.MaxAttempts),
-		Account: j.Account,
+		Account: j.Account, FirstSubmittedMs: j.FirstSubmittedMs,
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -151,6 +151,7 @@
 		ID: w.GetId(), Queue: batch.QueueKey{Host: w.GetHost(), Prefix: w.GetPrefix()}, Pool: w.GetPool(), Text: w.GetText(),
 		RunCount: int(w.GetTimes()), FirstDueMs: w.GetFirstDueMs(), IntervalMs: w.GetIntervalMs(),
 		AcceptedMs: w.GetAcceptedMs(), MaxAttempts: int(w.GetMaxAttempts()), Account: w.GetAccount(),
+		FirstSubmittedMs: w.GetFirstSubmittedMs(),
 	}
 	for _, s := range w.GetSteps() {
 		step := batch.Step{
