--- a/internal/ctrl/sched/refusal.go
+++ b/internal/ctrl/sched/refusal.go
@@ -15,6 +15,9 @@
 // refuseHopeless refuses a new job that can't be finished by its SLO, and reports whether it did. Nothing of the job is
 // stored; a job that is proposed already is never refused.
 func (s *Scheduler) refuseHopeless(spec *batch.Job, reply func(batch.Reply)) bool {
+	if s.fleet.book != nil {
+		return s.refuseBeyondRoom(spec, reply)
+	}
 	load, scarce := s.fleet.loads[spec.Pool]
 	if !scarce || s.submitting[spec.ID] != nil {
 		return false
@@ -31,7 +34,8 @@
 	}
 	jobsRefusedTotal.Inc()
 	s.options.Logger.Info("job_refused_as_hopeless", zap.String("job", spec.ID), zap.String("pool", spec.Pool),
-		zap.Int64("work_ms", job.item.RemainingWorkMs), zap.Int64("room_ms", v.RoomMs), zap.Int64("objective_ms", job.objectiveMs),
+		queueField(spec.Queue), zap.Int64("chain_ms", job.criticalPathMs), zap.Int64("work_ms", job.item.RemainingWorkMs),
+		zap.Int64("room_ms", v.RoomMs), zap.Int64("objective_ms", job.objectiveMs),
 		zap.Int64("drain_ms", v.DrainMs), zap.Int64("retry_after_ms", v.RetryAfterMs), zap.Float64("cores", load.Cores),
 		zap.Int64("known_ms_ago", s.now()-s.fleet.plannedMs), zap.Uint64("term", s.term))
 	reply(batch.Reply{
