Too little room: a job that can still wait leaves it to an urgent one

Where VMs are scarce and the configuration has accounts, the order by value for the work started jobs with an SLO of 20 to 30 s before smaller ones due in 5 s. Their value is lowered by e for each 6 s that they can still wait.

--- a/internal/ctrl/sched/book.go
+++ b/internal/ctrl/sched/book.go
@@ -36,7 +36,7 @@
 	running := map[string]float64{}
 	for _, job := range s.queueOf(pool).jobs {
 		account := job.state.Spec.Account
-		job.item.Rank = 0
+		job.item.Rank, job.item.Scarce = 0, true
 		if job.item.LongRunning {
 			continue
 		}
@@ -57,7 +57,7 @@
 	}
 	s.fleet.book, s.fleet.nextRanks = nil, nil
 	for _, job := range s.jobs {
-		job.item.Rank = 0
+		job.item.Rank, job.item.Scarce = 0, false
 	}
 }
 
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -119,9 +119,9 @@
 	updated.noteUnplaced(old, s.now())
 	if old != nil {
 		updated.spared, updated.crashedAt = old.spared, old.crashedAt
-		updated.item.Rank = old.item.Rank
+		updated.item.Rank, updated.item.Scarce = old.item.Rank, old.item.Scarce
 	} else {
-		updated.item.Rank = s.fleet.nextRanks[s.poolOf(j)][j.Spec.Account]
+		updated.item.Rank, updated.item.Scarce = s.fleet.nextRanks[s.poolOf(j)][j.Spec.Account], s.fleet.book != nil
 	}
 	pool := s.poolOf(j)
 	if old != nil && old.pool == pool {
--- a/internal/plan/order/order.go
+++ b/internal/plan/order/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -22,6 +23,8 @@
 	// SlackMs is the time until its SLO less its longest remaining chain of dependent steps; below 0 the SLO can't
 	// be met.
 	SlackMs int64
+	// Scarce is set where there is too little room: a job that can still wait for long leaves it to more urgent ones.
+	Scarce bool
 	// Rank orders jobs that compete for too little room, lower ones first; 0 where there is room for all.
 	Rank float64
 	// CriticalPathMs is the longest remaining chain of dependent steps, in milliseconds.
@@ -39,6 +42,8 @@
 	lateSlackMs = -300
 	// shortSlackMs is the slack below which a job's density is raised, in milliseconds.
 	shortSlackMs = 1500
+	// patienceMs is the slack for which a job's density is lowered by a factor of e where there is too little room, in milliseconds.
+	patienceMs = 6000
 	// slackBoost is the greatest relative raise, for a job without slack.
 	slackBoost = 1.5
 )
@@ -85,10 +90,15 @@
 	return min(maxValue, fixedValue+workValue*float64(i.TotalWorkMs)/float64(max(1, i.QueueMeanMs)))
 }
 
-// Density returns the job's value per remaining work, raised while its slack is short.
+// Density returns the job's value per remaining work, raised while its slack is short; where there is too little room, lowered by
+// how long the job can still wait.
 func (i *Item) Density() float64 {
 	d := i.Value() / float64(max(1, i.RemainingWorkMs))
-	if !i.Late() && i.SlackMs < shortSlackMs {
+	switch {
+	case i.Late():
+	case i.Scarce:
+		d *= math.Exp(-float64(max(0, i.SlackMs)) / patienceMs)
+	case i.SlackMs < shortSlackMs:
 		d *= 1 + slackBoost*float64(shortSlackMs-max(0, i.SlackMs))/shortSlackMs
 	}
 	return d
--- a/internal/plan/order/script_test.go
+++ b/internal/plan/order/script_test.go
@@ -24,6 +24,10 @@
 				key, value, _ := strings.Cut(pair, "=")
 				n, _ := strconv.ParseInt(value, 10, 64)
 				switch key {
+				case "scarce":
+					i.Scarce = true
+				case "rank":
+					i.Rank = float64(n)
 				case "long_running":
 					i.LongRunning = true
 				case "priority":
