--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -21,14 +21,20 @@
 	client *http.Client
 }
 
-// call makes one HTTP call and returns the status, 0 for no answer, and the body.
+// call makes one HTTP call, with the key that stays valid, and returns the status, 0 for no answer, and the body.
 func (c *siteCaller) call(method, address, path, body string) (int, []byte) {
+	return c.callWith(lastingKey, method, address, path, body)
+}
+
+// callWith is call with a client account's key, which seeds without accounts ignore.
+func (c *siteCaller) callWith(key, method, address, path, body string) (int, []byte) {
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		panic(err)
 	}
 	r.Host = queueHost
 	r.Header.Set("Deadline-Ms", "2000")
+	r.Header.Set("Authorization", "Bearer "+key)
 	answer, err := c.client.Do(r)
 	if err != nil {
 		return 0, nil
@@ -171,7 +177,7 @@
 			return
 		case <-time.After(time.Duration(300+c.random.IntN(700)) * time.Millisecond):
 		}
-		status, text := c.call(http.MethodPost, c.soak.nextProcess().control(), "/-/config/replace", configurationText(version))
+		status, text := c.call(http.MethodPost, c.soak.nextProcess().control(), "/-/config/replace", c.soak.configurationText(version))
 		if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 			c.soak.checker.withLock(func() {
 				c.soak.checker.addViolation("replacement of configuration %d got status %d: %s", version, status, text)
@@ -179,11 +185,29 @@
 		}
 		if status == http.StatusOK {
 			c.soak.version.Store(int64(version))
+			c.checkKeys(version)
 		}
 		c.checkConfiguration(c.soak.version.Load())
 	}
 }
 
+// checkKeys calls some process with the key of a version that was acknowledged, and with that of the version before, which was
+// withdrawn with it.
+func (c *siteCaller) checkKeys(version int) {
+	if !c.soak.usesKeys() {
+		return
+	}
+	for key, refused := range map[string]int{versionKey(version): http.StatusUnauthorized, versionKey(version - 1): http.StatusOK} {
+		status, _ := c.callWith(key, http.MethodGet, c.soak.nextProcess().callers(), "/q/", "")
+		c.soak.checker.withLock(func() {
+			if status == refused {
+				c.soak.checker.addViolation("key: %s got status %d after configuration %d was acknowledged", key, status, version)
+			}
+			c.soak.checker.counts[fmt.Sprintf("key_%d", status)]++
+		})
+	}
+}
+
 // checkWaitingJobs asks some process how many jobs wait: at least those that were accepted before and have not begun since.
 func (c *siteCaller) checkWaitingJobs() {
 	waiting := c.soak.checker.waitingJobs()
@@ -216,9 +240,24 @@
 	return true
 }
 
+// lastingKey is the key that all configurations have.
+const lastingKey = "key-that-stays"
+
+// versionKey returns the key that only one version of the configuration has.
+func versionKey(version int) string { return fmt.Sprintf("key-%d", version) }
+
+// usesKeys reports whether the configurations have client accounts: those of every third seed do.
+func (s *soak) usesKeys() bool { return s.seed%3 == 1 }
+
 // configurationText returns a configuration with one queue, its pool and the spare pool.
-func configurationText(version int) string {
+func (s *soak) configurationText(version int) string {
+	accounts := ""
+	if s.usesKeys() {
+		// The account may run about as much as two of the workers hold.
+		accounts = fmt.Sprintf(`,"tenants":[{"name":"a","apiKeys":[%q,%q],"weight":5,"maxCount":{"cpu":%d}},{"name":"b","apiKeys":["key-of-b"]}]`,
+			lastingKey, versionKey(version), accountMilliCores)
+	}
 	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":%q,"pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":3000,`+
-		`"service":"pool","maxAttempts":%d,"slackFactor":2}],"services":[{"name":"pool","admissionCheck":true},{"name":"spare","standby":true}]}`,
-		version, queueHost, maxTaskFailures)
+		`"service":"pool","maxAttempts":%d,"slackFactor":2}],"services":[{"name":"pool","admissionCheck":true},{"name":"spare","standby":true}]%s}`,
+		version, queueHost, maxTaskFailures, accounts)
 }
--- a/internal/app/chaos/soak_test.go
+++ b/internal/app/chaos/soak_test.go
@@ -200,7 +200,7 @@
 }
 
 func (s *soak) execute() {
-	operator := s.startSite(configurationText(1))
+	operator := s.startSite(s.configurationText(1))
 	s.faultsUntil = time.Now().Add(*soakDuration)
 	faultsDone := make(chan struct{})
 	var clients sync.WaitGroup
