A job without an account needs a key where its queue does

A caller without a key could see and cancel a job that was submitted before the configuration had accounts, by naming it under the path of a public queue: the entry lets that path in, and the leader granted any job without an account to everybody. The leader now asks for a key unless the job's own queue is public; any account's key gives access to such a job, as before.

Script accounts-added: state and cancel answered ok before, unauthorized now.

--- a/internal/ctrl/sched/access.go
+++ b/internal/ctrl/sched/access.go
@@ -22,7 +22,7 @@
 type access int
 
 const (
-	// accessGranted means that the job is the caller's, or that its queue is public.
+	// accessGranted means that the job is the caller's or no account's, or that its queue is public.
 	accessGranted access = iota + 1 // granted
 	// accessHidden means that the job belongs to another account: for the caller there is none.
 	accessHidden // hidden
@@ -45,12 +45,14 @@
 	}
 	caller := s.callerOf(c)
 	switch {
-	case q != nil && q.Public, j != nil && (j.Spec.Account == "" || j.Spec.Account == caller), j == nil && (q == nil || caller != ""):
+	case q != nil && q.Public, j == nil && q == nil:
 		return accessGranted
-	case caller != "":
-		return accessHidden
-	default:
+	case caller == "":
 		return accessDenied
+	case j == nil, j.Spec.Account == "", j.Spec.Account == caller:
+		return accessGranted
+	default:
+		return accessHidden
 	}
 }
 
