No member of a planned gang starts above a lowered limit

A gang that was planned before its account's limit was lowered started in full afterwards, above the new limit: the limit was only checked for the plan, up to 1.5 s before the starts. Each member is checked again when it is ordered. A plan that can't be carried out is dropped in time, as before.

Script account-limit-lowered-under-planned-gang, with a limit of 1 core: two starts of 1 core each before, none now.

--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -183,8 +183,13 @@
 			if workerID != w.id || t == nil || !w.free.Covers(g.need) {
 				continue
 			}
-			delete(g.workers, id)
 			s.accounts.Unplan(g.account, g.charged, 1)
+			if !s.mayHoldMore(j, id, 1) {
+				// The limit was lowered since, or an attempt that was given up still runs.
+				s.accounts.Plan(g.account, g.charged, 1)
+				continue
+			}
+			delete(g.workers, id)
 			orders = append(orders, s.startAttempt(w, j, id, g.tickets[id], sequence))
 		}
 	}
