A planned gang at its account's limit moves its members

A gang that takes all that its account may still hold lost its members' places: when a worker on which one was planned left, the member was not planned elsewhere, and the members that had started waited for it until they gave up. The search for another worker asked whether the account may hold one task more, while the planned member counted already. It is not counted during that search.

Script account-limit-gang-moved: no start on the other worker before, the missing member starts there now.

--- a/internal/ctrl/sched/replan.go
+++ b/internal/ctrl/sched/replan.go
@@ -46,6 +46,9 @@
 	if former := s.workers[from]; former != nil && step.SameRack {
 		candidates = room.inRackFirst(former.rack)
 	}
+	// The member counts for its account already, wherever it is planned.
+	s.accounts.Unplan(g.account, g.charged, 1)
+	defer s.accounts.Plan(g.account, g.charged, 1)
 	for _, to := range candidates {
 		w := room.workers[to]
 		if step.MaxPerWorker > 0 && s.countOn(w, j, id)+g.plannedOn(to) >= step.MaxPerWorker {
