A job is refused only by a process that leads

A leader that was cut off answered 429, "the job has not run", at once from its own state, while another leader may have accepted that job from an earlier try of the same caller. The refusal is now sent once the leadership is confirmed, as the other refusals (401, 409, 410) are, and not at all if the job was accepted meanwhile.

--- a/internal/ctrl/sched/book.go
+++ b/internal/ctrl/sched/book.go
@@ -187,7 +187,7 @@
 		zap.Int64("chain_ms", job.criticalPathMs), zap.Int64("slack_ms", job.item.SlackMs), zap.Int64("objective_ms", job.objectiveMs), zap.Float64("lack_ms", v.LackMs), zap.Float64("share_ms", v.ShareMs),
 		zap.Float64("asked_ms", v.AskedMs), zap.Int64("retry_after_ms", v.RetryAfterMs), zap.Int64("first_ms_ago", s.wallMs()-spec.SubmittedMs()),
 		zap.Int64("known_ms_ago", s.now()-s.fleet.plannedMs), zap.Uint64("term", s.term))
-	reply(batch.Reply{
+	s.replyRefused(reply, spec.ID, batch.Reply{
 		Code: batch.CodeRefused, Detail: "the job has not run and can't be finished in time: " + v.Reason.String() + " is the limit",
 		RetryAfterMs: v.RetryAfterMs,
 	})
--- a/internal/ctrl/sched/refusal.go
+++ b/internal/ctrl/sched/refusal.go
@@ -38,12 +38,26 @@
 		zap.Int64("room_ms", v.RoomMs), zap.Int64("objective_ms", job.objectiveMs),
 		zap.Int64("drain_ms", v.DrainMs), zap.Int64("retry_after_ms", v.RetryAfterMs), zap.Float64("cores", load.Cores),
 		zap.Int64("known_ms_ago", s.now()-s.fleet.plannedMs), zap.Uint64("term", s.term))
-	reply(batch.Reply{
+	s.replyRefused(reply, spec.ID, batch.Reply{
 		Code: batch.CodeRefused, Detail: "the job has not run and can't be finished in time: too much waits before it", RetryAfterMs: v.RetryAfterMs,
 	})
 	return true
 }
 
+// replyRefused replies that a job has not run, once the leadership is confirmed: another leader may have accepted the job, or this
+// one when it was sent again meanwhile.
+func (s *Scheduler) replyRefused(reply func(batch.Reply), id string, refusal batch.Reply) {
+	s.replyWhenConfirmed(reply, func() batch.Reply {
+		if j := s.options.Log.Batch().Job(id); j != nil {
+			return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
+		}
+		if s.submitting[id] != nil {
+			return batch.Reply{Code: batch.CodeUnknown, Detail: "the job was sent again and is being stored"}
+		}
+		return refusal
+	})
+}
+
 // loadsOf returns, by pool, what it can do for its jobs: with its share of the VMs, or with its part of the fleet in
 // proportion to its work if that is more, since its share grows as its work does.
 func (s *Scheduler) loadsOf(inputs []pools.Pool, targets []int) map[string]refuse.Load {
