A configuration without accounts ends the book of accepted work

Where the accounts were removed from the configuration while there was too little room, new jobs were still judged by the book that was opened for the accounts. It was not renewed any more, kept all work that it had accepted, and refused more and more jobs; the ranks of the waiting jobs stayed as well. Both end with the next plan of the pools, which clears the book and the ranks.

Script accounts-removed-in-scarcity: the second refusal came from the book before (reason, asked_ms in the log), and from the pool's load now.

--- a/internal/ctrl/sched/book.go
+++ b/internal/ctrl/sched/book.go
@@ -50,7 +50,7 @@
 	s.fleet.nextRanks[pool] = shares.Rank(all, running, weights, roomMs)
 }
 
-// closeBook clears the ranks of the jobs once there is room for all.
+// closeBook clears the ranks of the jobs once there is room for all, or no account.
 func (s *Scheduler) closeBook() {
 	if s.fleet.book == nil {
 		return
--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -54,6 +54,7 @@
 	if s.currentConfiguration().RequiresKeys {
 		s.openBook(inputs, shares.Targets, now)
 	} else {
+		s.closeBook()
 		f.loads = s.loadsOf(inputs, shares.Targets)
 	}
 	if now-f.sharesLoggedMs < shareLogIntervalMs {
