No permit is asked for a task that its account's limit holds back

Each heartbeat of a worker with free resources asked the advice service about the next waiting step, also where the account's limit didn't let it start, so that such requests took the place of those for steps that could start. The limit is now checked before the permit, as for all other kinds of starts.

Script account-limit-asks-no-permit: one request before, none now.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -164,8 +164,7 @@
 	for _, id := range job.ready {
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandoned[id] == 0 {
-			ticket, ok := s.mayRunStep(w, job, id, now)
-			ok = ok && s.mayHoldMore(job.state, id, 1)
+			ticket, ok := s.mayRun(w, job, id, now)
 			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
 				allowed = key
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
