Tasks that wait for accelerators or keep apart ask for no VMs above the limit

Work that an account's limit holds back counted in its pool's demand for VMs in two cases: where the limit is on accelerators, and where tasks keep apart (the least number of VMs that such a step needs). VMs moved to the pool for tasks that couldn't start. The part of the waiting tasks that the limit allows now covers accelerators, for jobs that need some, and the least number of VMs.

--- a/internal/ctrl/sched/describe.go
+++ b/internal/ctrl/sched/describe.go
@@ -91,6 +91,7 @@
 		return
 	}
 	job.readyResources = job.readyResources.Add(resourcesOf(step, 1))
+	job.readyAccelerators += step.Need.Accelerators
 	switch {
 	case step.Gang:
 	case runsAlone(job.state, t):
--- a/internal/ctrl/sched/limited.go
+++ b/internal/ctrl/sched/limited.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,27 +44,64 @@
 		if _, known := l.room[account]; !known {
 			l.room[account] = s.accounts.Room(account)
 		}
-		l.waiting[account] = l.waiting[account].Add(batch.Resources{CPUMilli: job.readyResources.CPUMilli, MemoryMB: job.readyResources.MemoryMB})
+		l.waiting[account] = l.waiting[account].Add(batch.Resources{Accelerators: job.readyAccelerators})
+	}
+	for _, job := range s.jobs {
+		account := job.state.Spec.Account
+		if _, limited := l.room[account]; limited {
+			ready := scaled(job.readyResources, l.acceleratorPart(job))
+			l.waiting[account] = l.waiting[account].Add(batch.Resources{CPUMilli: ready.CPUMilli, MemoryMB: ready.MemoryMB})
+		}
 	}
 	return l
 }
 
-// part returns the part of a job's demand that its account can start: each of the account's jobs counts with the same part.
-func (l *limitedDemand) part(job *activeJob) pools.Demand {
-	d, account := job.demand(), job.state.Spec.Account
+// acceleratorPart returns the part of a job's waiting tasks for which its account may hold accelerators; jobs without
+// accelerators aren't held back by those of others.
+func (l *limitedDemand) acceleratorPart(job *activeJob) float64 {
+	if job.readyAccelerators == 0 {
+		return 1
+	}
+	account := job.state.Spec.Account
+	return min(1, ratio(l.room[account].Accelerators, l.waiting[account].Accelerators))
+}
+
+// part returns the part of a job's waiting tasks that its account can start: each of the account's jobs counts with the same part
+// of processor time and memory.
+func (l *limitedDemand) part(job *activeJob) float64 {
+	account := job.state.Spec.Account
 	room, limited := l.room[account]
 	if !limited {
-		return d
+		return 1
 	}
-	part := min(ratio(room.CPUMilli, l.waiting[account].CPUMilli), ratio(room.MemoryMB, l.waiting[account].MemoryMB))
-	if part >= 1 {
-		return d
+	waiting := l.waiting[account]
+	return min(1, ratio(room.CPUMilli, waiting.CPUMilli), ratio(room.MemoryMB, waiting.MemoryMB)) * l.acceleratorPart(job)
+}
+
+// of returns the part of a job's demand that its account can start.
+func (l *limitedDemand) of(job *activeJob) pools.Demand {
+	d := job.demand()
+	if part := l.part(job); part < 1 {
+		d.Waiting = scaled(d.Waiting, part)
+		d.Upcoming = pools.Resources{}
 	}
-	d.Waiting = scaled(d.Waiting, part)
-	d.Upcoming = pools.Resources{}
 	return d
 }
 
+// minVMs returns the number of VMs that a job's tasks need that keep apart and that run or can start.
+func (l *limitedDemand) minVMs(job *activeJob) int {
+	part := l.part(job)
+	if part >= 1 {
+		return job.minVMs
+	}
+	running, ready := job.runningResources.CPUMilli, job.readyResources.CPUMilli
+	if running+ready == 0 {
+		running, ready = job.runningResources.MemoryMB, job.readyResources.MemoryMB
+	}
+	allowed := float64(running) + float64(ready)*part
+	return int(math.Ceil(float64(job.minVMs) * allowed / float64(max(1, running+ready))))
+}
+
 func ratio(part, whole int64) float64 {
 	if whole <= 0 {
 		return 1
--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -117,15 +117,15 @@
 	input := pools.Pool{Name: p.Name, Standby: p.Standby}
 	wallMs := s.wallMs()
 	for _, job := range s.queueOf(p.Name).jobs {
-		input.MinVMs = max(input.MinVMs, job.minVMs)
+		input.MinVMs = max(input.MinVMs, limited.minVMs(job))
 		switch {
 		case s.isLate(job, wallMs):
-			input.Late = input.Late.Add(limited.part(job))
+			input.Late = input.Late.Add(limited.of(job))
 			continue
 		case job.item.LongRunning:
-			input.LongRunning = input.LongRunning.Add(limited.part(job).Total())
+			input.LongRunning = input.LongRunning.Add(limited.of(job).Total())
 		}
-		input.InTime = input.InTime.Add(limited.part(job))
+		input.InTime = input.InTime.Add(limited.of(job))
 	}
 	return input
 }
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -41,6 +41,8 @@
 	// readyResources and runningResources are what ready and started tasks reserve, nextResources what the tasks of
 	// the steps that open after those will reserve.
 	readyResources, runningResources, nextResources pools.Resources
+	// readyAccelerators are the accelerators that ready tasks reserve.
+	readyAccelerators int64
 	// minVMs is the number of VMs needed by tasks of which only a limited number may share a worker.
 	minVMs int
 	// criticalPathMs is the longest remaining chain of dependent steps, and objectiveMs the time from acceptance to
