A heartbeat looks at no task of an account at its limit

A heartbeat of a worker with room, in whose pool 1,000 jobs of 8 tasks wait for their accounts' limits, looked at each of the 8,000 tasks. It now asks once for each job whether the limit may allow its smallest task.

scheduling is unchanged: the bound is below what each ready task needs.

--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -153,7 +153,7 @@
 
 // assignJob assigns the ready tasks of one job that fit a worker.
 func (s *Scheduler) assignJob(w *worker, q *poolQueue, job *activeJob, sequence uint64, now int64) []batch.StartOrder {
-	if !w.free.Covers(job.leastNeed) {
+	if !w.free.Covers(job.leastNeed) || !s.mayHoldAny(job) {
 		return nil
 	}
 	hasSuspects := len(job.suspects)+len(job.onTrial) > 0
--- a/internal/ctrl/sched/limited.go
+++ b/internal/ctrl/sched/limited.go
@@ -22,6 +22,17 @@
 	return s.accounts.MayStart(j.Spec.Account, j.Spec.Steps[id.Step].Need.Times(tasks))
 }
 
+// mayHoldAny reports whether the limit of a job's account may allow any of its ready tasks to start. It spares a look at each of
+// them where many jobs wait for a limit.
+func (s *Scheduler) mayHoldAny(job *activeJob) bool {
+	account := job.state.Spec.Account
+	if account == "" {
+		return true
+	}
+	s.accounts.Configure(s.currentConfiguration())
+	return s.accounts.MayStart(account, job.leastNeed)
+}
+
 // limitedDemand leaves out of the pools' waiting work what accounts can't start because of their limits.
 type limitedDemand struct {
 	// room is what each account may still start; waiting is what it would start over all pools.
