Metrics of accounts don't fall to 0 while they are set

Once a second the leader set the metrics of all accounts to 0 and then to their values; a reader in between saw no waiting jobs, and at 2,000 accounts half of the time went into the zeros. Only those of accounts that are configured no more are cleared now.

--- a/internal/ctrl/acct/accounts.go
+++ b/internal/ctrl/acct/accounts.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// Has reports whether the configuration has an account of a name.
+func (a *Accounts) Has(name string) bool {
+	return a.accounts[name] != nil
+}
+
 // HolderOf returns the account that has a key, and an empty string if there is none.
 func (a *Accounts) HolderOf(key batch.KeyDigest) string {
 	return a.names[key]
--- a/internal/ctrl/sched/limited.go
+++ b/internal/ctrl/sched/limited.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -138,7 +139,8 @@
 	}
 	s.accounts.Configure(c)
 	loads := s.accountLoads(wallMs)
-	clearAccountGauges(s.countedAccounts)
+	// Those that are set again aren't cleared: a reader of the metrics would see 0 in between.
+	clearAccountGauges(slices.DeleteFunc(s.countedAccounts, s.accounts.Has))
 	s.countedAccounts = s.countedAccounts[:0]
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
