A job that another account stores meanwhile isn't shown

An account that asked for the state of a job that didn't exist got the state of one that another account stored under that identity before the leadership was confirmed: access was decided when the question came, and the answer read later. Access is decided again for the answer.

Script accounts-state-asked-while-another-submits: ok and queued before, gone now.

--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -172,7 +172,8 @@
 	}
 	s.replyWhenConfirmed(reply, func() batch.Reply {
 		j := s.options.Log.Batch().Job(id)
-		if j == nil {
+		if j == nil || s.accessTo(c, c.JobState, j) != accessGranted {
+			// Another account may have stored a job of this identity since.
 			return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}
 		}
 		return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
