A cancellation that may have run isn't answered with 401

A caller whose cancellation got no answer, and whose key was withdrawn before the next attempt, was told 401, "nothing was done", though its job may have been cancelled. The outcome is unknown (504), as it is for submissions.

Script key-withdrawn-while-call-may-have-run: unauthorized for the cancellation before, unknown now; the case of a submission had no test.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -150,11 +150,12 @@
 	}
 }
 
-// settle returns the reply to a call of which an earlier attempt may have run. A submission that is refused for good by now, such
+// settle returns the reply to a call of which an earlier attempt may have run; a key that is refused by now doesn't tell that none
+// has. A submission that is refused for good by now, such
 // as since its queue was removed, was accepted if the leader holds the job; its outcome is unknown if that can't be told.
 func (p *Proxy) settle(ctx context.Context, c *batch.Call, reply batch.Reply) batch.Reply {
-	if c.Submit != nil && reply.Code == batch.CodeUnauthorized {
-		// The key was withdrawn since: the state of the job can't be asked for with it any more.
+	if (c.Submit != nil || c.Cancel != nil) && reply.Code == batch.CodeUnauthorized {
+		// The key may have been withdrawn since, and the state of the job can't be asked for with it.
 		return batch.Reply{Code: batch.CodeUnknown, Detail: reply.Detail}
 	}
 	if c.Submit == nil || reply.Code != batch.CodeNotFound && reply.Code != batch.CodeInvalid {
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -43,6 +43,8 @@
 		return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}, nil
 	case "invalid":
 		return batch.Reply{Code: batch.CodeInvalid, Detail: "the job has no steps"}, nil
+	case "unauthorized":
+		return batch.Reply{Code: batch.CodeUnauthorized, Detail: "the call needs a key"}, nil
 	case "gone":
 		return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}, nil
 	case "running":
@@ -104,6 +106,7 @@
 // calls maps the names in scripts to calls.
 var calls = map[string]*batch.Call{
 	"submit":    {Submit: &batch.Submission{Path: "/q/1"}},
+	"cancel":    {Cancel: &batch.RequestTarget{Path: "/q/1"}},
 	"heartbeat": {Heartbeat: &batch.Heartbeat{Worker: "w"}},
 	"pending":   {Pending: &batch.RequestTarget{Path: "/q/"}},
 }
