A call waits for the access table no longer than its deadline

Of the calls that need a newer access table, the one that asked the leader for it waited for the answer whatever its own deadline was, for up to 1.7 s while no leader answers; the others kept to theirs. The request now runs on a goroutine that ends with the bounded call on the leader. An answer without a table made that call panic, and all later ones wait for its end without a bound; it counts as not_run now.

--- a/internal/edge/access/gate.go
+++ b/internal/edge/access/gate.go
@@ -97,10 +97,8 @@
 	default:
 		r = &request{done: make(chan struct{})}
 		g.asking = r
-		g.mu.Unlock()
-		// Other calls wait for the reply, so it doesn't end with this one.
-		g.ask(context.WithoutCancel(ctx), r)
-		return r.reply
+		// Other calls wait for the reply, so that it doesn't end with this one.
+		go g.ask(context.WithoutCancel(ctx), r)
 	}
 	g.mu.Unlock()
 	select {
@@ -111,7 +109,7 @@
 	}
 }
 
-// ask asks the leader for the table and takes it over.
+// ask asks the leader for the table and takes it over; the leader's Do bounds how long it takes.
 func (g *Gate) ask(ctx context.Context, r *request) {
 	known := g.table.Load()
 	asked := g.options.Clock.Now()
@@ -124,6 +122,9 @@
 		// A leader of a former version, which has no accounts, doesn't know the call.
 		r.reply = batch.Reply{Code: batch.CodeOK, Access: &batch.AccessTable{}}
 	}
+	if r.reply.Code == batch.CodeOK && r.reply.Access == nil {
+		r.reply = batch.Reply{Code: batch.CodeNotRun, Detail: "the leader sent no access table"}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.reply.Code == batch.CodeOK {
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -21,11 +21,13 @@
 	table batch.AccessTable
 	code  batch.Code
 	asked int
+	// noTable leaves the table out of the answers.
+	noTable bool
 }
 
 func (l *fakeLeader) Do(_ context.Context, c *batch.Call) batch.Reply {
 	l.asked++
-	if l.code != batch.CodeOK {
+	if l.code != batch.CodeOK || l.noTable {
 		return batch.Reply{Code: l.code}
 	}
 	t := l.table
@@ -47,7 +49,10 @@
 		case "table":
 			leader.table = parseTable(t, d)
 		case "leader":
-			leader.code = map[string]batch.Code{"ok": batch.CodeOK, "not_run": batch.CodeNotRun, "invalid": batch.CodeInvalid}[d.CmdArgs[0].Key]
+			leader.noTable = d.CmdArgs[0].Key == "no_table"
+			leader.code = map[string]batch.Code{
+				"ok": batch.CodeOK, "no_table": batch.CodeOK, "not_run": batch.CodeNotRun, "invalid": batch.CodeInvalid,
+			}[d.CmdArgs[0].Key]
 		case "advance":
 			var ms int
 			d.ScanArgs(t, "ms", &ms)
