--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -153,7 +153,7 @@
 
 // assignJob assigns the ready tasks of one job that fit a worker.
 func (s *Scheduler) assignJob(w *worker, q *poolQueue, job *activeJob, sequence uint64, now int64) []batch.StartOrder {
-	if !w.free.Covers(job.leastNeed) {
+	if !w.free.Covers(job.leastNeed) || !s.mayHoldAny(job) {
 		return nil
 	}
 	hasSuspects := len(job.suspects)+len(job.onTrial) > 0
@@ -164,8 +164,7 @@
 	for _, id := range job.ready {
 		key := stepOf(id)
 		if len(orders) < maxStartsPerReply && key != refused && s.abandoned[id] == 0 {
-			ticket, ok := s.mayRunStep(w, job, id, now)
-			ok = ok && s.mayHoldMore(job.state, id, 1)
+			ticket, ok := s.mayRun(w, job, id, now)
 			if ok && (!hasSuspects || key == allowed || !s.stepSuspected(job, key)) {
 				allowed = key
 				orders = append(orders, s.startAttempt(w, job.state, id, ticket, sequence))
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -21,11 +21,13 @@
 	table batch.AccessTable
 	code  batch.Code
 	asked int
+	// noTable leaves the table out of the answers.
+	noTable bool
 }
 
 func (l *fakeLeader) Do(_ context.Context, c *batch.Call) batch.Reply {
 	l.asked++
-	if l.code != batch.CodeOK {
+	if l.code != batch.CodeOK || l.noTable {
 		return batch.Reply{Code: l.code}
 	}
 	t := l.table
@@ -47,7 +49,10 @@
 		case "table":
 			leader.table = parseTable(t, d)
 		case "leader":
-			leader.code = map[string]batch.Code{"ok": batch.CodeOK, "not_run": batch.CodeNotRun, "invalid": batch.CodeInvalid}[d.CmdArgs[0].Key]
+			leader.noTable = d.CmdArgs[0].Key == "no_table"
+			leader.code = map[string]batch.Code{
+				"ok": batch.CodeOK, "no_table": batch.CodeOK, "not_run": batch.CodeNotRun, "invalid": batch.CodeInvalid,
+			}[d.CmdArgs[0].Key]
 		case "advance":
 			var ms int
 			d.ScanArgs(t, "ms", &ms)
@@ -59,6 +64,10 @@
 			before := leader.asked
 			reply := gate.Admit(t.Context(), batch.DigestOf(key), &batch.RequestTarget{Host: "h", Path: path})
 			return fmt.Sprintf("%s, asked %d times\n", reply.Code, leader.asked-before)
+		case "recheck":
+			before := leader.asked
+			gate.Recheck(t.Context())
+			return fmt.Sprintf("asked %d times\n", leader.asked-before)
 		default:
 			t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
 		}
