A gang that has begun is completed above a lowered limit

A gang whose first member was ordered before its account's limit was lowered was left incomplete: its members waited for the others and gave up. The limit is asked about for all members when the first one is ordered.

--- a/internal/ctrl/sched/gang.go
+++ b/internal/ctrl/sched/gang.go
@@ -32,6 +32,8 @@
 	// account is the client account of the job, and charged what each member counts for it.
 	account string
 	charged batch.Resources
+	// begun is set once a member was ordered.
+	begun bool
 }
 
 // dropGangPlan drops the plan of a gang, with the members that weren't ordered.
@@ -183,12 +185,11 @@
 			if workerID != w.id || t == nil || !w.free.Covers(g.need) {
 				continue
 			}
-			s.accounts.Unplan(g.account, g.charged, 1)
-			if !s.mayHoldMore(j, id, 1) {
-				// The limit was lowered since, or an attempt that was given up still runs.
-				s.accounts.Plan(g.account, g.charged, 1)
+			if !g.begun && !s.mayBeginGang(j, g, id) {
 				continue
 			}
+			g.begun = true
+			s.accounts.Unplan(g.account, g.charged, 1)
 			delete(g.workers, id)
 			orders = append(orders, s.startAttempt(w, j, id, g.tickets[id], sequence))
 		}
@@ -196,6 +197,15 @@
 	return orders
 }
 
+// mayBeginGang reports whether the limit of an account still allows all members of a gang that is planned: it may have been
+// lowered since, or an attempt that was given up still runs. Once a member is ordered the others follow whatever the limit, since
+// they would wait for those that don't come.
+func (s *Scheduler) mayBeginGang(j *jobs.Job, g *gangPlan, id batch.TaskID) bool {
+	s.accounts.Unplan(g.account, g.charged, len(g.workers))
+	defer s.accounts.Plan(g.account, g.charged, len(g.workers))
+	return s.mayHoldMore(j, id, len(g.workers))
+}
+
 // awaitsAbandoned reports whether a given-up attempt of a planned member may still run.
 func (s *Scheduler) awaitsAbandoned(g *gangPlan) bool {
 	for id := range g.workers {
