Tasks at their account's limit keep no straggler from a copy

Copies of stragglers start only where no ready task of the pool waits for resources. Tasks that wait for their account's limit counted, so that one account at its limit kept all accounts of the pool from speculative copies for as long as its jobs waited. Only tasks that the limit lets start count now.

--- a/internal/ctrl/sched/copies.go
+++ b/internal/ctrl/sched/copies.go
@@ -21,7 +21,7 @@
 // assignCopies starts speculative copies of stragglers on a worker, if no ready task of the pool waits for
 // resources.
 func (s *Scheduler) assignCopies(w *worker, q *poolQueue, sequence uint64, now int64) []batch.StartOrder {
-	if q.demand > 0 || q.copyable == 0 {
+	if q.copyable == 0 || s.waitsForResources(q) {
 		return nil
 	}
 	var orders []batch.StartOrder
@@ -47,6 +47,19 @@
 	return orders
 }
 
+// waitsForResources reports whether a ready task of a pool waits for more than its account's limit.
+func (s *Scheduler) waitsForResources(q *poolQueue) bool {
+	if q.demand == 0 {
+		return false
+	}
+	for _, job := range q.order {
+		if len(job.ready) > 0 && s.mayHoldAny(job) {
+			return true
+		}
+	}
+	return false
+}
+
 // isStraggler reports whether a task's only attempt, at its rate so far, needs much longer than a new attempt
 // would.
 func (s *Scheduler) isStraggler(job *activeJob, id batch.TaskID, now int64) bool {
