Settings for the limits against overload

The table overload of both settings files holds the limits; the defaults are above what section 6 of docs/design/accounts-and-load.md says of ordinary clients. A settings file without the table gets them.

--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -58,7 +58,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "heartbeat_ms", 20)
 	}
 	if v, ok := raw["snapshot_records"]; !ok || v == nil {
-		plain.SnapshotRecords = 8192
+		plain.SnapshotRecords = 16384
 	}
 	if 1000000 < plain.SnapshotRecords {
 		return fmt.Errorf("field %s: must be <= %v", "snapshot_records", 1000000)
@@ -90,6 +90,9 @@
 	// Name is the name of this process in the list of peers.
 	Name Name `json:"name"`
 
+	// Overload corresponds to the JSON schema field "overload".
+	Overload Overload `json:"overload"`
+
 	// Peers are all processes of the system, including this one.
 	Peers []Peer `json:"peers"`
 
@@ -127,6 +130,9 @@
 	if _, ok := raw["name"]; raw != nil && !ok {
 		return fmt.Errorf("field name in Daemon: required")
 	}
+	if _, ok := raw["overload"]; raw != nil && !ok {
+		return fmt.Errorf("field overload in Daemon: required")
+	}
 	if _, ok := raw["peers"]; raw != nil && !ok {
 		return fmt.Errorf("field peers in Daemon: required")
 	}
@@ -409,6 +415,274 @@
 	return nil
 }
 
+// Overload holds the limits against clients that overload the process.
+type Overload struct {
+	// AnswerMs is how long a client may take to read an answer in addition to its
+	// bytes at min_rate.
+	AnswerMs int `json:"answer_ms,omitempty,omitzero"`
+
+	// BodyMs is how long a body may take in addition to its bytes at min_rate.
+	BodyMs int `json:"body_ms,omitempty,omitzero"`
+
+	// BodyPercent is the share of the memory that bodies may take.
+	BodyPercent int `json:"body_percent,omitempty,omitzero"`
+
+	// CallersClientConnections is the same for one client address; the callers of a
+	// load balancer share one.
+	CallersClientConnections int `json:"callers_client_connections,omitempty,omitzero"`
+
+	// CallersClientPercent is the share of the bytes for callers' bodies that one
+	// client address may hold.
+	CallersClientPercent int `json:"callers_client_percent,omitempty,omitzero"`
+
+	// CallersConnections is the maximum number of connections at the callers'
+	// address.
+	CallersConnections int `json:"callers_connections,omitempty,omitzero"`
+
+	// ClientPercent is the share of the bytes for endpoints', operators' or other
+	// processes' bodies that one client address may hold; that of callers is
+	// callers_client_percent.
+	ClientPercent int `json:"client_percent,omitempty,omitzero"`
+
+	// DropAfterMs is how long a body must have made no progress, or a connection must
+	// have been quiet, before it is closed for the benefit of another one.
+	DropAfterMs int `json:"drop_after_ms,omitempty,omitzero"`
+
+	// EndpointsClientConnections is the same for one client address.
+	EndpointsClientConnections int `json:"endpoints_client_connections,omitempty,omitzero"`
+
+	// EndpointsConnections is the maximum number of connections of endpoints that
+	// announce themselves.
+	EndpointsConnections int `json:"endpoints_connections,omitempty,omitzero"`
+
+	// HeaderMs is how long a client may take to send a header.
+	HeaderMs int `json:"header_ms,omitempty,omitzero"`
+
+	// IdleMs is how long a connection may wait for the next request.
+	IdleMs int `json:"idle_ms,omitempty,omitzero"`
+
+	// MemoryMb is the memory that the bounds are derived from.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+
+	// MinRate is the minimum rate of bodies and answers, in bytes per second.
+	MinRate int `json:"min_rate,omitempty,omitzero"`
+
+	// OperatorsClientConnections is the same for one client address.
+	OperatorsClientConnections int `json:"operators_client_connections,omitempty,omitzero"`
+
+	// OperatorsConnections is the maximum number of connections of operators and
+	// health checks.
+	OperatorsConnections int `json:"operators_connections,omitempty,omitzero"`
+
+	// PeersClientConnections is the same for one client address.
+	PeersClientConnections int `json:"peers_client_connections,omitempty,omitzero"`
+
+	// PeersConnections is the maximum number of connections of other processes.
+	PeersConnections int `json:"peers_connections,omitempty,omitzero"`
+
+	// ReservedDescriptors is how many file descriptors are kept free of accepted
+	// connections; all listeners together get the rest.
+	ReservedDescriptors int `json:"reserved_descriptors,omitempty,omitzero"`
+
+	// StallMs is how long a body may make no progress.
+	StallMs int `json:"stall_ms,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Overload) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	type Plain Overload
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["answer_ms"]; !ok || v == nil {
+		plain.AnswerMs = 10000
+	}
+	if 600000 < plain.AnswerMs {
+		return fmt.Errorf("field %s: must be <= %v", "answer_ms", 600000)
+	}
+	if 100 > plain.AnswerMs {
+		return fmt.Errorf("field %s: must be >= %v", "answer_ms", 100)
+	}
+	if v, ok := raw["body_ms"]; !ok || v == nil {
+		plain.BodyMs = 10000
+	}
+	if 600000 < plain.BodyMs {
+		return fmt.Errorf("field %s: must be <= %v", "body_ms", 600000)
+	}
+	if 100 > plain.BodyMs {
+		return fmt.Errorf("field %s: must be >= %v", "body_ms", 100)
+	}
+	if v, ok := raw["body_percent"]; !ok || v == nil {
+		plain.BodyPercent = 38
+	}
+	if 60 < plain.BodyPercent {
+		return fmt.Errorf("field %s: must be <= %v", "body_percent", 60)
+	}
+	if 5 > plain.BodyPercent {
+		return fmt.Errorf("field %s: must be >= %v", "body_percent", 5)
+	}
+	if v, ok := raw["callers_client_connections"]; !ok || v == nil {
+		plain.CallersClientConnections = 2200
+	}
+	if 100000 < plain.CallersClientConnections {
+		return fmt.Errorf("field %s: must be <= %v", "callers_client_connections", 100000)
+	}
+	if 1 > plain.CallersClientConnections {
+		return fmt.Errorf("field %s: must be >= %v", "callers_client_connections", 1)
+	}
+	if v, ok := raw["callers_client_percent"]; !ok || v == nil {
+		plain.CallersClientPercent = 100
+	}
+	if 100 < plain.CallersClientPercent {
+		return fmt.Errorf("field %s: must be <= %v", "callers_client_percent", 100)
+	}
+	if 1 > plain.CallersClientPercent {
+		return fmt.Errorf("field %s: must be >= %v", "callers_client_percent", 1)
+	}
+	if v, ok := raw["callers_connections"]; !ok || v == nil {
+		plain.CallersConnections = 2200
+	}
+	if 100000 < plain.CallersConnections {
+		return fmt.Errorf("field %s: must be <= %v", "callers_connections", 100000)
+	}
+	if 1 > plain.CallersConnections {
+		return fmt.Errorf("field %s: must be >= %v", "callers_connections", 1)
+	}
+	if v, ok := raw["client_percent"]; !ok || v == nil {
+		plain.ClientPercent = 90
+	}
+	if 100 < plain.ClientPercent {
+		return fmt.Errorf("field %s: must be <= %v", "client_percent", 100)
+	}
+	if 1 > plain.ClientPercent {
+		return fmt.Errorf("field %s: must be >= %v", "client_percent", 1)
+	}
+	if v, ok := raw["drop_after_ms"]; !ok || v == nil {
+		plain.DropAfterMs = 1000
+	}
+	if 600000 < plain.DropAfterMs {
+		return fmt.Errorf("field %s: must be <= %v", "drop_after_ms", 600000)
+	}
+	if 1 > plain.DropAfterMs {
+		return fmt.Errorf("field %s: must be >= %v", "drop_after_ms", 1)
+	}
+	if v, ok := raw["endpoints_client_connections"]; !ok || v == nil {
+		plain.EndpointsClientConnections = 600
+	}
+	if 100000 < plain.EndpointsClientConnections {
+		return fmt.Errorf("field %s: must be <= %v", "endpoints_client_connections", 100000)
+	}
+	if 1 > plain.EndpointsClientConnections {
+		return fmt.Errorf("field %s: must be >= %v", "endpoints_client_connections", 1)
+	}
+	if v, ok := raw["endpoints_connections"]; !ok || v == nil {
+		plain.EndpointsConnections = 1200
+	}
+	if 100000 < plain.EndpointsConnections {
+		return fmt.Errorf("field %s: must be <= %v", "endpoints_connections", 100000)
+	}
+	if 1 > plain.EndpointsConnections {
+		return fmt.Errorf("field %s: must be >= %v", "endpoints_connections", 1)
+	}
+	if v, ok := raw["header_ms"]; !ok || v == nil {
+		plain.HeaderMs = 5000
+	}
+	if 600000 < plain.HeaderMs {
+		return fmt.Errorf("field %s: must be <= %v", "header_ms", 600000)
+	}
+	if 100 > plain.HeaderMs {
+		return fmt.Errorf("field %s: must be >= %v", "header_ms", 100)
+	}
+	if v, ok := raw["idle_ms"]; !ok || v == nil {
+		plain.IdleMs = 30000
+	}
+	if 600000 < plain.IdleMs {
+		return fmt.Errorf("field %s: must be <= %v", "idle_ms", 600000)
+	}
+	if 100 > plain.IdleMs {
+		return fmt.Errorf("field %s: must be >= %v", "idle_ms", 100)
+	}
+	if v, ok := raw["memory_mb"]; !ok || v == nil {
+		plain.MemoryMb = 512
+	}
+	if 1048576 < plain.MemoryMb {
+		return fmt.Errorf("field %s: must be <= %v", "memory_mb", 1048576)
+	}
+	if 32 > plain.MemoryMb {
+		return fmt.Errorf("field %s: must be >= %v", "memory_mb", 32)
+	}
+	if v, ok := raw["min_rate"]; !ok || v == nil {
+		plain.MinRate = 16384
+	}
+	if 1000000000 < plain.MinRate {
+		return fmt.Errorf("field %s: must be <= %v", "min_rate", 1000000000)
+	}
+	if 1 > plain.MinRate {
+		return fmt.Errorf("field %s: must be >= %v", "min_rate", 1)
+	}
+	if v, ok := raw["operators_client_connections"]; !ok || v == nil {
+		plain.OperatorsClientConnections = 80
+	}
+	if 100000 < plain.OperatorsClientConnections {
+		return fmt.Errorf("field %s: must be <= %v", "operators_client_connections", 100000)
+	}
+	if 1 > plain.OperatorsClientConnections {
+		return fmt.Errorf("field %s: must be >= %v", "operators_client_connections", 1)
+	}
+	if v, ok := raw["operators_connections"]; !ok || v == nil {
+		plain.OperatorsConnections = 160
+	}
+	if 100000 < plain.OperatorsConnections {
+		return fmt.Errorf("field %s: must be <= %v", "operators_connections", 100000)
+	}
+	if 1 > plain.OperatorsConnections {
+		return fmt.Errorf("field %s: must be >= %v", "operators_connections", 1)
+	}
+	if v, ok := raw["peers_client_connections"]; !ok || v == nil {
+		plain.PeersClientConnections = 128
+	}
+	if 100000 < plain.PeersClientConnections {
+		return fmt.Errorf("field %s: must be <= %v", "peers_client_connections", 100000)
+	}
+	if 1 > plain.PeersClientConnections {
+		return fmt.Errorf("field %s: must be >= %v", "peers_client_connections", 1)
+	}
+	if v, ok := raw["peers_connections"]; !ok || v == nil {
+		plain.PeersConnections = 256
+	}
+	if 100000 < plain.PeersConnections {
+		return fmt.Errorf("field %s: must be <= %v", "peers_connections", 100000)
+	}
+	if 1 > plain.PeersConnections {
+		return fmt.Errorf("field %s: must be >= %v", "peers_connections", 1)
+	}
+	if v, ok := raw["reserved_descriptors"]; !ok || v == nil {
+		plain.ReservedDescriptors = 200
+	}
+	if 100000 < plain.ReservedDescriptors {
+		return fmt.Errorf("field %s: must be <= %v", "reserved_descriptors", 100000)
+	}
+	if 16 > plain.ReservedDescriptors {
+		return fmt.Errorf("field %s: must be >= %v", "reserved_descriptors", 16)
+	}
+	if v, ok := raw["stall_ms"]; !ok || v == nil {
+		plain.StallMs = 10000
+	}
+	if 600000 < plain.StallMs {
+		return fmt.Errorf("field %s: must be <= %v", "stall_ms", 600000)
+	}
+	if 100 > plain.StallMs {
+		return fmt.Errorf("field %s: must be >= %v", "stall_ms", 100)
+	}
+	*j = Overload(plain)
+	return nil
+}
+
 // Peer is one process of the system.
 type Peer struct {
 	// Address is the host:port at which other processes reach the peer.
--- a/internal/base/conf/load.go
+++ b/internal/base/conf/load.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return Daemon{}, errors.Wrap(err, "read settings")
 	}
-	spec := InputSpec{Schema: schema.Daemon, Tables: []string{"control", "entry", "platform", "log", "tls"}}
+	spec := InputSpec{Schema: schema.Daemon, Tables: []string{"control", "entry", "platform", "overload", "log", "tls"}}
 	var d Daemon
 	if err := Decode(Source{File: path, Text: text}, spec, &d); err != nil {
 		return Daemon{}, err
@@ -50,7 +50,7 @@
 	if err != nil {
 		return Site{}, errors.Wrap(err, "read settings")
 	}
-	spec := InputSpec{Schema: schema.Site, Tables: []string{"listen", "control", "provider", "bounds", "limits", "log"}}
+	spec := InputSpec{Schema: schema.Site, Tables: []string{"listen", "control", "provider", "bounds", "limits", "overload", "log"}}
 	var s Site
 	if err := Decode(Source{File: path, Text: text}, spec, &s); err != nil {
 		return Site{}, err
