--- a/internal/app/crowd/main_test.go
+++ b/internal/app/crowd/main_test.go
@@ -37,6 +37,7 @@
 //   - start: starts the process with limits.memory_mb and a limit on open files.
 //   - crowd: connects the clients of a crowd, which send what they can and stay connected until the script ends.
 //   - requests: makes one ordinary request of each kind until it is served.
+//   - largest: makes one request of each kind with a body of the largest legal size, and returns the statuses.
 //   - bounds: checks that the process runs, that its peak memory and its descriptors are within bounds, and that it still
 //     holds what it answered.
 //   - closed: waits until the process has closed the connections of the crowds, so that few descriptors are open.
@@ -54,6 +55,8 @@
 				return ""
 			case "requests":
 				return p.requests()
+			case "largest":
+				return p.largest()
 			case "bounds":
 				t.Logf("%s: at the end %s", path, p.figures())
 				return p.checkBounds(argument(t, d, "memory"), argument(t, d, "files")) + p.checkJobs()
--- a/internal/app/crowd/process_test.go
+++ b/internal/app/crowd/process_test.go
@@ -326,3 +326,54 @@
 	answer, err := p.connections.Call(ctx, p.peers(), &peer.Link{Body: &peer.Link_Request{Request: codec.CallToWire(call)}})
 	return err == nil && codec.ReplyFromWire(answer.GetReply()).Code == batch.CodeOK
 }
+
+// Sizes of the largest legal bodies.
+const (
+	maxJobBytes     = 256 << 10
+	maxControlBytes = 4 << 20
+)
+
+// largest makes one request of each kind with a body of the largest legal size: a job with as many steps of the usual form
+// as fit, a heartbeat with rows and a configuration with queues. It returns their statuses.
+func (p *process) largest() string {
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	p.sequence++
+	p.version++
+	row := `["0123456789abcdef.0.0.0",1,"checkpoint-of-the-task",50,1.5]`
+	queue := `{"host":"queue-%05d.example","pathPrefix":"/batches-of-one-account/","timeoutMs":3000,"targetLatencyMs":2000,"priority":1,` +
+		`"service":"pool","maxAttempts":2}`
+	out := ""
+	for _, k := range []struct {
+		name, address, path, prefix, entry, suffix string
+		size                                       int
+	}{
+		{"job", p.callers(), "/q/000000000000aaaa", `{"spec":"text","phases":[`, `{"count":1,"cpu":1000}`, "]}", maxJobBytes},
+		{"heartbeat", p.control(), "/-/instances/i-2/heartbeat", fmt.Sprintf(
+			`{"service":"pool","address":"10.9.9.8:1","state":"ready","seq":%d,"born":1,"capacity":{"cpu":4000,"memMb":4000},"ended":[],"running":[`,
+			p.sequence), row, "]}", maxControlBytes},
+		{
+			"configuration", p.control(), "/-/config/replace", fmt.Sprintf(`{"version":%d,"services":[{"name":"pool"}],"routes":[`, p.version),
+			queue, "]}", maxControlBytes,
+		},
+	} {
+		var body strings.Builder
+		body.WriteString(k.prefix)
+		for i := 0; ; i++ {
+			entry := k.entry
+			if k.name == "configuration" {
+				entry = fmt.Sprintf(entry, i)
+			}
+			if body.Len()+len(entry)+len(k.suffix)+1 > k.size {
+				break
+			}
+			if i > 0 {
+				body.WriteString(",")
+			}
+			body.WriteString(entry)
+		}
+		body.WriteString(k.suffix)
+		out += fmt.Sprintf("%s %d\n", k.name, p.call(ctx, http.MethodPost, k.address, k.path, body.String()))
+	}
+	return out
+}
--- a/internal/app/site/drain.go
+++ b/internal/app/site/drain.go
@@ -15,6 +15,7 @@
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/ctrl/member"
+	"cowslipstack/internal/wire/guard"
 )
 
 // drainer runs the HTTP servers and shuts them down gracefully.
@@ -42,22 +43,42 @@
 	return !d.draining.Load() && d.membership.Route().Leader != ""
 }
 
+// served is an HTTP server to run.
+type served struct {
+	name     string
+	listener net.Listener
+	guard    *guard.Guard
+	handler  http.Handler
+	// commandLine is set for the operators' command line, which uses HTTP/2 without TLS.
+	commandLine bool
+}
+
+const (
+	// maxStreams bounds the requests in progress on one HTTP/2 connection; the command line makes one at a time.
+	maxStreams = 16
+	// connectionBufferBytes and streamBufferBytes bound what is received before a handler reads it; the first is close to
+	// the least that HTTP/2 allows, 65,535.
+	connectionBufferBytes, streamBufferBytes = 64 << 10, 32 << 10
+)
+
 // serve starts a server on a listener; it does nothing if the listener is nil.
-func (d *drainer) serve(name string, listener net.Listener, handler http.Handler, g *tasks.Group) {
-	if listener == nil {
+func (d *drainer) serve(s served, g *tasks.Group) {
+	if s.listener == nil {
 		return
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	// The operators' command line uses unencrypted HTTP/2.
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(s.commandLine)
 	server := &http.Server{
-		Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(d.logger),
+		Handler: s.handler, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(d.logger),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes,
+		},
 	}
+	s.guard.Configure(server)
 	d.servers = append(d.servers, server)
-	g.Start("serve_"+name, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	g.Start("serve_"+s.name, func(context.Context) error {
+		if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -21,6 +22,7 @@
 	"cowslipstack/internal/ctrl/member"
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/edge/proxy"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/internal/wire/peer"
 	"cowslipstack/internal/wire/serve"
@@ -28,8 +30,6 @@
 )
 
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP probes that detect dead connections.
 	keepAliveIdle     = 3 * time.Second
@@ -41,7 +41,7 @@
 func operatorHandler(p *proxy.Proxy) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	path, handler := peer.NewBatchHandler(&serve.Batch{Proxy: p})
+	path, handler := peer.NewBatchHandler(&serve.Batch{Proxy: p}, connect.WithReadMaxBytes(guard.MaxConnectBytes))
 	router.PathPrefix(path).Handler(handler)
 	return router
 }
@@ -51,18 +51,19 @@
 	callers, ready, control, operators, peers net.Listener
 }
 
-func newListeners(settings conf.Site, m *member.Membership) (*listeners, error) {
+func newListeners(settings conf.Site, m *member.Membership, g *guards) (*listeners, error) {
 	l := &listeners{}
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 	for _, entry := range []struct {
 		address  string
 		listener *net.Listener
+		guard    *guard.Guard
 	}{
-		{settings.Listen.Callers, &l.callers},
-		{settings.Listen.Ready, &l.ready},
-		{settings.Listen.Control, &l.control},
-		{settings.Listen.Operators, &l.operators},
-		{peerBindAddress(settings, m), &l.peers},
+		{settings.Listen.Callers, &l.callers, g.callers},
+		{settings.Listen.Ready, &l.ready, g.ready},
+		{settings.Listen.Control, &l.control, g.control},
+		{settings.Listen.Operators, &l.operators, g.operators},
+		{peerBindAddress(settings, m), &l.peers, g.peers},
 	} {
 		if entry.address == "" {
 			continue
@@ -71,7 +72,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", entry.address)
 		}
-		*entry.listener = listener
+		*entry.listener = entry.guard.Listener(listener)
 	}
 	return l, nil
 }
@@ -117,6 +118,7 @@
 	Server      *platform.Server
 	Proxy       *proxy.Proxy
 	Listeners   *listeners
+	Guards      *guards
 	Drainer     *drainer
 	Reloader    *reloader
 }
@@ -129,7 +131,7 @@
 	g.Start("log", p.LogWriter.Run)
 	g.Start("control_loop", p.Loop.Run)
 	g.Start("lines", p.Connections.Run)
-	server := &link.Server{Listener: p.Listeners.peers, Handler: p.PeerHandler, Clock: p.Clock, Logger: p.Logger}
+	server := &link.Server{Listener: p.Listeners.peers, Handler: p.PeerHandler, Clock: p.Clock, Guard: p.Guards.peers, Logger: p.Logger}
 	g.Start("peers", server.Run)
 	g.Start("greet", p.Gossiper.Run)
 	g.Start("settings", p.Reloader.Run)
@@ -143,10 +145,14 @@
 		}
 		g.Start("advice", func(ctx context.Context) error { return p.Orders.run(ctx, p.Orders.adviceQueue) })
 	}
-	p.Drainer.serve("callers", p.Listeners.callers, p.Server.Callers(), g)
-	p.Drainer.serve("ready", p.Listeners.ready, p.Server.Readiness(), g)
-	p.Drainer.serve("control", p.Listeners.control, p.Server.Control(), g)
-	p.Drainer.serve("operators", p.Listeners.operators, operatorHandler(p.Proxy), g)
+	for _, s := range []served{
+		{name: "callers", listener: p.Listeners.callers, guard: p.Guards.callers, handler: p.Server.Callers()},
+		{name: "ready", listener: p.Listeners.ready, guard: p.Guards.ready, handler: p.Server.Readiness()},
+		{name: "control", listener: p.Listeners.control, guard: p.Guards.control, handler: p.Server.Control()},
+		{name: "operators", listener: p.Listeners.operators, guard: p.Guards.operators, handler: operatorHandler(p.Proxy), commandLine: true},
+	} {
+		p.Drainer.serve(s, g)
+	}
 }
 
 // stop ends the servers by closing their listeners, then all goroutines, and closes the log, which no goroutine uses any more.
--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -85,7 +85,7 @@
 		fx.Supply(settings, o, logger, logWriter),
 		fx.Provide(
 			newClock, newUptime, newLoop, newGroup, newMembership, newConnections, newReplica, newClient, newOrderExecutor, newOrderQueues, newScheduler,
-			newLocal, newProxy, newPeerHandler, newGossiper, newServer, newListeners, newDrainer, newReloader,
+			newLocal, newProxy, newPeerHandler, newGossiper, newServer, newGuards, newListeners, newDrainer, newReloader,
 		),
 		fx.Invoke(start),
 	)
--- a/internal/app/site/stop_test.go
+++ b/internal/app/site/stop_test.go
@@ -10,10 +10,12 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/budget"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/loop"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/internal/wire/peer"
 )
@@ -51,7 +53,12 @@
 	a := &answerer{answer: frame, answered: make(chan struct{}, stopRounds)}
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := &link.Server{Listener: listener, Handler: a, Clock: clock.System{}, Logger: zap.NewNop()}
+	protection := guard.New(guard.Options{
+		Name: "peers", Class: budget.Peers, Clock: clock.System{}, Logger: zap.NewNop(),
+		Budget: budget.New(map[budget.Class]budget.Limits{budget.Peers: {Bytes: 1 << 20, ClientBytes: 1 << 20}}),
+		Limits: guard.Limits{Connections: 8, ClientConnections: 8, Stall: time.Minute, Body: time.Minute, Answer: time.Minute, MinRate: 1},
+	})
+	server := &link.Server{Listener: listener, Handler: a, Clock: clock.System{}, Guard: protection, Logger: zap.NewNop()}
 	others := tasks.NewGroup(t.Context())
 	others.Start("server", server.Run)
 	for range stopRounds {
--- a/internal/wire/link/script_test.go
+++ b/internal/wire/link/script_test.go
@@ -10,7 +10,9 @@
 	"github.com/cockroachdb/datadriven"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/budget"
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/internal/wire/peer"
 )
@@ -98,7 +100,14 @@
 	}
 	// On this clock no deadline of a connection passes while the script runs.
 	ahead := clock.NewManual(time.Now().Add(time.Hour))
-	server := &link.Server{Listener: listener, Handler: h, Clock: ahead, Logger: zap.NewNop()}
+	const frameBytes = 64 << 20
+	limits := budget.Limits{Bytes: frameBytes, ClientBytes: frameBytes}
+	protection := guard.New(guard.Options{
+		Name: "peers", Class: budget.Peers, Clock: ahead, Logger: zap.NewNop(),
+		Budget: budget.New(map[budget.Class]budget.Limits{budget.Peers: limits}),
+		Limits: guard.Limits{Connections: 8, ClientConnections: 8, Stall: callTimeout, Body: callTimeout, Answer: callTimeout, MinRate: 1},
+	})
+	server := &link.Server{Listener: protection.Listener(listener), Handler: h, Clock: ahead, Guard: protection, Logger: zap.NewNop()}
 	connections := link.NewConnections(ahead, zap.NewNop(), func(context.Context, *peer.Link) {})
 	ctx, stop := context.WithCancel(context.Background())
 	ends := make(chan error, 2)
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/peer"
 )
 
@@ -31,6 +32,8 @@
 	Handler Handler
 	// Clock sets the write deadlines.
 	Clock clock.Clock
+	// Guard bounds what the clients may take.
+	Guard *guard.Guard
 	// Logger receives the server's events.
 	Logger *zap.Logger
 }
@@ -69,7 +72,7 @@
 	w := &responseWriter{conn: conn, clock: s.Clock}
 	reader := bufio.NewReaderSize(conn, readBufferBytes)
 	for {
-		f, err := readFrame(reader)
+		f, release, err := readGuarded(s.Guard, conn, reader)
 		if err != nil {
 			s.Logger.Debug("connection_ended", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
 			return
@@ -78,9 +81,11 @@
 			if response := s.Handler.Deliver(ctx, f); response != nil {
 				s.write(w, response)
 			}
+			release()
 			continue
 		}
 		calls.Go(func() {
+			defer release()
 			if response := s.Handler.Answer(ctx, f); response != nil {
 				response.Call = f.GetCall()
 				s.write(w, response)
