--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -45,7 +45,7 @@
 func Module(settings conf.Daemon) fx.Option {
 	options := []fx.Option{
 		fx.Supply(settings),
-		fx.Provide(newLogger, newClock, newLoop, newGroup, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler, newDrainer),
+		fx.Provide(newLogger, newClock, newLoop, newGroup, newGuards, newListeners, newCertificates, dial.NewClient, newControlClient, newPeerHandler, newOperatorHandler, newDrainer),
 	}
 	if settings.HasRole(conf.RoleControl) {
 		options = append(options, controlModule)
--- a/internal/app/daemon/listen.go
+++ b/internal/app/daemon/listen.go
@@ -15,11 +15,10 @@
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/wire/certs"
 	"cowslipstack/internal/wire/dial"
+	"cowslipstack/internal/wire/guard"
 )
 
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	// stopMargin is the time that a shutdown may take in addition to the entry's drain.
 	stopMargin = 10 * time.Second
@@ -35,19 +34,20 @@
 }
 
 // newListeners opens the sockets that the settings' roles need. A nil source of certificates means no TLS.
-func newListeners(settings conf.Daemon, source *certs.Source, lc fx.Lifecycle) (*listeners, error) {
+func newListeners(settings conf.Daemon, source *certs.Source, gs *guards, lc fx.Lifecycle) (*listeners, error) {
 	l := &listeners{}
 	var config net.ListenConfig
 	sockets := []struct {
 		key     string
 		address string
 		target  *net.Listener
+		guard   *guard.Guard
 		enabled bool
 	}{
-		{"listen.peers", settings.Listen.Peers, &l.peers, true},
-		{"listen.operators", settings.Listen.Operators, &l.operators, true},
-		{"listen.callers", settings.Listen.Callers, &l.callers, settings.HasRole(conf.RoleEntry)},
-		{"listen.endpoints", settings.Listen.Endpoints, &l.endpoints, settings.HasRole(conf.RoleEntry)},
+		{"listen.peers", settings.Listen.Peers, &l.peers, gs.peers, true},
+		{"listen.operators", settings.Listen.Operators, &l.operators, gs.operators, true},
+		{"listen.callers", settings.Listen.Callers, &l.callers, gs.callers, settings.HasRole(conf.RoleEntry)},
+		{"listen.endpoints", settings.Listen.Endpoints, &l.endpoints, gs.endpoints, settings.HasRole(conf.RoleEntry)},
 	}
 	for _, s := range sockets {
 		if !s.enabled {
@@ -57,10 +57,12 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "key %q: %q", s.key, s.address)
 		}
-		*s.target = listener
+		if s.guard == gs.peers {
+			listener = dial.CountListener(listener)
+		}
+		*s.target = s.guard.Listener(listener)
 		lc.Append(fx.StopHook(func() { _ = listener.Close() }))
 	}
-	l.peers = dial.CountListener(l.peers)
 	if source != nil {
 		l.peers = tls.NewListener(l.peers, source.Server())
 		l.operators = tls.NewListener(l.operators, source.Server())
@@ -79,14 +81,14 @@
 }
 
 // startServers starts an HTTP server for each listener and logs their addresses.
-func startServers(lc fx.Lifecycle, settings conf.Daemon, l *listeners, h handlers, d *drainer, g *tasks.Group, logger *zap.Logger) {
+func startServers(lc fx.Lifecycle, settings conf.Daemon, l *listeners, gs *guards, h handlers, d *drainer, g *tasks.Group, logger *zap.Logger) {
 	fields := []zap.Field{zap.String("data_centre", string(settings.DataCentre))}
-	start := func(name string, listener net.Listener, handler http.Handler) {
+	start := func(name string, listener net.Listener, handler http.Handler, gd *guard.Guard) {
 		if listener == nil {
 			return
 		}
 		fields = append(fields, zap.Stringer(name, listener.Addr()))
-		server := newServer(handler, logger)
+		server := newServer(handler, gd, gd == gs.peers || gd == gs.operators, logger)
 		if name == "callers" {
 			d.callersServer = server
 		}
@@ -98,27 +100,30 @@
 			return nil
 		})
 	}
-	start("peers", l.peers, h.Peers)
-	start("operators", l.operators, h.Operators)
-	start("endpoints", l.endpoints, h.Endpoints)
-	start("callers", l.callers, h.Callers)
+	start("peers", l.peers, h.Peers, gs.peers)
+	start("operators", l.operators, h.Operators, gs.operators)
+	start("endpoints", l.endpoints, h.Endpoints, gs.endpoints)
+	start("callers", l.callers, h.Callers, gs.callers)
 	lc.Append(fx.StartHook(func() { logger.Info("started", fields...) }))
 }
 
-// newServer returns a server for HTTP/1.1, HTTP/2 and unencrypted HTTP/2.
-func newServer(handler http.Handler, logger *zap.Logger) *http.Server {
+const (
+	// connectionBufferBytes and streamBufferBytes bound what an HTTP/2 connection receives before a handler reads it.
+	connectionBufferBytes, streamBufferBytes = 256 << 10, 64 << 10
+)
+
+// newServer returns a server for HTTP/1.1 and, with http2 set, for HTTP/2 with and without TLS.
+func newServer(handler http.Handler, g *guard.Guard, http2 bool, logger *zap.Logger) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(logger),
+	protocols.SetHTTP2(http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	server := &http.Server{
+		Handler: handler, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(logger),
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes},
 	}
+	g.Configure(server)
+	return server
 }
 
 // stopTimeout returns the time limit of the shutdown after the drain.
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -11,6 +11,7 @@
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/edge/agent"
 	"cowslipstack/internal/wire/dial"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/peer"
 	"cowslipstack/internal/wire/serve"
 )
@@ -18,6 +19,9 @@
 // minCompressBytes is the minimum size of a message that is compressed; for smaller ones compression does not pay.
 const minCompressBytes = 4096
 
+// maxPeerBytes bounds a message of another process; the largest hold an environment document.
+const maxPeerBytes = 4 * guard.MaxConnectBytes
+
 // peerParams are the services that other cowslipd processes call; those of a role that the process does not have are nil.
 type peerParams struct {
 	fx.In
@@ -40,7 +44,8 @@
 }
 
 func newPeerHandler(params peerParams) peerHandler {
-	compression := connect.WithCompressMinBytes(minCompressBytes)
+	limit := connect.WithReadMaxBytes(maxPeerBytes)
+	compression := connect.WithHandlerOptions(connect.WithCompressMinBytes(minCompressBytes), limit)
 	handler := http.NewServeMux()
 	if params.Replica != nil {
 		handler.Handle(peer.NewReplicaHandler(params.Replica, compression))
@@ -50,13 +55,13 @@
 		handler.Handle(peer.NewControlHandler(params.Control, compression))
 	}
 	if params.Environment != nil {
-		handler.Handle(peer.NewEnvironmentHandler(params.Environment))
+		handler.Handle(peer.NewEnvironmentHandler(params.Environment, limit))
 	}
 	if params.Fleet != nil {
 		handler.Handle(peer.NewFleetHandler(params.Fleet, compression))
 	}
 	if params.Recall != nil {
-		handler.Handle(peer.NewRecallHandler(params.Recall))
+		handler.Handle(peer.NewRecallHandler(params.Recall, limit))
 	}
 	if params.Slots != nil {
 		handler.Handle(peer.NewSlotsHandler(params.Slots, compression))
@@ -92,13 +97,14 @@
 		service.Agent = params.Agent
 	}
 	router := mux.NewRouter()
-	path, handler := peer.NewOperatorHandler(service)
+	limit := connect.WithReadMaxBytes(guard.MaxConnectBytes)
+	path, handler := peer.NewOperatorHandler(service, limit)
 	router.PathPrefix(path).Handler(handler)
-	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: params.Control})
+	path, handler = peer.NewEnvironmentHandler(&dial.Environment{Control: params.Control}, limit)
 	router.PathPrefix(path).Handler(handler)
-	path, handler = peer.NewFleetHandler(&dial.Fleet{Control: params.Control})
+	path, handler = peer.NewFleetHandler(&dial.Fleet{Control: params.Control}, limit)
 	router.PathPrefix(path).Handler(handler)
-	path, handler = peer.NewMembersHandler(params.Control)
+	path, handler = peer.NewMembersHandler(params.Control, limit)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
--- a/internal/edge/discov/handler.go
+++ b/internal/edge/discov/handler.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/budget"
 	"cowslipstack/internal/model/fleet"
 )
 
@@ -68,7 +69,12 @@
 		e, err := decode(w, r)
 		if err != nil {
 			logger.Debug("announcement_refused", zap.Error(err))
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			status := http.StatusBadRequest
+			if errors.Is(err, budget.ErrExhausted) || errors.Is(err, budget.ErrDropped) {
+				status = http.StatusServiceUnavailable
+				w.Header().Set("Retry-After", "1")
+			}
+			http.Error(w, err.Error(), status)
 			return
 		}
 		next, err := agent.Announce(r.Context(), e)
--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -8,13 +8,15 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/budget"
 	"cowslipstack/internal/model/fleet"
 )
 
+// MaxKeptBodyBytes is the longest request body that is read whole into memory. A longer one is streamed, and is
+// sent once.
+const MaxKeptBodyBytes = 256 << 10
+
 const (
-	// maxKeptBodyBytes is the longest request body that is read whole into memory. A longer one is streamed, and is
-	// sent once.
-	maxKeptBodyBytes = 256 << 10
 	// maxTotalBodyBytes limits the bodies in memory of all requests together.
 	maxTotalBodyBytes = 64 << 20
 	// callerIOTimeout is the longest wait for a caller to send or to read the next bytes.
@@ -36,16 +38,16 @@
 	// whose connections have none.
 	_ = c.control.SetReadDeadline(c.deadline)
 	limited := http.MaxBytesReader(c.w, c.r.Body, f.options.BodyLimit)
-	size := int64(maxKeptBodyBytes)
+	size := int64(MaxKeptBodyBytes)
 	if c.r.ContentLength > 0 {
 		size = min(size, c.r.ContentLength)
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, min(size, maxKeptBodyBytes)+bytes.MinRead))
-	_, err := buffer.ReadFrom(io.LimitReader(limited, maxKeptBodyBytes+1))
+	buffer := bytes.NewBuffer(make([]byte, 0, min(size, MaxKeptBodyBytes)+bytes.MinRead))
+	_, err := buffer.ReadFrom(io.LimitReader(limited, MaxKeptBodyBytes+1))
 	if err != nil {
 		return badBodyRefusal(err)
 	}
-	if buffer.Len() <= maxKeptBodyBytes {
+	if buffer.Len() <= MaxKeptBodyBytes {
 		_ = c.control.SetReadDeadline(time.Time{})
 		c.body, c.length = buffer.Bytes(), int64(buffer.Len())
 		f.bodyBytes.Add(c.length)
@@ -61,6 +63,9 @@
 	if errors.As(err, &tooLarge) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: fleet.OutcomeNotRun, code: codeBodyTooLong, message: "the body is too long"}
 	}
+	if errors.Is(err, budget.ErrExhausted) || errors.Is(err, budget.ErrDropped) || errors.Is(err, budget.ErrTooLarge) {
+		return &refusal{status: http.StatusServiceUnavailable, outcome: fleet.OutcomeNotRun, code: codeBusy, message: err.Error(), safeRetry: true}
+	}
 	return &refusal{status: http.StatusBadRequest, outcome: fleet.OutcomeNotRun, code: codeBadBody, message: "the body was cut: " + err.Error()}
 }
 
