--- a/internal/app/crowd/crowd_test.go
+++ b/internal/app/crowd/crowd_test.go
@@ -43,7 +43,8 @@
 
 // newCrowd returns the crowd that a command describes:
 //   - clients, sources: how many clients there are, and from how many addresses.
-//   - to: job, heartbeat, configuration, command (the operators' command line), peers.
+//   - to: job, heartbeat, configuration, command (the operators' command line), peers; without --site job (any request of a
+//     caller), peer-call, operator-call, announcement.
 //   - send: length (a body with its length), chunks, frame, streams (bodies on HTTP/2 streams without TLS), header (a part of one),
 //     nothing, kept (a request that is answered), or reads (requests whose answers aren't read).
 //   - bytes, missing: how many bytes of a body or frame are sent, and how many its length says beyond that.
@@ -61,6 +62,9 @@
 		"heartbeat":     {p.control(), "/-/instances/i-9/heartbeat", "application/json", `{"service":"pool","state":"ready","seq":1,"running":[`, "0"},
 		"configuration": {p.control(), "/-/config/replace", "application/json", `{"version":1,"routes":[`, "{}"},
 		"command":       {p.operators(), "/cowslip.peer.v1.Batch/Inspect", "application/proto", "", ""},
+		"peer-call":     {p.peers(), "/cowslip.peer.v1.Control/Submit", "application/proto", "", ""},
+		"operator-call": {p.operators(), "/cowslip.peer.v1.Operator/Apply", "application/proto", "", ""},
+		"announcement":  {p.endpoints(), "/v1/endpoints", "application/json", "", ""},
 		"peers":         {address: p.peers()},
 	}[to]
 	if !ok {
--- a/internal/app/crowd/main_test.go
+++ b/internal/app/crowd/main_test.go
@@ -35,6 +35,7 @@
 // TestCrowds runs the scripts in testdata one after the other. It guards against a process that exits, hangs, exceeds its
 // memory or descriptors, or stops serving ordinary clients while others overload it. The commands:
 //   - start: starts the process with limits.memory_mb and a limit on open files.
+//   - start-daemon, daemon-requests: the same as start and requests without --site.
 //   - crowd: connects the clients of a crowd, which send what they can and stay connected until the script ends.
 //   - requests: makes one ordinary request of each kind until it is served.
 //   - largest: makes one request of each kind with a body of the largest legal size, and returns the statuses.
@@ -49,6 +50,11 @@
 			case "start":
 				p = startProcess(t, argument(t, d, "memory"), argument(t, d, "files"))
 				return "started\n"
+			case "start-daemon":
+				p = startDaemon(t, argument(t, d, "files"))
+				return "started\n"
+			case "daemon-requests":
+				return p.daemonRequests()
 			case "crowd":
 				newCrowd(t, p, d).connect()
 				t.Logf("%s: after the crowd %s", path, p.figures())
--- a/internal/app/crowd/process_test.go
+++ b/internal/app/crowd/process_test.go
@@ -61,24 +61,25 @@
 func (p *process) control() string           { return p.address(3) }
 func (p *process) operators() string         { return p.address(4) }
 
-// startProcess starts a process with a memory limit in MB and a limit on open files, and waits until it serves.
-func startProcess(t *testing.T, memory, files int) *process {
+// newProcess returns a process that isn't started, with free ports.
+func newProcess(t *testing.T) *process {
 	t.Helper()
 	is := is.New(t)
 	probe, err := net.Listen("tcp", host+":0")
 	is.NoErr(err)
 	p := &process{t: t, port: probe.Addr().(*net.TCPAddr).Port, done: make(chan struct{})}
 	is.NoErr(probe.Close())
-	folder := t.TempDir()
-	path := filepath.Join(folder, "site.toml")
-	text := fmt.Sprintf("name = \"p0\"\ndata_centre = \"dc\"\nseeds = [\"%s:1\"]\n[listen]\nhost = %q\npeer_port = %d\ncallers = %q\nready = %q\n"+
-		"control = %q\noperators = %q\n[control]\ndata_folder = %q\nfirst_start = true\nlosses = 0\n[limits]\nmemory_mb = %d\n[bounds]\ngrace_s = 2\n",
-		host, host, p.port, p.callers(), p.ready(), p.control(), p.operators(), filepath.Join(folder, "data"), memory)
-	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return p
+}
+
+// run starts the process with a limit on open files; it is killed at the end of the test.
+func (p *process) run(folder string, files int, flag, settings string) {
+	p.t.Helper()
+	is := is.New(p.t)
 	log, err := os.Create(filepath.Join(folder, "log"))
 	is.NoErr(err)
 	// A Go program raises its soft limit to the hard one, so both are set.
-	command := exec.Command("/bin/sh", "-c", "ulimit -n "+strconv.Itoa(files)+" && exec \"$0\" --site \"$1\"", program, path)
+	command := exec.Command("/bin/sh", "-c", "ulimit -n "+strconv.Itoa(files)+" && exec \"$0\" \"$1\" \"$2\"", program, flag, settings)
 	command.Stdout, command.Stderr = log, log
 	is.NoErr(command.Start())
 	p.id = command.Process.Pid
@@ -86,6 +87,28 @@
 		_ = command.Wait() // The error reports the signal that ended the process.
 		close(p.done)
 	}()
+	p.t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGKILL)
+		<-p.done
+		_ = log.Close()
+		if written, err := os.ReadFile(log.Name()); err == nil && p.t.Failed() {
+			p.t.Logf("end of the log: %s", written[max(0, len(written)-2000):])
+		}
+	})
+}
+
+// startProcess starts a process with --site and a memory limit in MB, and waits until it serves.
+func startProcess(t *testing.T, memory, files int) *process {
+	t.Helper()
+	is := is.New(t)
+	p := newProcess(t)
+	folder := t.TempDir()
+	path := filepath.Join(folder, "site.toml")
+	text := fmt.Sprintf("name = \"p0\"\ndata_centre = \"dc\"\nseeds = [\"%s:1\"]\n[listen]\nhost = %q\npeer_port = %d\ncallers = %q\nready = %q\n"+
+		"control = %q\noperators = %q\n[control]\ndata_folder = %q\nfirst_start = true\nlosses = 0\n[limits]\nmemory_mb = %d\n[bounds]\ngrace_s = 2\n",
+		host, host, p.port, p.callers(), p.ready(), p.control(), p.operators(), filepath.Join(folder, "data"), memory)
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	p.run(folder, files, "--site", path)
 	ctx, stop := context.WithCancel(context.Background())
 	p.connections = link.NewConnections(clock.System{}, zap.NewNop(), func(context.Context, *peer.Link) {})
 	ended := make(chan error, 1)
@@ -93,12 +116,6 @@
 	t.Cleanup(func() {
 		stop()
 		is.NoErr(<-ended)
-		_ = command.Process.Signal(syscall.SIGKILL)
-		<-p.done
-		_ = log.Close()
-		if written, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
-			t.Logf("end of the log: %s", written[max(0, len(written)-2000):])
-		}
 	})
 	// Jobs need the queues of the first configuration.
 	is.True(p.repeat(p.replaceConfiguration))
@@ -245,6 +262,7 @@
 		p.t.Fatal(err)
 	}
 	r.Host = "queue.example"
+	r.Header.Set("Content-Type", "application/json")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := client.Do(r)
 	if err != nil {
