Keep idle connections for two minutes by default, as before the limits

The connection limits close a quiet connection early where there are too many; a client that sends its next request after 30 s could otherwise meet a connection that is being closed.

--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -599,7 +599,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "header_ms", 100)
 	}
 	if v, ok := raw["idle_ms"]; !ok || v == nil {
-		plain.IdleMs = 30000
+		plain.IdleMs = 120000
 	}
 	if 600000 < plain.IdleMs {
 		return fmt.Errorf("field %s: must be <= %v", "idle_ms", 600000)
