--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -130,16 +130,16 @@
 	g := p.Group
 	g.Start("log", p.LogWriter.Run)
 	g.Start("control_loop", p.Loop.Run)
-	g.Start("lines", p.Connections.Run)
+	g.Start("peer-connections", p.Connections.Run)
 	server := &link.Server{Listener: p.Listeners.peers, Handler: p.PeerHandler, Clock: p.Clock, Guard: p.Guards.peers, Logger: p.Logger}
 	g.Start("peers", server.Run)
-	g.Start("greet", p.Gossiper.Run)
+	g.Start("gossip", p.Gossiper.Run)
 	g.Start("settings", p.Reloader.Run)
 	if n := p.Replica.node; n != nil {
 		g.Start("disk", n.RunDisk)
 		g.Start("node", n.Run)
 		g.Start("disk_watch", p.Replica.watchDisk)
-		g.Start("tend", ticker.Run)
+		g.Start("ticker", ticker.Run)
 		for range maxConcurrentOrders {
 			g.Start("orders", func(ctx context.Context) error { return p.Orders.run(ctx, p.Orders.queue) })
 		}
