cowslip batch check: check a configuration before it is sent

An operator could learn of a fault only from the refusal of a configuration, one fault at a time, and of an entry without effect not at all. The command sends a file to any process, which decodes it, asks the leader for the active configuration, the VMs and the needs of the accounts' jobs, and returns findings with a severity and a place. Nothing is stored or changed. Exit codes: 0 clean, 1 the call failed, 2 errors, 4 only warnings.

The operators' listener takes requests of at most 4 MiB and 1 KiB.

--- a/internal/app/opcli/batch.go
+++ b/internal/app/opcli/batch.go
@@ -19,6 +19,7 @@
 	Workers *BatchListCommand   `arg:"subcommand:workers" help:"list workers, and why one takes no tasks"`
 	VMs     *BatchListCommand   `arg:"subcommand:vms" help:"list VMs, and the operation planned for each"`
 	Cancel  *BatchCancelCommand `arg:"subcommand:cancel" help:"cancel a job"`
+	Check   *BatchCheckCommand  `arg:"subcommand:check" help:"check a configuration and compare it with the active one; nothing changes"`
 }
 
 // BatchJobCommand prints the state of a job, its steps and its running attempts.
@@ -48,6 +49,8 @@
 		return c.inspectBatch(ctx, batch.TopicVMs, "", b.VMs.writeVMs)
 	case b.Cancel != nil:
 		return c.cancelBatchJob(ctx, b.Cancel.Job)
+	case b.Check != nil:
+		return c.checkConfiguration(ctx, b.Check.File)
 	default:
 		return &usageError{err: errors.New("batch needs a command; see cowslip batch --help")}
 	}
--- a/internal/app/opcli/run.go
+++ b/internal/app/opcli/run.go
@@ -28,6 +28,8 @@
 	ExitUsage = 2
 	// ExitConflict means that another change was made first.
 	ExitConflict = 3
+	// ExitWarnings means that a check found no errors, only warnings.
+	ExitWarnings = 4
 )
 
 // Arguments holds the global flags and the subcommands of cowslip; at most one subcommand is set.
@@ -173,6 +175,10 @@
 func exitCode(err error) int {
 	var usage *usageError
 	var input *conf.InputError
+	var found *findingsError
+	if errors.As(err, &found) {
+		return found.exitCode()
+	}
 	if errors.As(err, &usage) || errors.As(err, &input) {
 		return ExitUsage
 	}
--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -31,6 +32,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// maxOperatorBytes bounds a request of the operators' command line: a configuration of 4 MiB and its message around it.
+	maxOperatorBytes = 4<<20 + 1<<10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP probes that detect dead connections.
 	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
@@ -38,10 +41,11 @@
 )
 
 // operatorHandler returns the handler for the operators' command line and for metrics.
-func operatorHandler(p *proxy.Proxy) http.Handler {
+func operatorHandler(p *proxy.Proxy, logger *zap.Logger) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	path, handler := peer.NewBatchHandler(&serve.Batch{Proxy: p})
+	batchService := &serve.Batch{Proxy: p, Decode: platform.DecodeConfiguration, Logger: logger}
+	path, handler := peer.NewBatchHandler(batchService, connect.WithReadMaxBytes(maxOperatorBytes))
 	router.PathPrefix(path).Handler(handler)
 	return router
 }
@@ -146,7 +150,7 @@
 	p.Drainer.serve("callers", p.Listeners.callers, p.Server.Callers(), g)
 	p.Drainer.serve("ready", p.Listeners.ready, p.Server.Readiness(), g)
 	p.Drainer.serve("control", p.Listeners.control, p.Server.Control(), g)
-	p.Drainer.serve("operators", p.Listeners.operators, operatorHandler(p.Proxy), g)
+	p.Drainer.serve("operators", p.Listeners.operators, operatorHandler(p.Proxy, p.Logger), g)
 }
 
 // stop ends the servers by closing their listeners, then all goroutines, and closes the log, which no goroutine uses any more.
--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -26,6 +26,8 @@
 		view.Workers = s.workerViews()
 	case batch.TopicVMs:
 		view.VMs = s.vmViews()
+	case batch.TopicAccounts:
+		view.Accounts = s.accountViews()
 	default:
 		return batch.Reply{Code: batch.CodeInvalid, Detail: "this version doesn't know the topic"}
 	}
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -229,6 +229,7 @@
 // topics maps the topic argument of the inspect command.
 var topics = map[string]batch.Topic{
 	"overview": batch.TopicOverview, "job": batch.TopicJob, "workers": batch.TopicWorkers, "vms": batch.TopicVMs,
+	"accounts": batch.TopicAccounts,
 }
 
 // inspect queries the scheduler and prints each part of the answer on its own line.
@@ -255,6 +256,9 @@
 		for _, worker := range r.Inspection.Workers {
 			h.replies = append(h.replies, fmt.Sprintf("%+v", worker))
 		}
+		for _, a := range r.Inspection.Accounts {
+			h.replies = append(h.replies, fmt.Sprintf("%+v", a))
+		}
 		for _, v := range r.Inspection.VMs {
 			h.replies = append(h.replies, fmt.Sprintf("%+v", v))
 		}
--- a/internal/model/batch/account.go
+++ b/internal/model/batch/account.go
@@ -2,9 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"math"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Account is a client account: who submits jobs.
@@ -43,31 +42,35 @@
 	return nil
 }
 
-// checkAccounts returns an error that says why the accounts are not valid, or nil. It names no key.
-func (c *Configuration) checkAccounts() error {
+// accountFaults appends the faults of the accounts. They contain no key.
+func (c *Configuration) accountFaults(faults []Fault) []Fault {
 	names, holders := make(map[string]bool, len(c.Accounts)), map[KeyDigest]string{}
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
+		report := func(format string, values ...any) {
+			faults = append(faults, Fault{Subject: SubjectAccount, Name: a.Name, Text: fmt.Sprintf(format, values...)})
+		}
 		switch {
 		case a.Name == "":
-			return errors.Newf("account %d has no name", i)
+			report("account %d has no name", i)
 		case names[a.Name]:
-			return errors.Newf("two accounts have the name %q", a.Name)
+			report("two accounts have the name %q", a.Name)
 		case math.IsNaN(a.Weight) || a.Weight < 0 || a.Weight > maxWeight:
-			return errors.Newf("the account %q has the weight %g; 0 to %g are allowed", a.Name, a.Weight, maxWeight)
+			report("the account %q has the weight %g; 0 to %g are allowed", a.Name, a.Weight, maxWeight)
 		case !a.Limit.InRange():
-			return errors.Newf("the account %q has the limit %+v; 0 to %d are allowed", a.Name, a.Limit, maxAmount)
+			report("the account %q has the limit %+v; 0 to %d are allowed", a.Name, a.Limit, maxAmount)
 		}
 		names[a.Name] = true
 		for n, key := range a.Keys {
 			if key == (KeyDigest{}) {
-				return errors.Newf("key %d of the account %q is empty", n, a.Name)
+				report("key %d of the account %q is empty", n, a.Name)
+				continue
 			}
 			if holder, taken := holders[key]; taken && holder != a.Name {
-				return errors.Newf("the accounts %q and %q have a key in common", holder, a.Name)
+				report("the accounts %q and %q have a key in common", holder, a.Name)
 			}
 			holders[key] = a.Name
 		}
 	}
-	return nil
+	return faults
 }
--- a/internal/model/batch/configuration.go
+++ b/internal/model/batch/configuration.go
@@ -1,9 +1,8 @@
 package batch
 
 import (
+	"fmt"
 	"strings"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Configuration is the operator's description of queues and pools. The one with the highest version is in force.
@@ -69,6 +68,11 @@
 	return QueueKey{Host: q.Host, Prefix: q.Prefix}
 }
 
+// Name returns the host and prefix of the queue as one text.
+func (q *Queue) Name() string {
+	return q.Host + q.Prefix
+}
+
 // Match returns the queue with the longest prefix that matches a host and path, and the rest of the path after that
 // prefix; nil if no queue matches.
 func (c *Configuration) Match(host, path string) (*Queue, string) {
@@ -105,31 +109,18 @@
 	return nil
 }
 
-// Check returns an error that says why the configuration is not valid, or nil.
-func (c *Configuration) Check() error {
-	if c.Version == 0 {
-		return errors.New("the configuration has no version")
-	}
-	pools := make(map[string]bool, len(c.Pools))
-	for _, p := range c.Pools {
-		if p.Name == "" || pools[p.Name] {
-			return errors.Newf("the pool name %q is empty or stands twice", p.Name)
-		}
-		pools[p.Name] = true
-	}
-	keys := make(map[QueueKey]bool, len(c.Queues))
-	for _, q := range c.Queues {
-		switch {
-		case q.Host == "" || !strings.HasPrefix(q.Prefix, "/"):
-			return errors.Newf("a queue has the host %q and the prefix %q", q.Host, q.Prefix)
-		case q.TimeoutMs <= 0:
-			return errors.Newf("the queue %s%s has a time limit of %d ms", q.Host, q.Prefix, q.TimeoutMs)
-		case !pools[q.Pool]:
-			return errors.Newf("the queue %s%s names the unknown pool %q", q.Host, q.Prefix, q.Pool)
-		case keys[q.Key()]:
-			return errors.Newf("two queues have the host and prefix %s%s", q.Host, q.Prefix)
-		}
-		keys[q.Key()] = true
+// fault returns why the queue is not valid, beside the pools of its configuration and the queues before it; empty if it is.
+func (q *Queue) fault(pools map[string]bool, earlier map[QueueKey]bool) string {
+	switch {
+	case q.Host == "" || !strings.HasPrefix(q.Prefix, "/"):
+		return fmt.Sprintf("a queue has the host %q and the prefix %q", q.Host, q.Prefix)
+	case q.TimeoutMs <= 0:
+		return fmt.Sprintf("the queue %s has a time limit of %d ms", q.Name(), q.TimeoutMs)
+	case !pools[q.Pool]:
+		return fmt.Sprintf("the queue %s names the unknown pool %q", q.Name(), q.Pool)
+	case earlier[q.Key()]:
+		return "two queues have the host and prefix " + q.Name()
+	default:
+		return ""
 	}
-	return c.checkAccounts()
 }
--- a/internal/model/batch/doc.go
+++ b/internal/model/batch/doc.go
@@ -3,4 +3,4 @@
 // tasks, worker heartbeats and orders, log entries, and calls on the leader.
 package batch
 
-//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Phase,EndKind,Code,Topic -linecomment -output=enums_gen.go
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Phase,EndKind,Code,Topic,Subject -linecomment -output=enums_gen.go
--- a/internal/model/batch/inspect.go
+++ b/internal/model/batch/inspect.go
@@ -12,6 +12,8 @@
 	TopicWorkers // workers
 	// TopicVMs asks for all VMs.
 	TopicVMs // vms
+	// TopicAccounts asks for the client accounts that have jobs, and what their tasks need.
+	TopicAccounts // accounts
 )
 
 // InspectRequest is an operator's read-only query.
@@ -32,6 +34,17 @@
 	Workers []WorkerView
 	// VMs are the answer to TopicVMs, sorted by pool and name.
 	VMs []VMView
+	// Accounts are the answer to TopicAccounts, sorted by name.
+	Accounts []AccountView
+}
+
+// AccountView describes a client account that has jobs which have not ended.
+type AccountView struct {
+	// Name is that of the account, and Jobs counts its jobs that have not ended.
+	Name string
+	Jobs int
+	// LargestNeed is, in each dimension, the most that one start needs: a task, or all members of a gang.
+	LargestNeed Resources
 }
 
 // Overview summarises the state of all batch work.
--- a/internal/model/batch/resources.go
+++ b/internal/model/batch/resources.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Max returns the larger amount of c and other in each dimension.
+func (c Resources) Max(other Resources) Resources {
+	return Resources{
+		CPUMilli: max(c.CPUMilli, other.CPUMilli), MemoryMB: max(c.MemoryMB, other.MemoryMB),
+		Accelerators: max(c.Accelerators, other.Accelerators),
+	}
+}
+
 // Add returns c plus other.
 func (c Resources) Add(other Resources) Resources {
 	return Resources{
--- a/internal/wire/codec/inspect.go
+++ b/internal/wire/codec/inspect.go
@@ -38,6 +38,12 @@
 			Name: v.Name, Pool: v.Pool, Worker: v.Worker, State: v.State, Plan: v.Plan, ListedMs: v.ListingAgeMs,
 		})
 	}
+	for _, a := range i.Accounts {
+		w.Accounts = append(w.Accounts, &peer.InspectAccount{
+			Name: a.Name, Jobs: int64(a.Jobs), CpuMilli: a.LargestNeed.CPUMilli, MemoryMb: a.LargestNeed.MemoryMB,
+			Accelerators: a.LargestNeed.Accelerators,
+		})
+	}
 	return w
 }
 
@@ -59,6 +65,12 @@
 			Name: v.GetName(), Pool: v.GetPool(), Worker: v.GetWorker(), State: v.GetState(), Plan: v.GetPlan(), ListingAgeMs: v.GetListedMs(),
 		})
 	}
+	for _, a := range w.GetAccounts() {
+		i.Accounts = append(i.Accounts, batch.AccountView{
+			Name: a.GetName(), Jobs: int(a.GetJobs()),
+			LargestNeed: batch.Resources{CPUMilli: a.GetCpuMilli(), MemoryMB: a.GetMemoryMb(), Accelerators: a.GetAccelerators()},
+		})
+	}
 	return i
 }
 
--- a/internal/wire/peer/inspect.connect.go
+++ b/internal/wire/peer/inspect.connect.go
@@ -36,6 +36,9 @@
 	BatchInspectProcedure = "/cowslip.peer.v1.Batch/Inspect"
 	// BatchCancelJobProcedure is the fully-qualified name of the Batch's CancelJob RPC.
 	BatchCancelJobProcedure = "/cowslip.peer.v1.Batch/CancelJob"
+	// BatchCheckConfigurationProcedure is the fully-qualified name of the Batch's CheckConfiguration
+	// RPC.
+	BatchCheckConfigurationProcedure = "/cowslip.peer.v1.Batch/CheckConfiguration"
 )
 
 // BatchClient is a client for the cowslip.peer.v1.Batch service.
@@ -44,6 +47,8 @@
 	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// CancelJob cancels a job.
 	CancelJob(context.Context, *connect.Request[CancelJobRequest]) (*connect.Response[CancelJobResponse], error)
+	// CheckConfiguration checks a configuration and compares it with the active one; it changes nothing.
+	CheckConfiguration(context.Context, *connect.Request[CheckConfigurationRequest]) (*connect.Response[CheckConfigurationResponse], error)
 }
 
 // NewBatchClient constructs a client for the cowslip.peer.v1.Batch service. By default, it uses the
@@ -69,13 +74,20 @@
 			connect.WithSchema(batchMethods.ByName("CancelJob")),
 			connect.WithClientOptions(opts...),
 		),
+		checkConfiguration: connect.NewClient[CheckConfigurationRequest, CheckConfigurationResponse](
+			httpClient,
+			baseURL+BatchCheckConfigurationProcedure,
+			connect.WithSchema(batchMethods.ByName("CheckConfiguration")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // batchClient implements BatchClient.
 type batchClient struct {
-	inspect   *connect.Client[InspectRequest, InspectResponse]
-	cancelJob *connect.Client[CancelJobRequest, CancelJobResponse]
+	inspect            *connect.Client[InspectRequest, InspectResponse]
+	cancelJob          *connect.Client[CancelJobRequest, CancelJobResponse]
+	checkConfiguration *connect.Client[CheckConfigurationRequest, CheckConfigurationResponse]
 }
 
 // Inspect calls cowslip.peer.v1.Batch.Inspect.
@@ -88,12 +100,19 @@
 	return c.cancelJob.CallUnary(ctx, req)
 }
 
+// CheckConfiguration calls cowslip.peer.v1.Batch.CheckConfiguration.
+func (c *batchClient) CheckConfiguration(ctx context.Context, req *connect.Request[CheckConfigurationRequest]) (*connect.Response[CheckConfigurationResponse], error) {
+	return c.checkConfiguration.CallUnary(ctx, req)
+}
+
 // BatchHandler is an implementation of the cowslip.peer.v1.Batch service.
 type BatchHandler interface {
 	// Inspect returns a part of the leader's state; it changes nothing.
 	Inspect(context.Context, *connect.Request[InspectRequest]) (*connect.Response[InspectResponse], error)
 	// CancelJob cancels a job.
 	CancelJob(context.Context, *connect.Request[CancelJobRequest]) (*connect.Response[CancelJobResponse], error)
+	// CheckConfiguration checks a configuration and compares it with the active one; it changes nothing.
+	CheckConfiguration(context.Context, *connect.Request[CheckConfigurationRequest]) (*connect.Response[CheckConfigurationResponse], error)
 }
 
 // NewBatchHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -115,12 +134,20 @@
 		connect.WithSchema(batchMethods.ByName("CancelJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	batchCheckConfigurationHandler := connect.NewUnaryHandler(
+		BatchCheckConfigurationProcedure,
+		svc.CheckConfiguration,
+		connect.WithSchema(batchMethods.ByName("CheckConfiguration")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cowslip.peer.v1.Batch/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case BatchInspectProcedure:
 			batchInspectHandler.ServeHTTP(w, r)
 		case BatchCancelJobProcedure:
 			batchCancelJobHandler.ServeHTTP(w, r)
+		case BatchCheckConfigurationProcedure:
+			batchCheckConfigurationHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -137,3 +164,7 @@
 func (UnimplementedBatchHandler) CancelJob(context.Context, *connect.Request[CancelJobRequest]) (*connect.Response[CancelJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Batch.CancelJob is not implemented"))
 }
+
+func (UnimplementedBatchHandler) CheckConfiguration(context.Context, *connect.Request[CheckConfigurationRequest]) (*connect.Response[CheckConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.Batch.CheckConfiguration is not implemented"))
+}
--- a/internal/wire/serve/batch.go
+++ b/internal/wire/serve/batch.go
@@ -5,6 +5,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/wire/codec"
@@ -21,6 +22,10 @@
 type Batch struct {
 	// Proxy forwards the calls to the leader.
 	Proxy Proxy
+	// Decode decodes a configuration in the format of the site's platform. Its error is a *batch.TextError.
+	Decode func(text []byte) (*batch.Configuration, error)
+	// Logger receives the outcomes of checks.
+	Logger *zap.Logger
 }
 
 // batchCodes maps reply codes other than CodeOK to Connect codes.
