--- a/internal/app/opcli/check.go
+++ b/internal/app/opcli/check.go
@@ -61,7 +61,12 @@
 }
 
 func writeFindings(w *tabwriter.Writer, r *peer.CheckConfigurationResponse) {
-	fmt.Fprintf(w, "version\t%d, active is %d\n", r.GetVersion(), r.GetActiveVersion())
+	switch version, active := r.GetVersion(), r.GetActiveVersion(); {
+	case active > 0:
+		fmt.Fprintf(w, "version\t%d, active is %d\n", version, active)
+	case version > 0:
+		fmt.Fprintf(w, "version\t%d, none is active\n", version)
+	}
 	fmt.Fprintf(w, "found\t%d errors, %d warnings, %d notes\n", r.GetErrors(), r.GetWarnings(), r.GetNotes())
 	if len(r.GetFindings()) > 0 {
 		fmt.Fprintln(w, "\nSEVERITY\tPLACE\tFINDING")
@@ -76,7 +81,10 @@
 
 // placeOf describes which part of the configuration a finding concerns.
 func placeOf(f *peer.ConfigurationFinding) string {
-	place := strings.TrimSpace(f.GetSubject() + " " + f.GetName())
+	place := f.GetSubject()
+	if f.GetName() != "" {
+		place += " " + f.GetName()
+	}
 	if f.GetLine() > 0 {
 		place += fmt.Sprintf(", line %d, column %d", f.GetLine(), f.GetColumn())
 	}
--- a/internal/app/site/check_test.go
+++ b/internal/app/site/check_test.go
@@ -54,6 +54,8 @@
 	is.Equal(r.code, opcli.ExitOK)
 	is.True(strings.Contains(r.out, "no configuration is active"))
 	g.call(http.MethodPost, g.address(diskless, 3), "/-/config/replace", first, http.StatusOK)
+	g.key = "first-key"
+	g.call(http.MethodPost, g.address(diskless, 1), "/q/5c0e7a21d94b36f8", `{"spec":"text","phases":[{"count":1,"cpu":4000}]}`, http.StatusOK)
 	printed := ""
 	for _, m := range g.members {
 		for _, c := range []struct {
@@ -63,6 +65,7 @@
 			{first, "active already", opcli.ExitOK},
 			{next, "keys added: 2, keys removed: 1", opcli.ExitOK},
 			{strings.Replace(next, `"weight":2`, `"weight":0`, 1), "its weight is 0", opcli.ExitWarnings},
+			{strings.Replace(next, `"weight":2`, `"weight":2,"maxCount":{"cpu":2000}`, 1), "below the 4000", opcli.ExitWarnings},
 			{accountsConfiguration(1, `"second-key"`), "not above the active version 1", opcli.ExitWarnings},
 			{strings.Replace(next, `"service":"pool"`, `"service":"none"`, 1), "queue queue.example/q/", opcli.ExitUsage},
 			{strings.Replace(next, `"weight":2`, "\n \"weight\":x", 1), "line 2, column 11", opcli.ExitUsage},
--- a/internal/plan/review/checker.go
+++ b/internal/plan/review/checker.go
@@ -45,7 +45,9 @@
 	}
 	for i := range c.next.Queues {
 		q := &c.next.Queues[i]
-		warn := func(format string, values ...any) { c.add(SeverityWarning, batch.SubjectQueue, q.Name(), format, values...) }
+		warn := func(format string, values ...any) {
+			c.add(SeverityWarning, batch.SubjectQueue, q.Name(), format, values...)
+		}
 		if strings.Contains(q.Host, ":") {
 			warn("no request matches the host: requests are matched without a port")
 		}
@@ -82,14 +84,14 @@
 	}
 	closed := len(c.next.Queues) - public
 	if keys == 0 && closed > 0 {
-		c.addOverall(SeverityWarning, "no account has a key: no caller may use the %d queues that aren't public", closed)
+		c.addOverall(SeverityWarning, "no account has a key: no caller may use the queues that aren't public, %d in number", closed)
 	}
 	switch {
 	case public > 0 && closed == 0 && len(c.next.Accounts) > 0:
 		c.addOverall(SeverityWarning, "all queues are public: no call needs an account's key, and jobs that are sent without one have no account, "+
 			"and so no limit and no share of their own")
 	case public > 0:
-		c.addOverall(SeverityNote, "%d of %d queues are public: jobs that are sent to them without a key have no account, and so no limit and no "+
+		c.addOverall(SeverityNote, "public queues: %d of %d; jobs that are sent to them without a key have no account, and so no limit and no "+
 			"share of their own", public, len(c.next.Queues))
 	}
 }
@@ -98,11 +100,13 @@
 func (c *checker) checkAccounts() {
 	for i := range c.next.Accounts {
 		a := &c.next.Accounts[i]
-		add := func(s Severity, format string, values ...any) { c.add(s, batch.SubjectAccount, a.Name, format, values...) }
+		add := func(s Severity, format string, values ...any) {
+			c.add(s, batch.SubjectAccount, a.Name, format, values...)
+		}
 		if len(a.Keys) == 0 {
 			add(SeverityWarning, "it has no key: nobody can call for it")
 		} else if n := len(a.Keys) - len(keySet(a)); n > 0 {
-			add(SeverityWarning, "%d of its keys are given more than once", n)
+			add(SeverityWarning, "it has keys that are given more than once; surplus: %d", n)
 		}
 		switch {
 		case a.Weight == 0:
