--- a/internal/app/site/serve.go
+++ b/internal/app/site/serve.go
@@ -38,10 +38,11 @@
 )
 
 // operatorHandler returns the handler for the operators' command line and for metrics.
-func operatorHandler(p *proxy.Proxy) http.Handler {
+func operatorHandler(p *proxy.Proxy, logger *zap.Logger) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	path, handler := peer.NewBatchHandler(&serve.Batch{Proxy: p}, connect.WithReadMaxBytes(guard.MaxConnectBytes))
+	batchService := &serve.Batch{Proxy: p, Decode: platform.DecodeConfiguration, Logger: logger}
+	path, handler := peer.NewBatchHandler(batchService, connect.WithReadMaxBytes(guard.MaxConnectBytes))
 	router.PathPrefix(path).Handler(handler)
 	return router
 }
@@ -149,7 +150,7 @@
 		{name: "callers", listener: p.Listeners.callers, guard: p.Guards.callers, handler: p.Server.Callers()},
 		{name: "ready", listener: p.Listeners.ready, guard: p.Guards.ready, handler: p.Server.Readiness()},
 		{name: "control", listener: p.Listeners.control, guard: p.Guards.control, handler: p.Server.Control()},
-		{name: "operators", listener: p.Listeners.operators, guard: p.Guards.operators, handler: operatorHandler(p.Proxy), commandLine: true},
+		{name: "operators", listener: p.Listeners.operators, guard: p.Guards.operators, handler: operatorHandler(p.Proxy, p.Logger), commandLine: true},
 	} {
 		p.Drainer.serve(s, g)
 	}
