--- a/internal/wire/guard/guard.go
+++ b/internal/wire/guard/guard.go
@@ -160,8 +160,9 @@
 // retryAfterS is after how many seconds a refused client should retry.
 const retryAfterS = "1"
 
-// MaxConnectBytes bounds a message of package connect once it is decompressed; WithReadMaxBytes sets it.
-const MaxConnectBytes = 4 << 20
+// MaxConnectBytes bounds a message of package connect once it is decompressed; WithReadMaxBytes sets it. The largest is a
+// configuration of 4 MiB with the message around it.
+const MaxConnectBytes = 4<<20 + 1<<10
 
 // responseWriter passes read deadlines that a handler sets to the body, which has deadlines of its own.
 type responseWriter struct {
