Judge a returning job by room however late it returns

A job that was refused and came back after its slack was used up was accepted by that alone, so that a flood that lasts was accepted at the second try.

--- a/internal/ctrl/sched/book.go
+++ b/internal/ctrl/sched/book.go
@@ -172,9 +172,11 @@
 	_, _ = spread.Write([]byte(spec.ID))
 	v := s.fleet.book.Judge(&accept.Candidate{
 		Work: accept.Work{
-			ID: spec.ID, Account: spec.Account, Pool: spec.Pool, Ms: float64(job.item.RemainingWorkMs), DueMs: job.lastDueMs(),
+			ID: spec.ID, Account: spec.Account, Pool: spec.Pool, Ms: float64(job.item.RemainingWorkMs),
+			// One that returns after that is accepted once there is room for it within another objective.
+			DueMs: max(job.lastDueMs(), job.objectiveMs),
 		},
-		SlackMs: job.item.SlackMs, Spread: spread.Sum64(),
+		SlackMs: job.item.SlackMs, AloneMs: job.objectiveMs - job.criticalPathMs, Spread: spread.Sum64(),
 	})
 	if v.Accepted {
 		return false
--- a/internal/plan/accept/judge.go
+++ b/internal/plan/accept/judge.go
@@ -24,6 +24,9 @@
 
 	// SlackMs is the time by which the job may start later than now and still be in time, in milliseconds.
 	SlackMs int64
+	// AloneMs is the slack that the job had when it was first submitted, in milliseconds. A job that was refused is judged by
+	// room however late it returns: accepted by its SlackMs alone, a flood that lasts would be accepted at its second try.
+	AloneMs int64
 	// Spread is a number that differs from job to job; it spreads the returns of callers.
 	Spread uint64
 }
@@ -58,7 +61,7 @@
 // it can be done in time beside all that was accepted, or if it is within the share of its account: what is beyond the shares
 // of others gives way then.
 func (b *Book) Judge(c *Candidate) Verdict {
-	if c.SlackMs <= 0 {
+	if c.AloneMs <= 0 {
 		return Verdict{Accepted: true, Reason: ReasonSlack}
 	}
 	v := b.judge(c)
--- a/internal/plan/accept/script_test.go
+++ b/internal/plan/accept/script_test.go
@@ -35,6 +35,7 @@
 			case "job":
 				c := &accept.Candidate{Work: accept.Work{ID: fields[1], Account: account(n), Pool: "p", Ms: n["work"], DueMs: int64(n["due"])}}
 				c.SlackMs, c.Spread = int64(n["due"]+n["late"]), 500
+				c.AloneMs = c.SlackMs + int64(n["age"])
 				v := book.Judge(c)
 				text := fmt.Sprintf("%s: accepted %t, %s", c.ID, v.Accepted, v.Reason)
 				if !v.Accepted {
