Let answers of more than 9 GB end

The time that an answer may take was computed by a product that overflowed at 9.2 GB, and the write failed at once. Found by reading; the script fails before the change.

--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -122,5 +122,6 @@
 
 // timeFor returns how long so many bytes take at a rate in bytes per second.
 func timeFor(bytes, rate int64) time.Duration {
-	return time.Duration(bytes) * time.Second / time.Duration(max(1, rate))
+	rate = max(1, rate)
+	return time.Duration(bytes/rate)*time.Second + time.Duration(bytes%rate)*time.Second/time.Duration(rate)
 }
--- a/internal/wire/guard/script_test.go
+++ b/internal/wire/guard/script_test.go
@@ -142,11 +142,12 @@
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	var name, client string
-	var n, takes int
+	n, takes, times := 0, 0, 1
 	d.MaybeScanArgs(t, "conn", &name)
 	d.MaybeScanArgs(t, "client", &client)
 	d.MaybeScanArgs(t, "bytes", &n)
 	d.MaybeScanArgs(t, "takes", &takes)
+	d.MaybeScanArgs(t, "times", &times)
 	for _, f := range s.fakes {
 		f.takes = time.Duration(takes) * time.Millisecond
 	}
@@ -169,8 +170,14 @@
 	case "end":
 		s.conns[name].(*guard.Conn).End()
 	case "write":
-		written, err := s.conns[name].Write(make([]byte, n))
-		fmt.Fprintln(&out, written, err)
+		p, total := make([]byte, n), 0
+		var err error
+		for i := 0; i < times && err == nil; i++ {
+			var written int
+			written, err = s.conns[name].Write(p)
+			total += written
+		}
+		fmt.Fprintln(&out, total, err)
 	case "open":
 		s.bodies[name] = s.guard.OpenFrame(s.conns[name], s.conns[name], int64(n))
 	case "read":
