Raise the limit on connections between processes above the number of processes

With 184 MB of memory the limits are lowered in proportion, and 97 connections were left for peers, while a leader of 300 processes has more. Found by reading; computed, not seen in a run.

--- a/internal/base/conf/site_gen.go
+++ b/internal/base/conf/site_gen.go
@@ -394,7 +394,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "peers_client_connections", 1)
 	}
 	if v, ok := raw["peers_connections"]; !ok || v == nil {
-		plain.PeersConnections = 256
+		plain.PeersConnections = 2800
 	}
 	if 100000 < plain.PeersConnections {
 		return fmt.Errorf("field %s: must be <= %v", "peers_connections", 100000)
