--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -14,6 +14,9 @@
 // queueHost is the host name of the only queue.
 const queueHost = "queue.example"
 
+// accountMilliCores is what a client account may run, in seeds with accounts.
+const accountMilliCores = 8000
+
 // siteCaller submits jobs, polls their state and cancels some of them; one also acts as the operator.
 type siteCaller struct {
 	soak   *soak
--- a/internal/app/chaos/soak_worker_test.go
+++ b/internal/app/chaos/soak_worker_test.go
@@ -20,8 +20,6 @@
 const (
 	workerMilliCores = 4000
 	taskMilliCores   = 1000
-	// accountMilliCores is what a client account may run, in seeds with accounts.
-	accountMilliCores = 8000
 )
 
 // runningAttempt is an attempt that a worker runs until it is due, or until stopDue once it is being stopped.
