--- a/internal/app/chaos/soak_callers_test.go
+++ b/internal/app/chaos/soak_callers_test.go
@@ -208,7 +208,7 @@
 	withdrawn, _ := c.callWith(versionKey(version-1), http.MethodGet, c.soak.nextProcess().callers(), "/q/", "")
 	c.countKey(versionKey(version-1), withdrawn, http.StatusOK, version)
 	p := c.soak.nextProcess()
-	var status int
+	status := 0
 	for {
 		status, _ = c.callWith(versionKey(version), http.MethodGet, p.callers(), "/q/", "")
 		if status != http.StatusUnauthorized || time.Since(acknowledged) > newKeyTime {
