--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -168,7 +168,8 @@
 	u := batch.MaintenanceStart{Wave: w.ID, VM: name}
 	if !slices.Contains(s.proposals.pending.MaintenanceStarts, u) {
 		s.options.Logger.Info("wave_vm_recorded", zap.Uint64("wave", w.ID), zap.String("vm", name), zap.String("cause", cause),
-			zap.Int("begun", len(w.Begun)+1), zap.Int("of", len(w.VMs)))
+			zap.Int("begun", len(w.Begun)+1), zap.Int("of", len(w.VMs)), zap.Int64("wave_age_ms", s.wallMs()-w.AcceptedMs),
+			zap.Int64("list_requested_ms_ago", s.now()-s.fleet.listRequestedMs), zap.Uint64("term", s.term))
 		s.proposals.pending.MaintenanceStarts = append(s.proposals.pending.MaintenanceStarts, u)
 	}
 }
