Judge an absent VM of a wave by a list that began after the wave

Cause: a VM of a wave that the leader's view of the fleet lacked was recorded as begun as soon as any list had been requested under this leader and none was in progress. A read that was aborted at its second page, by an answer 429 or none, counted the same: the time of the request moved on, the view didn't.

Change: the reads of the list are a type of their own (ctrl/vmlist), which alone says that a VM is gone since some time: a read that began then or later, whole, without a row that may be the VM's. A wave asks it with the time by which the wave was stored, and wants a list at once if one of its VMs isn't known. Removing VMs from the view asks it too.

Related: the removal of VMs from the view and what is settled by it asked the right list already, since they ran only at the end of a whole read.

--- a/internal/ctrl/sched/answers_test.go
+++ b/internal/ctrl/sched/answers_test.go
@@ -16,9 +16,12 @@
 // for none, and may give its CPU. A line such as "unread m2" is a row that can't be read, "unread" one without a readable name.
 func (h *harness) answerLists(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone}
+	r := sched.OrderResult{Code: orderCode(t, d)}
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
 		if fields[0] == "unread" {
 			r.Unread = append(r.Unread, sched.UnreadVM{Name: strings.ReplaceAll(strings.Join(fields[1:], ""), "LONG", strings.Repeat("x", 300)), Cause: "odd"})
 			continue
@@ -36,6 +39,19 @@
 	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
 }
 
+// orderCode returns the code with which a command answers an order.
+func orderCode(t *testing.T, d *datadriven.TestData) sched.OrderCode {
+	t.Helper()
+	name := stringArg(d, "code", sched.OrderDone.String())
+	for c := sched.OrderDone; c <= sched.OrderExpired; c++ {
+		if c.String() == name {
+			return c
+		}
+	}
+	t.Fatalf("%s: no code is called %s", d.Pos, name)
+	return 0
+}
+
 // answerListsWithMany answers the outstanding reads of the VM list with VMs of the spare pool that have no worker.
 func (h *harness) answerListsWithMany(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
--- a/internal/ctrl/sched/fleet.go
+++ b/internal/ctrl/sched/fleet.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/ctrl/vmlist"
 	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/plan/accept"
 	"cowslipstack/internal/plan/refuse"
@@ -36,20 +37,15 @@
 type fleetView struct {
 	vms map[string]*vm
 	// byWorker holds the name of the VM on which each worker runs.
-	byWorker        map[string]string
-	listing         bool
+	byWorker map[string]string
+	// reads are the reads of the list under this leadership, and listRequestedMs is the uptime at which the last of them began.
+	reads           *vmlist.Reads
 	listRequestedMs int64
 	// listWanted is set when a new list is needed before the usual interval ends.
 	listWanted bool
-	// listComplete is set once the list was read to its end under this leadership.
-	listComplete bool
 	// maybeDownUntilMs holds the VMs that a former leader ordered recently, and the uptime until which they may be
 	// down for it.
 	maybeDownUntilMs map[string]int64
-	// reading is what the list request in progress has found so far, and lastRead what the last complete one found.
-	reading, lastRead listFindings
-	// unnamedRows holds, by VM, how many rows without a readable name the last list had that contained the VM.
-	unnamedRows map[string]int
 	// reported holds the unread rows that were logged, by VM.
 	reported  map[string]bool
 	plannedMs int64
@@ -71,6 +67,8 @@
 	recentOrdersMs []int64
 	// orderNotBeforeMs holds the uptimes from which VMs may be ordered that a former leader ordered recently.
 	orderNotBeforeMs map[string]int64
+	// waveKnownMs holds, by wave, the uptime by which it was stored as far as this leader knows.
+	waveKnownMs map[uint64]int64
 	// downUntilMs holds, by wave, the VMs that it has taken down and the uptime until which they count as down.
 	downUntilMs map[uint64]map[string]int64
 }
@@ -78,8 +76,8 @@
 func newFleetView() fleetView {
 	return fleetView{
 		vms: map[string]*vm{}, byWorker: map[string]string{}, surplusSinceMs: map[string]int64{},
-		downUntilMs: map[uint64]map[string]int64{}, orderNotBeforeMs: map[string]int64{},
-		maybeDownUntilMs: map[string]int64{}, unnamedRows: map[string]int{}, reported: map[string]bool{},
+		waveKnownMs: map[uint64]int64{}, downUntilMs: map[uint64]map[string]int64{}, orderNotBeforeMs: map[string]int64{},
+		maybeDownUntilMs: map[string]int64{}, reads: vmlist.NewReads(), reported: map[string]bool{},
 	}
 }
 
@@ -98,15 +96,15 @@
 // manageFleet reads the VM list and orders moves and maintenance.
 func (s *Scheduler) manageFleet(now int64) {
 	f := &s.fleet
-	if !f.listing && (now-f.listRequestedMs >= listIntervalMs || f.listWanted && now-f.listRequestedMs >= minListIntervalMs) {
-		f.listing, f.listWanted, f.listRequestedMs, f.reading = true, false, now, newListFindings()
-		s.readListPage("", now)
+	s.noteWaves(now)
+	if !f.reads.InProgress() && (now-f.listRequestedMs >= listIntervalMs || f.listWanted && now-f.listRequestedMs >= minListIntervalMs) {
+		s.readList(now)
 	}
 	interval := int64(planIntervalMs)
 	if f.draining {
 		interval = drainingPlanIntervalMs
 	}
-	if now-f.plannedMs < interval || !f.listComplete {
+	if now-f.plannedMs < interval || !f.reads.HaveWhole() {
 		return
 	}
 	f.plannedMs = now
--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -70,7 +70,7 @@
 // read.
 func (f *fleetView) mayBeUp(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.State == VMUp || f.mayBeUnread(v.Name))
+	return v != nil && (v.State == VMUp || f.reads.MayHoldUnread(v.Name))
 }
 
 // hasReplaced reports whether by the last VM list another worker runs on a worker's VM, so that no later incarnation of it does.
--- a/internal/ctrl/sched/loadlog.go
+++ b/internal/ctrl/sched/loadlog.go
@@ -32,7 +32,7 @@
 // latter include VMs on standby, which have no worker and which a better plan could have used. A new leader logs nothing
 // until it knows the fleet: the capacity that its predecessor logged holds until then.
 func (s *Scheduler) logCapacity(now int64) {
-	if !s.fleet.listComplete {
+	if !s.fleet.reads.HaveWhole() {
 		return
 	}
 	workers, cores, byPool := 0, int64(0), map[string]float64{}
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -295,13 +295,7 @@
 // answerOrder answers the outstanding order for a VM, or the outstanding request for permits.
 func (h *harness) answerOrder(t *testing.T, d *datadriven.TestData) {
 	t.Helper()
-	r := sched.OrderResult{Code: sched.OrderDone, ValidMs: 5000, Tickets: map[string]string{}}
-	switch stringArg(d, "code", "") {
-	case "fenced":
-		r.Code = sched.OrderFenced
-	case "expired":
-		r.Code = sched.OrderExpired
-	}
+	r := sched.OrderResult{Code: orderCode(t, d), ValidMs: 5000, Tickets: map[string]string{}}
 	for _, g := range strings.Split(stringArg(d, "granted", ""), ",") {
 		if g != "" {
 			r.Tickets[g] = "ticket-" + g
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -1,31 +1,13 @@
 package sched
 
 import (
-	"maps"
-
 	"go.uber.org/zap"
 )
 
-// listFindings are the contents of one read of the VM list.
-type listFindings struct {
-	// listed are the VMs with a row that can be read, unread those with only a row that can't.
-	listed, unread map[string]bool
-	// unnamed is the number of rows without a readable name.
-	unnamed int
-	// pages are the pages that were requested.
-	pages map[string]bool
-}
-
-func newListFindings() listFindings {
-	return listFindings{listed: map[string]bool{}, unread: map[string]bool{}, pages: map[string]bool{}}
-}
-
 const (
 	// maxReportedRows bounds the VMs whose unread rows are logged, and maxNameBytes the names of VMs with such rows.
 	maxReportedRows = 256
 	maxNameBytes    = 256
-	// maxRememberedVMs is the number of VMs from which those that aren't listed any more are forgotten.
-	maxRememberedVMs = 8192
 )
 
 const (
@@ -41,7 +23,7 @@
 // runs. It matters while workers of its pool crash, since nothing would tell of a crash until the worker is back, and under a
 // new leader: a heartbeat that was delayed may be from a worker that left before.
 func (s *Scheduler) awaitsVM(w *worker, now int64) bool {
-	if !s.fleet.listComplete || s.fleet.byWorker[w.id] != "" || now-w.joinedMs > maxVMWaitMs {
+	if !s.fleet.reads.HaveWhole() || s.fleet.byWorker[w.id] != "" || now-w.joinedMs > maxVMWaitMs {
 		return false
 	}
 	crashedMs, crashed := s.crashedMs[w.pool]
@@ -49,20 +31,28 @@
 	return takenOver || crashed && now-crashedMs <= crashedKeptMs
 }
 
+// readList begins a read of the VM list.
+func (s *Scheduler) readList(now int64) {
+	f := &s.fleet
+	f.listWanted, f.listRequestedMs = false, now
+	f.reads.Begin(now)
+	f.reads.AddPage("")
+	s.readListPage("", now)
+}
+
 // readListPage requests a page of the VM list; asked is the uptime at which the first page was requested.
 func (s *Scheduler) readListPage(page string, asked int64) {
-	term := s.term
-	s.fleet.reading.pages[page] = true
+	term, reads := s.term, s.fleet.reads
 	sent := s.options.SendOrder(Order{Kind: OrderList, Page: page, Term: term, Done: func(r OrderResult) {
 		if s.term != term || !s.active {
 			return
 		}
-		if r.Code == OrderDone && r.NextPage != "" && s.fleet.reading.pages[r.NextPage] {
+		if r.Code == OrderDone && r.NextPage != "" && !reads.AddPage(r.NextPage) {
 			r.Code, r.Detail = OrderUnknown, "the next page was read before"
 		}
 		if r.Code != OrderDone {
 			s.options.Logger.Info("vm_list_unread", zap.Stringer("code", r.Code), zap.String("detail", r.Detail))
-			s.fleet.listing = false
+			reads.Abort()
 			return
 		}
 		s.applyPage(&r, asked)
@@ -73,7 +63,7 @@
 		s.finishList()
 	}})
 	if !sent {
-		s.fleet.listing = false
+		reads.Abort()
 	}
 }
 
@@ -110,7 +100,7 @@
 // applyListed updates one VM from a list that was requested at uptime asked.
 func (s *Scheduler) applyListed(v VM, asked int64) {
 	f := &s.fleet
-	f.reading.listed[v.Name] = true
+	f.reads.AddRow(v.Name)
 	delete(f.reported, v.Name)
 	known := f.vms[v.Name]
 	if known == nil {
@@ -168,41 +158,24 @@
 	if len(u.Name) > maxNameBytes {
 		u.Name = ""
 	}
-	if u.Name == "" {
-		f.reading.unnamed++
-	} else {
-		f.reading.unread[u.Name] = true
-	}
+	f.reads.AddUnread(u.Name)
 	if !f.reported[u.Name] && len(f.reported) < maxReportedRows {
 		f.reported[u.Name] = true
 		s.options.Logger.Warn("vm_row_unread", zap.String("vm", u.Name), zap.String("cause", u.Cause))
 	}
 }
 
-// finishList removes VMs that are no longer listed.
+// finishList removes the VMs that the list shows to be gone.
 func (s *Scheduler) finishList() {
 	f := &s.fleet
-	f.listing, f.listComplete = false, true
-	f.lastRead, f.reading = f.reading, newListFindings()
-	for name := range f.lastRead.listed {
-		f.unnamedRows[name] = f.lastRead.unnamed
-	}
-	if len(f.unnamedRows) > maxRememberedVMs {
-		maps.DeleteFunc(f.unnamedRows, func(name string, _ int) bool { return !f.lastRead.listed[name] })
-	}
+	f.reads.Finish()
 	for name, v := range f.vms {
-		if !f.lastRead.listed[name] && !v.orderPending && !f.mayBeUnread(name) {
+		if !v.orderPending && f.reads.GoneSince(name, max(v.listedMs, v.unverifiedMs)) {
 			delete(f.byWorker, v.Worker)
 			delete(f.vms, name)
 		}
 	}
-	s.settleGone(f.listRequestedMs)
-}
-
-// mayBeUnread reports whether the last list may have had the row of a VM without its being readable: the row bears the
-// VM's name, or there are more rows without a name than when the VM was last listed.
-func (f *fleetView) mayBeUnread(name string) bool {
-	return f.lastRead.unread[name] || f.lastRead.unnamed > f.unnamedRows[name]
+	s.settleGone(f.reads.BeganMs())
 }
 
 // awaitVerification notes that an order was answered as done. An earlier order whose answer was lost may have done
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -18,6 +18,22 @@
 	vm *vm
 }
 
+// noteWaves notes the waves that this leader sees for the first time. A list that was requested before may lack VMs of a wave that
+// have come since; another one is wanted then.
+func (s *Scheduler) noteWaves(now int64) {
+	f, waves := &s.fleet, s.options.Log.Batch().State().Waves
+	for i := range waves {
+		w := &waves[i]
+		if _, noted := f.waveKnownMs[w.ID]; !noted {
+			f.waveKnownMs[w.ID] = now
+			f.listWanted = f.listWanted || slices.ContainsFunc(w.VMs, func(name string) bool { return f.vms[name] == nil })
+		}
+	}
+	if len(f.waveKnownMs) > len(waves) {
+		maps.DeleteFunc(f.waveKnownMs, func(id uint64, _ int64) bool { return s.options.Log.Batch().Wave(id) == nil })
+	}
+}
+
 // runWaves advances the maintenance waves that aren't complete.
 func (s *Scheduler) runWaves(now int64) {
 	for _, v := range s.fleet.vms {
@@ -130,8 +146,7 @@
 }
 
 // remainingVMs returns the VMs that a wave has still to take, those that cost least first: empty ones, then those
-// without long-running tasks, then by load. VMs that no longer exist are recorded as begun;
-// one whose row can't be read still exists.
+// without long-running tasks, then by load. VMs that the list shows to be gone are recorded as begun.
 func (s *Scheduler) remainingVMs(w *batch.Wave, now int64) []candidate {
 	var left []candidate
 	for _, name := range w.VMs {
@@ -140,8 +155,8 @@
 		}
 		v := s.fleet.vms[name]
 		if v == nil {
-			if !s.fleet.listing && s.fleet.listRequestedMs > s.activeSinceMs && !s.fleet.mayBeUnread(name) {
-				s.recordMaintenanceStart(w, name, "vm_not_listed")
+			if s.fleet.reads.GoneSince(name, s.fleet.waveKnownMs[w.ID]) {
+				s.recordMaintenanceStart(w, name, "vm_gone")
 			}
 			continue
 		}
@@ -169,7 +184,7 @@
 	if !slices.Contains(s.proposals.pending.MaintenanceStarts, u) {
 		s.options.Logger.Info("wave_vm_recorded", zap.Uint64("wave", w.ID), zap.String("vm", name), zap.String("cause", cause),
 			zap.Int("begun", len(w.Begun)+1), zap.Int("of", len(w.VMs)), zap.Int64("wave_age_ms", s.wallMs()-w.AcceptedMs),
-			zap.Int64("list_requested_ms_ago", s.now()-s.fleet.listRequestedMs), zap.Uint64("term", s.term))
+			zap.Int64("list_began_ms_ago", s.now()-s.fleet.reads.BeganMs()), zap.Uint64("term", s.term))
 		s.proposals.pending.MaintenanceStarts = append(s.proposals.pending.MaintenanceStarts, u)
 	}
 }
