Maintain a VM of a wave that was gone and comes back under its name

Cause: a VM that was gone was recorded among those whose maintenance had begun, so that nothing told the two apart when it was listed again.

Change: a wave records separately which of its VMs are gone, and takes such a record back once the list holds the VM again. It is complete when each VM has begun its maintenance or is gone; a VM that is recorded as gone and is listed counts as neither.

Test: ctrl/sched TestScripts/wave-vm-comes-back-under-its-name, also under a new leader; before, it said at line 61 that the wave was complete. The tests of codec cover the new fields.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -42,15 +42,36 @@
 	if c.Wave != nil {
 		m.addWave(*c.Wave)
 	}
-	for _, u := range c.MaintenanceStarts {
-		if w := m.Wave(u.Wave); w != nil && !slices.Contains(w.Begun, u.VM) {
-			w.Begun = append(w.Begun, u.VM)
-		}
-	}
+	m.updateWaves(c)
 	m.recordOrders(c)
 	m.expireJobs(nowMs)
 }
 
+// updateWaves records which VMs of waves have begun their maintenance, are gone or have returned.
+func (m *StateMachine) updateWaves(c *batch.Change) {
+	for _, v := range c.MaintenanceStarts {
+		if w := m.Wave(v.Wave); w != nil && !slices.Contains(w.Begun, v.VM) {
+			w.Begun = append(w.Begun, v.VM)
+			w.Gone = without(w.Gone, v.VM)
+		}
+	}
+	for _, v := range c.GoneVMs {
+		if w := m.Wave(v.Wave); w != nil && !slices.Contains(w.Begun, v.VM) && !slices.Contains(w.Gone, v.VM) {
+			w.Gone = append(w.Gone, v.VM)
+		}
+	}
+	for _, v := range c.ReturnedVMs {
+		if w := m.Wave(v.Wave); w != nil {
+			w.Gone = without(w.Gone, v.VM)
+		}
+	}
+}
+
+// without removes a name from names.
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(n string) bool { return n == name })
+}
+
 // recordOrders advances the time under leaders, and records the VMs that are about to be ordered.
 func (m *StateMachine) recordOrders(c *batch.Change) {
 	s := &m.state
--- a/internal/ctrl/sched/inspect.go
+++ b/internal/ctrl/sched/inspect.go
@@ -55,7 +55,7 @@
 	}
 	for _, w := range machine.State().Waves {
 		o.Waves = append(o.Waves, batch.WaveView{
-			ID: w.ID, Begun: len(w.Begun), VMs: len(w.VMs), MaxConcurrent: w.MaxConcurrent, LeftMs: w.AcceptedMs + w.DurationMs - s.wallMs(),
+			ID: w.ID, Begun: len(w.Begun) + len(w.Gone), VMs: len(w.VMs), MaxConcurrent: w.MaxConcurrent, LeftMs: w.AcceptedMs + w.DurationMs - s.wallMs(),
 		})
 	}
 	return o
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -41,7 +41,11 @@
 	}
 	machine := s.options.Log.Batch()
 	for i := range machine.State().Waves {
-		if w := &machine.State().Waves[i]; len(w.Begun) < len(w.VMs) {
+		w := &machine.State().Waves[i]
+		for _, name := range s.returnedVMs(w) {
+			s.recordVM(&s.proposals.pending.ReturnedVMs, w, name, "vm_returned")
+		}
+		if !w.IsComplete() {
 			s.runWave(w, now)
 		}
 	}
@@ -146,17 +150,17 @@
 }
 
 // remainingVMs returns the VMs that a wave has still to take, those that cost least first: empty ones, then those
-// without long-running tasks, then by load. VMs that the list shows to be gone are recorded as begun.
+// without long-running tasks, then by load. VMs that the list shows to be gone are recorded as gone.
 func (s *Scheduler) remainingVMs(w *batch.Wave, now int64) []candidate {
 	var left []candidate
 	for _, name := range w.VMs {
-		if slices.Contains(w.Begun, name) {
+		if slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
 			continue
 		}
 		v := s.fleet.vms[name]
 		if v == nil {
 			if s.fleet.reads.GoneSince(name, s.fleet.waveKnownMs[w.ID]) {
-				s.recordMaintenanceStart(w, name, "vm_gone")
+				s.recordVM(&s.proposals.pending.GoneVMs, w, name, "vm_gone")
 			}
 			continue
 		}
@@ -178,15 +182,17 @@
 	return left
 }
 
-// recordMaintenanceStart records that a VM has begun its maintenance, or no longer exists.
-func (s *Scheduler) recordMaintenanceStart(w *batch.Wave, name, cause string) {
-	u := batch.MaintenanceStart{Wave: w.ID, VM: name}
-	if !slices.Contains(s.proposals.pending.MaintenanceStarts, u) {
-		s.options.Logger.Info("wave_vm_recorded", zap.Uint64("wave", w.ID), zap.String("vm", name), zap.String("cause", cause),
-			zap.Int("begun", len(w.Begun)+1), zap.Int("of", len(w.VMs)), zap.Int64("wave_age_ms", s.wallMs()-w.AcceptedMs),
-			zap.Int64("list_began_ms_ago", s.now()-s.fleet.reads.BeganMs()), zap.Uint64("term", s.term))
-		s.proposals.pending.MaintenanceStarts = append(s.proposals.pending.MaintenanceStarts, u)
+// recordVM adds a VM of a wave to a list of the pending change, unless it is there.
+func (s *Scheduler) recordVM(list *[]batch.WaveVM, w *batch.Wave, name, cause string) {
+	v := batch.WaveVM{Wave: w.ID, VM: name}
+	if slices.Contains(*list, v) {
+		return
 	}
+	*list = append(*list, v)
+	s.options.Logger.Info("wave_vm_recorded", zap.Uint64("wave", w.ID), zap.String("vm", name), zap.String("cause", cause),
+		zap.Int("begun", len(w.Begun)), zap.Int("gone", len(w.Gone)), zap.Int("of", len(w.VMs)),
+		zap.Int64("wave_age_ms", s.wallMs()-w.AcceptedMs), zap.Int64("list_began_ms_ago", s.now()-s.fleet.reads.BeganMs()),
+		zap.Uint64("term", s.term))
 }
 
 // drainNext drains the VMs that the wave takes next, so that they become empty, and evacuates their long-running
@@ -256,7 +262,7 @@
 		s.fleet.downUntilMs[wave][name] = s.now() + s.options.PlatformLimits.MaintenanceMs + downMarginMs
 		s.awaitVerification(v)
 		if recorded := s.options.Log.Batch().Wave(wave); recorded != nil {
-			s.recordMaintenanceStart(recorded, name, "maintenance_begun")
+			s.recordVM(&s.proposals.pending.MaintenanceStarts, recorded, name, "maintenance_begun")
 			s.flush()
 		}
 	})
--- a/internal/ctrl/sched/wavecall.go
+++ b/internal/ctrl/sched/wavecall.go
@@ -15,7 +15,7 @@
 	wave := *w
 	wave.VMs = uniqueNames(w.VMs)
 	wave.AcceptedMs = s.wallMs()
-	wave.Begun = nil
+	wave.Begun, wave.Gone = nil, nil
 	if s.options.Log.Batch().Wave(w.ID) == nil && s.proposals.pending.Wave == nil {
 		s.options.Logger.Info("wave_accepting", zap.Uint64("wave", w.ID), zap.Int("vms", len(w.VMs)),
 			zap.Int("most_at_once", w.MaxConcurrent), zap.Int64("duration_ms", w.DurationMs))
@@ -29,7 +29,18 @@
 	if w == nil {
 		return batch.Reply{Code: batch.CodeGone, Detail: "no such wave"}
 	}
-	return batch.Reply{Code: batch.CodeOK, Complete: len(w.Begun) >= len(w.VMs)}
+	return batch.Reply{Code: batch.CodeOK, Complete: w.IsComplete() && len(s.returnedVMs(w)) == 0}
+}
+
+// returnedVMs returns the VMs of a wave that are recorded as gone and that the list holds.
+func (s *Scheduler) returnedVMs(w *batch.Wave) []string {
+	var returned []string
+	for _, name := range w.Gone {
+		if s.fleet.vms[name] != nil {
+			returned = append(returned, name)
+		}
+	}
+	return returned
 }
 
 // uniqueNames returns names in their order without repetitions.
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -20,8 +20,10 @@
 	Starts []AttemptStart
 	// Wave is a maintenance wave to add; nil for none.
 	Wave *Wave
-	// MaintenanceStarts are the VMs whose maintenance has begun, or which are gone.
-	MaintenanceStarts []MaintenanceStart
+	// MaintenanceStarts are the VMs of waves whose maintenance has begun.
+	MaintenanceStarts []WaveVM
+	// GoneVMs are the VMs of waves that are gone, and ReturnedVMs those that were gone and are listed again.
+	GoneVMs, ReturnedVMs []WaveVM
 	// OrderedVMs are the names of the VMs that the leader is about to move or maintain.
 	OrderedVMs []string
 	// Leader is the proposer of the change.
@@ -41,7 +43,8 @@
 // IsEmpty reports whether the change has no effect; Leader is not considered.
 func (c *Change) IsEmpty() bool {
 	return c.Configuration == nil && c.Wave == nil &&
-		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+len(c.OrderedVMs) == 0
+		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+
+			len(c.GoneVMs)+len(c.ReturnedVMs)+len(c.OrderedVMs) == 0
 }
 
 // AttemptStart assigns one attempt of a task to a worker.
@@ -94,13 +97,20 @@
 	MaxConcurrent int
 	// AcceptedMs is when the leader accepted the wave, in Unix milliseconds.
 	AcceptedMs int64
-	// Begun are the VMs whose maintenance has begun or is complete, or which are gone.
+	// Begun are the VMs whose maintenance has begun or is complete.
 	Begun []string
+	// Gone are the VMs without maintenance that are gone.
+	Gone []string
 }
 
-// MaintenanceStart records that the maintenance of a VM has begun, or that the VM is gone.
-type MaintenanceStart struct {
-	// Wave is the number of the wave that takes the VM out.
+// IsComplete reports whether each VM of the wave has begun its maintenance or is gone.
+func (w *Wave) IsComplete() bool {
+	return len(w.Begun)+len(w.Gone) >= len(w.VMs)
+}
+
+// WaveVM names a VM of a wave.
+type WaveVM struct {
+	// Wave is the number of the wave.
 	Wave uint64
 	// VM is the name of the VM on the platform.
 	VM string
--- a/internal/model/batch/inspect.go
+++ b/internal/model/batch/inspect.go
@@ -94,8 +94,8 @@
 type WaveView struct {
 	// ID is the number that the operator gave the wave.
 	ID uint64
-	// Begun counts the VMs whose maintenance is under way or complete, out of VMs; at most MaxConcurrent are out at one
-	// time.
+	// Begun counts the VMs whose maintenance is under way or complete, or which are gone, out of VMs; at most MaxConcurrent
+	// are out at one time.
 	Begun, VMs, MaxConcurrent int
 	// LeftMs is the time until the wave's deadline, in milliseconds; negative after it.
 	LeftMs int64
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -39,9 +39,7 @@
 	if c.Wave != nil {
 		w.Wave = batchWaveToWire(c.Wave)
 	}
-	for _, u := range c.MaintenanceStarts {
-		w.Upkeeps = append(w.Upkeeps, &peer.BatchUpkeep{Wave: u.Wave, Vm: u.VM})
-	}
+	w.Upkeeps, w.Gone, w.Returned = waveVMsToWire(c.MaintenanceStarts), waveVMsToWire(c.GoneVMs), waveVMsToWire(c.ReturnedVMs)
 	return w
 }
 
@@ -79,9 +77,8 @@
 		wave := batchWaveFromWire(w.GetWave())
 		c.Wave = &wave
 	}
-	for _, u := range w.GetUpkeeps() {
-		c.MaintenanceStarts = append(c.MaintenanceStarts, batch.MaintenanceStart{Wave: u.GetWave(), VM: u.GetVm()})
-	}
+	c.MaintenanceStarts, c.GoneVMs = waveVMsFromWire(w.GetUpkeeps()), waveVMsFromWire(w.GetGone())
+	c.ReturnedVMs = waveVMsFromWire(w.GetReturned())
 	return c
 }
 
@@ -183,15 +180,31 @@
 func batchWaveToWire(w *batch.Wave) *peer.BatchWave {
 	return &peer.BatchWave{
 		Id: w.ID, Vms: w.VMs, DurationMs: w.DurationMs, MostAtOnce: intToWire(w.MaxConcurrent),
-		AcceptedMs: w.AcceptedMs, Begun: w.Begun,
+		AcceptedMs: w.AcceptedMs, Begun: w.Begun, Gone: w.Gone,
 	}
 }
 
 func batchWaveFromWire(w *peer.BatchWave) batch.Wave {
 	return batch.Wave{
 		ID: w.GetId(), VMs: w.GetVms(), DurationMs: w.GetDurationMs(), MaxConcurrent: int(w.GetMostAtOnce()),
-		AcceptedMs: w.GetAcceptedMs(), Begun: w.GetBegun(),
+		AcceptedMs: w.GetAcceptedMs(), Begun: w.GetBegun(), Gone: w.GetGone(),
+	}
+}
+
+func waveVMsToWire(vms []batch.WaveVM) []*peer.BatchUpkeep {
+	var all []*peer.BatchUpkeep
+	for _, v := range vms {
+		all = append(all, &peer.BatchUpkeep{Wave: v.Wave, Vm: v.VM})
+	}
+	return all
+}
+
+func waveVMsFromWire(vms []*peer.BatchUpkeep) []batch.WaveVM {
+	var all []batch.WaveVM
+	for _, v := range vms {
+		all = append(all, batch.WaveVM{Wave: v.GetWave(), VM: v.GetVm()})
 	}
+	return all
 }
 
 func leaderToWire(l batch.Leader) *peer.BatchLeader {
