Let two reads of several pages show that a VM is gone

Cause: where rows are spread over pages they move to an earlier page as another VM goes. A read that has that page already misses them, and a list with a missing row looked like any other whole one.

Change: two whole reads in succession have to lack the VM where the last one has several pages. A list of one page shows it alone, as before.

--- a/internal/ctrl/vmlist/reads.go
+++ b/internal/ctrl/vmlist/reads.go
@@ -19,8 +19,8 @@
 
 // Reads are the reads of the list under one leader. At most one is in progress.
 type Reads struct {
-	// current is the read in progress, and last the last whole one; nil for none.
-	current, last *read
+	// current is the read in progress, and last and previous are the last two whole ones; nil for none.
+	current, last, previous *read
 	// unnamedRows holds, by VM, the number of rows without a readable name in the last whole read that listed the VM.
 	unnamedRows map[string]int
 }
@@ -70,7 +70,7 @@
 
 // Finish ends the read in progress, all of whose pages were read.
 func (r *Reads) Finish() {
-	r.last, r.current = r.current, nil
+	r.previous, r.last, r.current = r.last, r.current, nil
 	for name := range r.last.listed {
 		r.unnamedRows[name] = r.last.unnamed
 	}
@@ -95,11 +95,24 @@
 // MayHoldUnread reports whether the last whole read may have had the row of a VM without its being readable: the row bears the
 // VM's name, or there are more rows without a name than when the VM was last listed.
 func (r *Reads) MayHoldUnread(name string) bool {
-	return r.last != nil && (r.last.unread[name] || r.last.unnamed > r.unnamedRows[name])
+	return r.mayHoldUnread(r.last, name)
+}
+
+func (r *Reads) mayHoldUnread(whole *read, name string) bool {
+	return whole != nil && (whole.unread[name] || whole.unnamed > r.unnamedRows[name])
 }
 
 // GoneSince reports whether the list shows that a VM isn't there: a whole read that began at an uptime or later has no row that may
-// be the VM's.
+// be the VM's. Where rows are spread over pages they move between these as VMs come and go, so that a read may miss one: two reads
+// in succession have to show it then.
 func (r *Reads) GoneSince(name string, sinceMs int64) bool {
-	return r.last != nil && r.last.beganMs >= sinceMs && !r.last.listed[name] && !r.MayHoldUnread(name)
+	if !r.lacks(r.last, name, sinceMs) {
+		return false
+	}
+	return len(r.last.pages) == 1 || r.lacks(r.previous, name, sinceMs)
+}
+
+// lacks reports whether a whole read that began at an uptime or later has no row that may be a VM's.
+func (r *Reads) lacks(whole *read, name string, sinceMs int64) bool {
+	return whole != nil && whole.beganMs >= sinceMs && !whole.listed[name] && !r.mayHoldUnread(whole, name)
 }
