Settle a worker that left only by a list that may not hold it

A deregistration without incarnation arrives late from a worker's former life; the row of the worker's VM can't be read, and never could since this leader took over.

Cause: whether a worker may be up was asked of the leader's view of its VM. A worker without a VM in the view counted as gone after any whole list, though that list had a row that couldn't be read; and a view that an order had changed, or whose row wasn't applied since an order was under way, stood for the list.

Change: the reads themselves keep which workers are listed as up, and say that a worker is gone since the time of its deregistration: no row lists it, and none that can't be read may be its VM's.

Tests: ctrl/sched TestScripts/left-worker-on-vm-unread-is-not-gone, where before a.0.0.0#2 started at line 61 while the lease of the first attempt lasted; ctrl/vmlist TestScripts/workers.

--- a/internal/ctrl/sched/leave.go
+++ b/internal/ctrl/sched/leave.go
@@ -36,18 +36,18 @@
 	return w.unnamedLeaveMs > 0 && now-w.unnamedLeaveMs >= returnMs && w.listedUpMs > w.unnamedLeaveMs
 }
 
-// settleGone ends what is left on workers that have left, once a complete VM list that was requested at uptime asked shows that
-// they are gone.
-func (s *Scheduler) settleGone(asked int64) {
+// settleGone ends what is left on workers that have left, once the VM list shows that they are gone.
+func (s *Scheduler) settleGone() {
+	reads := s.fleet.reads
 	for _, w := range s.workers {
-		if !w.left || s.fleet.mayBeUp(w) {
+		if !w.left {
 			continue
 		}
-		if w.unnamedLeaveMs > 0 && asked >= w.unnamedLeaveMs {
+		if w.unnamedLeaveMs > 0 && reads.WorkerGoneSince(w.id, w.vm, w.unnamedLeaveMs) {
 			w.unnamedLeaveMs = 0
-			s.loseAttempts(w, w.incarnation, "worker_gone", goneAt(asked))
+			s.loseAttempts(w, w.incarnation, "worker_gone", goneAt(reads.BeganMs()))
 		}
-		if asked >= w.repliesEndMs || s.fleet.hasReplaced(w) {
+		if reads.WorkerGoneSince(w.id, w.vm, w.repliesEndMs) || s.fleet.hasReplaced(w) && reads.WorkerGoneSince(w.id, w.vm, 0) {
 			s.endDoubts(w)
 		}
 	}
@@ -66,13 +66,6 @@
 	}
 }
 
-// mayBeUp reports whether a worker may be up by the last VM list: it is listed on a VM that is up, or the row of its VM couldn't be
-// read.
-func (f *fleetView) mayBeUp(w *worker) bool {
-	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.State == VMUp || f.reads.MayHoldUnread(v.Name))
-}
-
 // hasReplaced reports whether by the last VM list another worker runs on a worker's VM, so that no later incarnation of it does.
 func (f *fleetView) hasReplaced(w *worker) bool {
 	v := f.vms[w.vm]
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -100,7 +100,7 @@
 // applyListed updates one VM from a list that was requested at uptime asked.
 func (s *Scheduler) applyListed(v VM, asked int64) {
 	f := &s.fleet
-	f.reads.AddRow(v.Name)
+	f.reads.AddRow(v.Name, v.upWorker())
 	delete(f.reported, v.Name)
 	known := f.vms[v.Name]
 	if known == nil {
@@ -125,6 +125,14 @@
 	known.VM, known.listedMs = v, asked
 }
 
+// upWorker returns the worker on a VM that is up; empty for none.
+func (v *VM) upWorker() string {
+	if v.State != VMUp {
+		return ""
+	}
+	return v.Worker
+}
+
 // noteUp notes that a worker was up on its VM at uptime asked.
 func (s *Scheduler) noteUp(v VM, asked int64) {
 	if w := s.workers[v.Worker]; w != nil && v.State == VMUp {
@@ -175,7 +183,7 @@
 			delete(f.vms, name)
 		}
 	}
-	s.settleGone(f.reads.BeganMs())
+	s.settleGone()
 }
 
 // awaitVerification notes that an order was answered as done. An earlier order whose answer was lost may have done
--- a/internal/ctrl/vmlist/reads.go
+++ b/internal/ctrl/vmlist/reads.go
@@ -11,6 +11,8 @@
 	beganMs int64
 	// listed are the VMs with a row that can be read, unread those with only a row that can't.
 	listed, unread map[string]bool
+	// workers are the workers that are listed on a VM that is up.
+	workers map[string]bool
 	// unnamed is the number of rows without a readable name.
 	unnamed int
 	// pages are the pages that were requested.
@@ -32,7 +34,9 @@
 
 // Begin begins a read whose first page is requested at an uptime in milliseconds.
 func (r *Reads) Begin(nowMs int64) {
-	r.current = &read{beganMs: nowMs, listed: map[string]bool{}, unread: map[string]bool{}, pages: map[string]bool{}}
+	r.current = &read{
+		beganMs: nowMs, listed: map[string]bool{}, unread: map[string]bool{}, workers: map[string]bool{}, pages: map[string]bool{},
+	}
 }
 
 // InProgress reports whether a read is in progress.
@@ -49,9 +53,12 @@
 	return true
 }
 
-// AddRow notes a row that can be read.
-func (r *Reads) AddRow(name string) {
+// AddRow notes a row that can be read; worker is the worker on the VM if that is up, empty for none.
+func (r *Reads) AddRow(name, worker string) {
 	r.current.listed[name] = true
+	if worker != "" {
+		r.current.workers[worker] = true
+	}
 }
 
 // AddUnread notes a row that can't be read; its name is empty if that can't be read either.
@@ -92,27 +99,35 @@
 	return r.last.beganMs
 }
 
-// MayHoldUnread reports whether the last whole read may have had the row of a VM without its being readable: the row bears the
-// VM's name, or there are more rows without a name than when the VM was last listed.
-func (r *Reads) MayHoldUnread(name string) bool {
-	return r.mayHoldUnread(r.last, name)
-}
-
+// mayHoldUnread reports whether a whole read may have had the row of a VM without its being readable: the row bears the VM's name,
+// or there are more rows without a name than when the VM was last listed.
 func (r *Reads) mayHoldUnread(whole *read, name string) bool {
-	return whole != nil && (whole.unread[name] || whole.unnamed > r.unnamedRows[name])
+	return whole.unread[name] || whole.unnamed > r.unnamedRows[name]
 }
 
 // GoneSince reports whether the list shows that a VM isn't there: a whole read that began at an uptime or later has no row that may
 // be the VM's. Where rows are spread over pages they move between these as VMs come and go, so that a read may miss one: two reads
 // in succession have to show it then.
 func (r *Reads) GoneSince(name string, sinceMs int64) bool {
-	if !r.lacks(r.last, name, sinceMs) {
-		return false
-	}
-	return len(r.last.pages) == 1 || r.lacks(r.previous, name, sinceMs)
-}
-
-// lacks reports whether a whole read that began at an uptime or later has no row that may be a VM's.
-func (r *Reads) lacks(whole *read, name string, sinceMs int64) bool {
-	return whole != nil && whole.beganMs >= sinceMs && !whole.listed[name] && !r.mayHoldUnread(whole, name)
+	return r.show(sinceMs, func(whole *read) bool { return !whole.listed[name] && !r.mayHoldUnread(whole, name) })
+}
+
+// WorkerGoneSince reports whether the list shows that a worker isn't up, as GoneSince does for VMs. vm is the name of the VM on which
+// it was last listed; empty for none, where any row that can't be read may be its VM's.
+func (r *Reads) WorkerGoneSince(worker, vm string, sinceMs int64) bool {
+	return r.show(sinceMs, func(whole *read) bool {
+		if whole.workers[worker] {
+			return false
+		}
+		if vm == "" {
+			return len(whole.unread)+whole.unnamed == 0
+		}
+		return !r.mayHoldUnread(whole, vm)
+	})
+}
+
+// show reports whether as many whole reads that began at an uptime or later as it takes lack what a function looks for.
+func (r *Reads) show(sinceMs int64, lacks func(whole *read) bool) bool {
+	shows := func(whole *read) bool { return whole != nil && whole.beganMs >= sinceMs && lacks(whole) }
+	return shows(r.last) && (len(r.last.pages) == 1 || shows(r.previous))
 }
--- a/internal/ctrl/vmlist/script_test.go
+++ b/internal/ctrl/vmlist/script_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestScripts runs the scripts in testdata: "begin", "page", "abort" and "finish" are the course of a read, the input of "page" its
-// rows, and "gone" asks which of some VMs are gone since an uptime.
+// rows, and "gone" and "worker-gone" ask which
+// VMs and workers are gone since an uptime.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		reads := vmlist.NewReads()
@@ -28,6 +29,8 @@
 				reads.Finish()
 			case "gone":
 				return describeGone(reads, ms(t, d), strings.Fields(d.Input))
+			case "worker-gone":
+				return describeWorkersGone(reads, ms(t, d), strings.Split(d.Input, "\n"))
 			default:
 				t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
 			}
@@ -49,7 +52,8 @@
 		if name, unread := strings.CutPrefix(line, "unread"); unread {
 			reads.AddUnread(strings.TrimSpace(name))
 		} else if line != "" {
-			reads.AddRow(line)
+			vm, worker, _ := strings.Cut(line, " ")
+			reads.AddRow(vm, worker)
 		}
 	}
 	return "ok\n"
@@ -63,6 +67,16 @@
 	return out.String()
 }
 
+// describeWorkersGone tells which workers are gone, each on a line with the VM on which it was last listed, if any.
+func describeWorkersGone(reads *vmlist.Reads, since int64, lines []string) string {
+	var out strings.Builder
+	for _, line := range lines {
+		worker, vm, _ := strings.Cut(line, " ")
+		fmt.Fprintf(&out, "%s: %t\n", line, reads.WorkerGoneSince(worker, vm, since))
+	}
+	return out.String()
+}
+
 func ms(t *testing.T, d *datadriven.TestData) int64 {
 	t.Helper()
 	n, err := strconv.ParseInt(d.CmdArgs[0].Key, 10, 64)
