Remember the cancel of a job that isn't known

Change: such a cancel is committed before it is answered (a tombstone), and a job with one is stored as cancelled. It holds over leaders and restarts, for 180 s of the time under leaders, which no jump of a clock shortens; as long as the state of an ended job is kept. A submission that comes later is answered as one of a job that was cancelled after it came: 200, and the job is `cancelled`. Where callers need keys a tombstone concerns its own account's jobs only, but an operator's all. At most 16,384 are kept, 4,096 of an account where there are accounts; beyond that such a cancel is answered 503, since 410 would promise too much, and jobs that are known are cancelled as ever. A renewed cancel is kept for at least 150 s more.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -11,11 +11,15 @@
 
 // Apply applies a change of the log; nowMs is the time in its command, in Unix milliseconds.
 func (m *StateMachine) Apply(c *batch.Change, nowMs int64) {
+	m.advanceLeaderTime(c.Leader)
 	if c.Configuration != nil && c.Configuration.Version > m.state.Configuration.Version {
 		m.state.Configuration = *c.Configuration
 	}
+	for _, t := range c.Tombstones {
+		m.addTombstone(t)
+	}
 	for i := range c.NewJobs {
-		m.addJob(&c.NewJobs[i])
+		m.addJob(&c.NewJobs[i], nowMs)
 	}
 	for _, id := range c.CancelledJobs {
 		if j := m.jobs[id]; j != nil && !j.Phase.IsTerminal() {
@@ -45,6 +49,15 @@
 	m.updateWaves(c)
 	m.recordOrders(c)
 	m.expireJobs(nowMs)
+	m.expireTombstones()
+}
+
+// advanceLeaderTime advances the time under leaders to a change of a leader.
+func (m *StateMachine) advanceLeaderTime(l batch.Leader) {
+	if l.Term == m.state.Leader.Term {
+		m.state.LeaderTimeMs += max(0, l.UptimeMs-m.state.Leader.UptimeMs)
+	}
+	m.state.Leader = l
 }
 
 // updateWaves records which VMs of waves have begun their maintenance, are gone or have returned.
@@ -72,13 +85,9 @@
 	return slices.DeleteFunc(names, func(n string) bool { return n == name })
 }
 
-// recordOrders advances the time under leaders, and records the VMs that are about to be ordered.
+// recordOrders records the VMs that are about to be ordered.
 func (m *StateMachine) recordOrders(c *batch.Change) {
 	s := &m.state
-	if c.Leader.Term == s.Leader.Term {
-		s.LeaderTimeMs += max(0, c.Leader.UptimeMs-s.Leader.UptimeMs)
-	}
-	s.Leader = c.Leader
 	for _, vm := range c.OrderedVMs {
 		s.VMOrders[vm] = VMOrder{VM: vm, Holder: c.Leader.Name, LeaderTimeMs: s.LeaderTimeMs}
 	}
@@ -92,11 +101,16 @@
 	}
 }
 
-func (m *StateMachine) addJob(j *batch.Job) {
-	if m.jobs[j.ID] == nil {
-		added := NewJob(*j)
-		m.jobs[j.ID], m.state.Jobs[j.ID] = added, added.JobRecord
-		m.markChanged(j.ID)
+// addJob adds a job that isn't known; it ends at once if it was cancelled before it came.
+func (m *StateMachine) addJob(j *batch.Job, nowMs int64) {
+	if m.jobs[j.ID] != nil {
+		return
+	}
+	added := NewJob(*j)
+	m.jobs[j.ID], m.state.Jobs[j.ID] = added, added.JobRecord
+	m.markChanged(j.ID)
+	if m.IsCancelledAhead(j) {
+		m.endJob(added, batch.PhaseCancelled, nowMs)
 	}
 }
 
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -30,6 +30,8 @@
 	Leader batch.Leader
 	// VMOrders are the recently ordered VMs by name.
 	VMOrders map[string]VMOrder
+	// Tombstones are those of jobs that were cancelled before they came, with the value of LeaderTimeMs when each was recorded.
+	Tombstones map[batch.Tombstone]int64
 }
 
 // VMOrder is the last order for a VM.
@@ -112,6 +114,8 @@
 	ended []string
 	// changed are the jobs that changed since the last call of TakeChanged.
 	changed []string
+	// tombstones are the tombstones of the state.
+	tombstones tombstones
 }
 
 // New returns a state machine with an empty state.
@@ -134,9 +138,12 @@
 	if s.VMOrders == nil {
 		s.VMOrders = map[string]VMOrder{}
 	}
+	if s.Tombstones == nil {
+		s.Tombstones = map[batch.Tombstone]int64{}
+	}
 	m.jobs = make(map[string]*Job, len(s.Jobs))
 	m.state, m.tasksByWorker, m.ended, m.changed = s, map[string]map[batch.TaskID]struct{}{}, nil, nil
-	m.reserved = map[string]batch.Resources{}
+	m.reserved, m.tombstones = map[string]batch.Resources{}, newTombstones(s.Tombstones)
 	for id, r := range s.Jobs {
 		j := &Job{JobRecord: r}
 		j.derive()
--- a/internal/ctrl/sched/answers_test.go
+++ b/internal/ctrl/sched/answers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,6 +41,22 @@
 	h.finishOrders(func(o sched.Order) bool { return o.Kind == sched.OrderList }, r)
 }
 
+// cancelMany cancels many unknown jobs, "each" times each, and prints how many cancels got each code.
+func (h *harness) cancelMany(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	first, codes := intArg(t, d, "first", 0), map[string]int{}
+	for range intArg(t, d, "each", 1) {
+		for i := range intArg(t, d, "jobs", 1) {
+			target := &batch.RequestTarget{Host: "h", Path: fmt.Sprintf("/q/%016x", first+i)}
+			h.scheduler.Call(&batch.Call{Credential: credential(d), Cancel: target}, h.uptime.ms, func(r batch.Reply) { codes[r.Code.String()]++ })
+		}
+	}
+	h.log.commitAll()
+	for _, code := range slices.Sorted(maps.Keys(codes)) {
+		h.replies = append(h.replies, fmt.Sprintf("%s: %d", code, codes[code]))
+	}
+}
+
 // orderCode returns the code with which a command answers an order.
 func orderCode(t *testing.T, d *datadriven.TestData) sched.OrderCode {
 	t.Helper()
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -126,13 +126,16 @@
 		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeOK, Phase: existing.Phase} })
 		return
 	}
-	if s.refuseHopeless(&job, reply) {
+	if !s.options.Log.Batch().IsCancelledAhead(&job) && s.refuseHopeless(&job, reply) {
 		return
 	}
 	s.proposals.pending.NewJobs = append(s.proposals.pending.NewJobs, job)
 	record := s.noteSubmitting(&job)
 	s.logAccepting(&job)
 	s.replyWhenCommitted(func(r batch.Reply) {
+		if j := s.options.Log.Batch().Job(id); r.Code == batch.CodeOK && j != nil {
+			r.Phase = j.Phase
+		}
 		reply(r)
 		s.endSubmitting(id, record)
 	}, batch.Reply{Code: batch.CodeOK, Phase: batch.PhaseQueued})
@@ -148,11 +151,16 @@
 func (s *Scheduler) cancel(c *batch.Call, reply func(batch.Reply)) {
 	id := lastSegment(c.Cancel.Path)
 	j := s.options.Log.Batch().Job(id)
-	if s.active && s.refuseAccess(c, c.Cancel, j, reply) {
+	access := accessGranted
+	if s.active {
+		access = s.accessTo(c, c.Cancel, j)
+	}
+	if access == accessDenied {
+		s.replyUnauthorized(reply, c.Cancel.Host, c.Cancel.Path)
 		return
 	}
-	if !s.active || j == nil {
-		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeGone, Detail: "no such job"} })
+	if !s.active || j == nil || access == accessHidden {
+		s.cancelUnknown(c, id, reply)
 		return
 	}
 	if j.Phase.IsTerminal() {
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -25,6 +25,9 @@
 	givenUpRunningTotal = metrics.NewCounter("cowslip_given_up_attempts_running_total")
 	commandsLostTotal   = metrics.NewCounter("cowslip_records_lost_total")
 	unauthorizedTotal   = metrics.NewCounter("cowslip_calls_unauthorized_total")
+	// tombstonesTotal counts the cancels of unknown jobs that are remembered, tombstonesRefusedTotal those refused for want of room.
+	tombstonesTotal        = metrics.NewCounter("cowslip_cancels_ahead_total")
+	tombstonesRefusedTotal = metrics.NewCounter("cowslip_cancels_ahead_refused_total")
 )
 
 // countEnd counts an attempt's end by its kind.
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -87,6 +87,8 @@
 	refusals *acct.Refusals
 	// submitting holds, by identity, the new jobs whose record is proposed and not yet applied.
 	submitting map[string]*jobRecord
+	// burials are the cancels of unknown jobs that wait until they are recorded.
+	burials *burials
 
 	// ordered are the orders to workers that aren't logged yet.
 	ordered []string
@@ -141,7 +143,7 @@
 	s.starting, s.startingWorker, s.gangs = map[batch.TaskID]bool{}, map[batch.TaskID]string{}, map[stepKey]*gangPlan{}
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
 	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New(s.options.Log.Batch())
-	s.refusals = acct.NewRefusals()
+	s.refusals, s.burials = acct.NewRefusals(), newBurials()
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"cowslipstack/internal/ctrl/jobs"
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/model/batch"
 )
@@ -133,6 +134,8 @@
 		h.call("cancel", &batch.Call{
 			Credential: credential(d), Operator: stringArg(d, "operator", "") != "", Cancel: &batch.RequestTarget{Host: "h", Path: jobPath(d)},
 		})
+	case "cancel-many":
+		h.cancelMany(t, d)
 	case "state":
 		h.call("state", &batch.Call{Credential: credential(d), JobState: &batch.RequestTarget{Host: "h", Path: jobPath(d)}})
 	case "queue-delay":
@@ -167,6 +170,10 @@
 		h.log.leads, h.log.proposals, h.log.confirmations = false, nil, nil
 		h.log.term++
 		h.scheduler.HandleLogChange()
+	case "restore":
+		restored := jobs.New()
+		restored.Restore(*h.log.batch.State())
+		h.log.batch = restored
 	case "lead":
 		h.log.paused = false
 		h.start(stringArg(d, "as", "leader-b"))
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -4,7 +4,9 @@
 type Change struct {
 	// Configuration replaces the one in force; nil for no change.
 	Configuration *Configuration
-	// NewJobs are the jobs to add.
+	// Tombstones stand for jobs that were cancelled though they weren't known.
+	Tombstones []Tombstone
+	// NewJobs are the jobs to add; those with a tombstone are added as cancelled.
 	NewJobs []Job
 	// CancelledJobs are the identities of the jobs to cancel.
 	CancelledJobs []string
@@ -24,6 +26,8 @@
 	MaintenanceStarts []WaveVM
 	// GoneVMs are the VMs of waves that are gone, and ReturnedVMs those that were gone and are listed again.
 	GoneVMs, ReturnedVMs []WaveVM
+	// ExpireTombstones only advances the time, so that tombstones expire where nothing else is to be changed.
+	ExpireTombstones bool
 	// OrderedVMs are the names of the VMs that the leader is about to move or maintain.
 	OrderedVMs []string
 	// Leader is the proposer of the change.
@@ -42,8 +46,8 @@
 
 // IsEmpty reports whether the change has no effect; Leader is not considered.
 func (c *Change) IsEmpty() bool {
-	return c.Configuration == nil && c.Wave == nil &&
-		len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+
+	return c.Configuration == nil && c.Wave == nil && !c.ExpireTombstones &&
+		len(c.Tombstones)+len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+
 			len(c.GoneVMs)+len(c.ReturnedVMs)+len(c.OrderedVMs) == 0
 }
 
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -11,10 +11,16 @@
 )
 
 func batchChangeToWire(c *batch.Change) *peer.BatchChange {
-	w := &peer.BatchChange{Cancels: c.CancelledJobs, Begun: c.BegunJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader)}
+	w := &peer.BatchChange{
+		Cancels: c.CancelledJobs, Begun: c.BegunJobs, Ordered: c.OrderedVMs, Leader: leaderToWire(c.Leader),
+		ExpireTombstones: c.ExpireTombstones,
+	}
 	if c.Configuration != nil {
 		w.Configuration = ConfigurationToWire(c.Configuration)
 	}
+	for _, t := range c.Tombstones {
+		w.Tombstones = append(w.Tombstones, tombstoneToWire(t, 0))
+	}
 	for i := range c.NewJobs {
 		w.Submits = append(w.Submits, batchJobToWire(&c.NewJobs[i]))
 	}
@@ -46,10 +52,14 @@
 func batchChangeFromWire(w *peer.BatchChange) *batch.Change {
 	c := &batch.Change{
 		CancelledJobs: w.GetCancels(), BegunJobs: w.GetBegun(), OrderedVMs: w.GetOrdered(), Leader: leaderFromWire(w.GetLeader()),
+		ExpireTombstones: w.GetExpireTombstones(),
 	}
 	if w.GetConfiguration() != nil {
 		c.Configuration = ConfigurationFromWire(w.GetConfiguration())
 	}
+	for _, t := range w.GetTombstones() {
+		c.Tombstones = append(c.Tombstones, tombstoneFromWire(t))
+	}
 	for _, j := range w.GetSubmits() {
 		c.NewJobs = append(c.NewJobs, batchJobFromWire(j))
 	}
@@ -223,6 +233,7 @@
 		o := s.VMOrders[vm]
 		w.Ordered = append(w.Ordered, &peer.BatchOrdered{Vm: o.VM, Holder: o.Holder, AtMs: o.LeaderTimeMs})
 	}
+	w.Tombstones = tombstonesToWire(s.Tombstones)
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		j := s.Jobs[id]
 		job := &peer.BatchJobState{Job: batchJobToWire(&j.Spec), Phase: uint32(j.Phase), EndedMs: j.EndedMs}
@@ -253,7 +264,11 @@
 func batchStateFromWire(w *peer.BatchState) jobs.State {
 	s := jobs.State{
 		Jobs: make(map[string]*jobs.JobRecord, len(w.GetJobs())), LeaderTimeMs: w.GetLedMs(), Leader: leaderFromWire(w.GetLeader()),
-		VMOrders: make(map[string]jobs.VMOrder, len(w.GetOrdered())),
+		VMOrders:   make(map[string]jobs.VMOrder, len(w.GetOrdered())),
+		Tombstones: make(map[batch.Tombstone]int64, len(w.GetTombstones())),
+	}
+	for _, t := range w.GetTombstones() {
+		s.Tombstones[tombstoneFromWire(t)] = t.GetAtMs()
 	}
 	for _, o := range w.GetOrdered() {
 		s.VMOrders[o.GetVm()] = jobs.VMOrder{VM: o.GetVm(), Holder: o.GetHolder(), LeaderTimeMs: o.GetAtMs()}
