Pass no submission on whose caller has left or whose deadline has passed

The process had stood still; the caller had closed its connection, or its Deadline-Ms had passed while the request lay in the kernel's buffers.

Cause: `Deadline-Ms` was counted from when the handler began, and the HTTP server notices a closed connection only some time after it has read the request; edge/proxy made an attempt even where the context had ended.

Change: the kernel tells how long the last bytes of a connection have lain and whether its peer has closed it (TCP_INFO, asked once for a submission and once for each attempt at it). A cancel is carried out however late it is read and though its caller has left: its caller may wait elsewhere for what it ends. Other calls go on as before: configurations, waves and deregistrations are idempotent and resent, and an old heartbeat is told by its number.

--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -21,6 +21,7 @@
 	"cowslipstack/internal/ctrl/sched"
 	"cowslipstack/internal/edge/access"
 	"cowslipstack/internal/edge/proxy"
+	"cowslipstack/internal/wire/guard"
 	"cowslipstack/internal/wire/link"
 	"cowslipstack/platform"
 )
@@ -141,7 +142,7 @@
 func newProxy(l *local, connections *link.Connections, g *gossiper, c clock.Clock, logger *zap.Logger) *proxy.Proxy {
 	return proxy.New(proxy.Options{
 		Local: l, Remote: &remote{connections: connections}, Clock: c, Logger: logger,
-		Tracker: &leaderTracker{membership: g.peers.membership, loop: l.loop},
+		Tracker: &leaderTracker{membership: g.peers.membership, loop: l.loop}, Callers: guard.Arrivals{},
 	})
 }
 
@@ -150,5 +151,5 @@
 }
 
 func newServer(p *proxy.Proxy, g *access.Gate, d *drainer, logger *zap.Logger) *platform.Server {
-	return platform.NewServer(platform.Options{Proxy: p, Access: g, Ready: d.ready, Logger: logger})
+	return platform.NewServer(platform.Options{Proxy: p, Access: g, Arrivals: guard.Arrivals{}, Ready: d.ready, Logger: logger})
 }
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -50,6 +50,12 @@
 	OnSuperseded(term uint64, f func()) (stop func() bool)
 }
 
+// Callers tells of the callers that wait for this process's answers.
+type Callers interface {
+	// CallerGone reports whether the caller of a call has closed its connection, by the call's context.
+	CallerGone(ctx context.Context) bool
+}
+
 // Options configures a Proxy; all fields are required.
 type Options struct {
 	// Local executes calls in this process.
@@ -58,6 +64,8 @@
 	Remote Remote
 	// Tracker tracks the current leader.
 	Tracker LeaderTracker
+	// Callers tells whether callers still wait.
+	Callers Callers
 	// Clock measures the waits between attempts and the duration of calls.
 	Clock clock.Clock
 	// Logger receives the calls that failed.
@@ -105,7 +113,12 @@
 // that the call may have run.
 func (p *Proxy) Do(ctx context.Context, c *batch.Call) batch.Reply {
 	name, began := kind(c), p.options.Clock.Now()
-	reply := p.do(ctx, c)
+	var reply batch.Reply
+	if cause := p.whyUnwanted(ctx, c); cause != "" {
+		reply = p.giveUp(c, batch.Reply{Code: batch.CodeNotRun, Detail: cause})
+	} else {
+		reply = p.do(ctx, c)
+	}
 	hist.Observe("cowslip_call_seconds", hist.Labels{Class: name}, p.options.Clock.Now().Sub(began))
 	metrics.GetOrCreateCounter(hist.Series("cowslip_calls_total", hist.Label{Name: "call", Value: name},
 		hist.Label{Name: "code", Value: reply.Code.String()})).Inc()
@@ -142,14 +155,33 @@
 		default:
 			return reply
 		}
-		if !clock.Sleep(ctx, p.options.Clock, interval) {
-			p.options.Logger.Info("call_given_up", zap.Stringer("code", worst.Code), zap.String("cause", worst.Detail),
-				zap.String("call", kind(c)), zap.String("subject", subject(c)), zap.Uint64("term", p.options.Tracker.Leader().Term))
-			return worst
+		if !clock.Sleep(ctx, p.options.Clock, interval) || p.whyUnwanted(caller, c) != "" {
+			return p.giveUp(c, worst)
 		}
 	}
 }
 
+// whyUnwanted returns why a submission is passed on no more, empty if it is: a caller that doesn't wait for its answer may have
+// cancelled it elsewhere. Other calls are worth making though their callers are gone.
+func (p *Proxy) whyUnwanted(caller context.Context, c *batch.Call) string {
+	switch {
+	case c.Submit == nil:
+		return ""
+	case caller.Err() != nil:
+		return "the caller's deadline has passed, or the caller is gone"
+	case p.options.Callers.CallerGone(caller):
+		return "the caller has closed its connection"
+	default:
+		return ""
+	}
+}
+
+func (p *Proxy) giveUp(c *batch.Call, worst batch.Reply) batch.Reply {
+	p.options.Logger.Info("call_given_up", zap.Stringer("code", worst.Code), zap.String("cause", worst.Detail),
+		zap.String("call", kind(c)), zap.String("subject", subject(c)), zap.Uint64("term", p.options.Tracker.Leader().Term))
+	return worst
+}
+
 // settle returns the reply to a call of which an earlier attempt may have run; a key that is refused by now doesn't tell that none
 // has. A submission that is refused for good by now, such
 // as since its queue was removed, was accepted if the leader holds the job; its outcome is unknown if that can't be told.
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -28,6 +28,13 @@
 	// silentUntil is when calls are first answered with ok; then is the outcome of all attempts before that but the first.
 	silentUntil time.Time
 	then        string
+	// goneAfter is the number of attempts after which the caller has closed its connection; negative if it stays.
+	goneAfter int
+}
+
+// CallerGone reports whether the caller has closed its connection.
+func (f *fakeControl) CallerGone(context.Context) bool {
+	return f.goneAfter >= 0 && len(f.attempts) >= f.goneAfter
 }
 
 func (f *fakeControl) attempt(ctx context.Context, where string) (batch.Reply, error) {
@@ -116,7 +123,7 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		f := &fakeControl{supersede: func() {}}
-		p := proxy.New(proxy.Options{Local: local{f}, Remote: remote{f}, Tracker: f, Clock: clock.System{}, Logger: zap.NewNop()})
+		p := proxy.New(proxy.Options{Local: local{f}, Remote: remote{f}, Tracker: f, Callers: f, Clock: clock.System{}, Logger: zap.NewNop()})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "leader":
@@ -153,12 +160,14 @@
 func (f *fakeControl) call(t *testing.T, p *proxy.Proxy, d *datadriven.TestData) string {
 	t.Helper()
 	ctx, began := t.Context(), time.Now()
-	f.attempts, f.lost, f.silentUntil, f.then = nil, nil, time.Time{}, ""
+	f.attempts, f.lost, f.silentUntil, f.then, f.goneAfter = nil, nil, time.Time{}, "", -1
 	var deadline time.Duration
 	for _, a := range d.CmdArgs {
 		switch a.Key {
 		case "outcomes":
 			f.outcomes = a.Vals
+		case "gone_after":
+			f.goneAfter, _ = strconv.Atoi(a.Vals[0])
 		case "then":
 			f.then = a.Vals[0]
 		case "silent_ms":
