Send no call to the leader whose caller has given up

Cause: wire/link wrote a queued frame whether or not the call that had queued it was still waiting, and a call that ended before said "no answer", which is 504, though nothing had been sent.

Change: a frame is marked under the connection's lock just before it joins the write buffer; a call that ends first takes it back, and is said not to be sent (503).

Not covered: a frame that was written and lies in the kernel's buffers of a process that stands still. A leader that stood still has to be confirmed by a quorum before it answers, and the tombstones cover the rest.

--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -40,8 +40,10 @@
 	frame *peer.Link
 	// response receives the outcome of a request; it is nil for a one-way message.
 	response chan result
-	// sent reports whether the frame was handed to a connection. The mutex of peerConn guards it.
-	sent bool
+	// caller ends once nobody waits for the response; nil for a one-way message.
+	caller context.Context
+	// sent reports whether the frame was handed to a connection, and abandoned that it won't be. The mutex of peerConn guards both.
+	sent, abandoned bool
 }
 
 type result struct {
@@ -78,7 +80,7 @@
 
 // call sends a request and waits for its response.
 func (p *peerConn) call(ctx context.Context, f *peer.Link) (*peer.Link, error) {
-	c := &pendingCall{frame: f, response: make(chan result, 1)}
+	c := &pendingCall{frame: f, response: make(chan result, 1), caller: ctx}
 	p.mu.Lock()
 	p.lastID++
 	f.Call = p.lastID
@@ -94,10 +96,21 @@
 	case r := <-c.response:
 		return r.frame, r.err
 	case <-ctx.Done():
+		if p.abandon(c) {
+			return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
+		}
 		return nil, errors.Wrap(ErrNoAnswer, ctx.Err().Error())
 	}
 }
 
+// abandon keeps a request from being sent, and reports whether it wasn't sent before.
+func (p *peerConn) abandon(c *pendingCall) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.abandoned = !c.sent
+	return c.abandoned
+}
+
 func (p *peerConn) removePending(id uint64) {
 	p.mu.Lock()
 	delete(p.pending, id)
@@ -196,7 +209,8 @@
 	}
 }
 
-// encode appends a queued frame to the buffer. One that can't be encoded is logged and fails alone.
+// encode appends a queued frame to the buffer, unless nobody waits for its response any more. One that can't be encoded is logged
+// and fails alone.
 func (p *peerConn) encode(buffer []byte, c *pendingCall) []byte {
 	longer, err := appendFrame(buffer, c.frame)
 	if err != nil {
@@ -206,7 +220,9 @@
 		}
 		return buffer
 	}
-	p.markSent(c)
+	if !p.beginSending(c) {
+		return buffer
+	}
 	return longer
 }
 
@@ -223,14 +239,16 @@
 	return errors.Wrap(err, "write frames")
 }
 
-// markSent records that a request is being sent, so that a broken connection fails it with ErrNoAnswer.
-func (p *peerConn) markSent(c *pendingCall) {
+// beginSending reports whether a frame is to be sent. A request is marked, so that a broken connection fails it with ErrNoAnswer.
+func (p *peerConn) beginSending(c *pendingCall) bool {
 	if c.response == nil {
-		return
+		return true
 	}
 	p.mu.Lock()
-	c.sent = true
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	c.abandoned = c.abandoned || c.caller.Err() != nil
+	c.sent = !c.abandoned
+	return c.sent
 }
 
 // setReadDeadline sets a read deadline after a write, unless one is set already.
--- a/internal/wire/link/script_test.go
+++ b/internal/wire/link/script_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/base/budget"
@@ -25,10 +29,17 @@
 type handler struct {
 	received chan string
 	release  chan struct{}
+
+	mu sync.Mutex
+	// paths are those of all calls so far.
+	paths []string
 }
 
 func (h *handler) Answer(ctx context.Context, f *peer.Link) *peer.Link {
 	path := f.GetRequest().GetState().GetPath()
+	h.mu.Lock()
+	h.paths = append(h.paths, path)
+	h.mu.Unlock()
 	if strings.HasPrefix(path, "held") {
 		h.received <- path
 		select {
@@ -70,6 +81,8 @@
 			case "release":
 				close(h.release)
 				return <-held
+			case "call-given-up":
+				return callGivenUp(t, h, address, d.Input)
 			case "call":
 				return call(d.Input)
 			case "call-bytes":
@@ -90,6 +103,28 @@
 	})
 }
 
+// callGivenUp makes a call whose caller gives up before the connection is made, and another one that makes it. It prints the outcome of
+// the first, and which calls have reached the server.
+func callGivenUp(t *testing.T, h *handler, address, text string) string {
+	t.Helper()
+	is := is.New(t)
+	connections := link.NewConnections(clock.System{}, zap.NewNop(), func(context.Context, *peer.Link) {})
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	_, givenUp := connections.Call(gone, address, frameOf(text))
+	is.True(givenUp != nil)
+	ctx, stop := context.WithTimeout(t.Context(), callTimeout)
+	ended := make(chan error, 1)
+	go func() { ended <- connections.Run(ctx) }()
+	_, err := connections.Call(ctx, address, frameOf("next"))
+	is.NoErr(err)
+	stop()
+	is.NoErr(<-ended)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return fmt.Sprintf("not sent: %t\nthe server got %v\n", errors.Is(givenUp, link.ErrNotSent), h.paths)
+}
+
 // start starts a server, and connections that call it; both end with the test.
 func start(t *testing.T, h link.Handler) (*link.Connections, string) {
 	t.Helper()
