Bound the memory that stored jobs take

Change: each stored job is estimated (ctrl/jobs memory.go), the sum follows from the replicated state, and the leader refuses a new job beyond 25% of its memory (overload.jobs_percent; 24 MB at least, so that the largest single job fits): 429, not run, come back after 5 to 10 s. The last eighth is for jobs of up to 16 KiB, and a client account may take half. A job that is stored or on its way is never refused.

--- a/internal/app/crowd/main_test.go
+++ b/internal/app/crowd/main_test.go
@@ -37,6 +37,8 @@
 //   - start: starts the process with limits.memory_mb and a limit on open files.
 //   - start-daemon, daemon-requests: the same as start and requests without --site.
 //   - crowd: connects the clients of a crowd, which send what they can and stay connected until the script ends.
+//   - flood: makes complete requests, each a different one, from a number of clients.
+//   - answers: as requests, but the job may be refused.
 //   - requests: makes one ordinary request of each kind until it is served.
 //   - largest: makes one request of each kind with a body of the largest legal size, and returns the statuses.
 //   - bounds: checks that the process runs, that its peak memory and its descriptors are within bounds, and that it still
@@ -59,8 +61,14 @@
 				newCrowd(t, p, d).connect()
 				t.Logf("%s: after the crowd %s", path, p.figures())
 				return ""
+			case "flood":
+				t.Logf("%s: %safter the flood %s", path, newFlood(t, p, d).send(), p.figures())
+				return ""
 			case "requests":
 				return p.requests()
+			case "answers":
+				p.mayRefuse = true
+				return p.requests()
 			case "largest":
 				return p.largest()
 			case "bounds":
--- a/internal/app/crowd/process_test.go
+++ b/internal/app/crowd/process_test.go
@@ -46,6 +46,8 @@
 	jobs        int
 	// accepted and refused are the paths of jobs by their answer; those without a clear answer are in neither.
 	accepted, refused []string
+	// mayRefuse is set if a job that is refused counts as served.
+	mayRefuse bool
 }
 
 func (p *process) address(offset int) string { return fmt.Sprintf("%s:%d", host, p.port+offset) }
--- a/internal/app/site/protect.go
+++ b/internal/app/site/protect.go
@@ -51,14 +51,27 @@
 	}))
 }
 
+// memoryOf returns the memory that the bounds of a process are derived from, in bytes.
+func memoryOf(settings conf.Site) int64 {
+	megabytes := settings.Limits.MemoryMb
+	if megabytes <= 0 {
+		megabytes = float64(settings.Overload.DefaultMemoryMb)
+	}
+	return int64(math.Round(megabytes)) * bytesPerMB
+}
+
+// minJobMemory is the least memory for jobs, in bytes: a job of 20,000 tasks, each a step of its own, fits.
+const minJobMemory = 24 << 20
+
+// jobMemory returns the memory that the stored jobs may take, in bytes.
+func jobMemory(settings conf.Site) int64 {
+	return max(minJobMemory, memoryOf(settings)*int64(settings.Overload.JobsPercent)/100)
+}
+
 // newGuards derives the limits of all listeners from the settings and the process's limits on memory and descriptors.
 func newGuards(settings conf.Site, c clock.Clock, logger *zap.Logger) (*guards, error) {
 	o := settings.Overload
-	memoryMB := settings.Limits.MemoryMb
-	if memoryMB <= 0 {
-		memoryMB = float64(o.DefaultMemoryMb)
-	}
-	memoryBytes := int64(math.Round(memoryMB)) * bytesPerMB
+	memoryBytes := memoryOf(settings)
 	available, err := guard.AvailableConnections(memoryBytes, o.ReservedDescriptors)
 	if err != nil {
 		return nil, err
--- a/internal/base/conf/site_gen.go
+++ b/internal/base/conf/site_gen.go
@@ -200,6 +200,10 @@
 	// IdleMs is how long a connection may wait for the next request.
 	IdleMs int `json:"idle_ms,omitempty,omitzero"`
 
+	// JobsPercent is the share of the memory that the stored jobs may take, with
+	// their part of a snapshot; at least 24 MB. Jobs beyond it are refused.
+	JobsPercent int `json:"jobs_percent,omitempty,omitzero"`
+
 	// MinRate is the minimum rate of bodies and answers, in bytes per second.
 	MinRate int `json:"min_rate,omitempty,omitzero"`
 
@@ -357,6 +361,15 @@
 	if 100 > plain.IdleMs {
 		return fmt.Errorf("field %s: must be >= %v", "idle_ms", 100)
 	}
+	if v, ok := raw["jobs_percent"]; !ok || v == nil {
+		plain.JobsPercent = 25
+	}
+	if 60 < plain.JobsPercent {
+		return fmt.Errorf("field %s: must be <= %v", "jobs_percent", 60)
+	}
+	if 5 > plain.JobsPercent {
+		return fmt.Errorf("field %s: must be >= %v", "jobs_percent", 5)
+	}
 	if v, ok := raw["min_rate"]; !ok || v == nil {
 		plain.MinRate = 16384
 	}
--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -109,6 +109,7 @@
 	added := NewJob(*j)
 	m.jobs[j.ID], m.state.Jobs[j.ID] = added, added.JobRecord
 	m.markChanged(j.ID)
+	m.countMemory(added, false)
 	if m.IsCancelledAhead(j) {
 		m.endJob(added, batch.PhaseCancelled, nowMs)
 	}
@@ -278,6 +279,7 @@
 	}
 	j.Spec.Steps, j.Spec.Text, j.Tasks, j.GangFailures = nil, "", nil, nil
 	j.derive()
+	m.countMemory(j, false)
 }
 
 // expireJobs removes jobs that ended more than endedJobKeptMs ago and of which no attempt runs.
@@ -287,6 +289,9 @@
 		if j != nil && (j.EndedMs+endedJobKeptMs > nowMs || j.LiveAttempts > 0) {
 			return
 		}
+		if j != nil {
+			m.countMemory(j, true)
+		}
 		delete(m.jobs, m.ended[0])
 		delete(m.state.Jobs, m.ended[0])
 		m.ended = m.ended[1:]
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -65,6 +65,8 @@
 	TasksLeft []int
 	// LiveAttempts is the number of attempts that may be running.
 	LiveAttempts int
+	// memory is about how many bytes the job takes.
+	memory int64
 	// offsets are the indices in Tasks at which the steps of the first occurrence begin, followed by the number of
 	// tasks of an occurrence.
 	offsets []int
@@ -116,6 +118,9 @@
 	changed []string
 	// tombstones are the tombstones of the state.
 	tombstones tombstones
+	// memory is about how many bytes the jobs take, and memoryByAccount those of each account.
+	memory          int64
+	memoryByAccount map[string]int64
 }
 
 // New returns a state machine with an empty state.
@@ -143,11 +148,13 @@
 	}
 	m.jobs = make(map[string]*Job, len(s.Jobs))
 	m.state, m.tasksByWorker, m.ended, m.changed = s, map[string]map[batch.TaskID]struct{}{}, nil, nil
+	m.memory, m.memoryByAccount = 0, map[string]int64{}
 	m.reserved, m.tombstones = map[string]batch.Resources{}, newTombstones(s.Tombstones)
 	for id, r := range s.Jobs {
 		j := &Job{JobRecord: r}
 		j.derive()
 		m.jobs[id] = j
+		m.countMemory(j, false)
 		if j.Phase.IsTerminal() {
 			m.ended = append(m.ended, id)
 		}
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -126,7 +126,7 @@
 		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeOK, Phase: existing.Phase} })
 		return
 	}
-	if !s.options.Log.Batch().IsCancelledAhead(&job) && s.refuseHopeless(&job, reply) {
+	if !s.options.Log.Batch().IsCancelledAhead(&job) && (s.refuseForMemory(&job, reply) || s.refuseHopeless(&job, reply)) {
 		return
 	}
 	s.proposals.pending.NewJobs = append(s.proposals.pending.NewJobs, job)
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -38,6 +38,8 @@
 	ControlAddress string
 	// PlatformLimits are the platform's durations and limits.
 	PlatformLimits PlatformLimits
+	// JobMemoryBytes is the memory that the stored jobs may take, by the estimate of package jobs.
+	JobMemoryBytes int64
 	// HasEnoughVoters reports whether enough replicas vote for a system without a configuration to accept calls.
 	HasEnoughVoters func() bool
 	// Members returns the replicas of the log, for inspection by operators.
@@ -87,6 +89,8 @@
 	refusals *acct.Refusals
 	// submitting holds, by identity, the new jobs whose record is proposed and not yet applied.
 	submitting map[string]*jobRecord
+	// submittingBytes is the memory that these jobs take.
+	submittingBytes proposedBytes
 	// burials are the cancels of unknown jobs that wait until they are recorded.
 	burials *burials
 
@@ -144,6 +148,7 @@
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
 	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New(s.options.Log.Batch())
 	s.refusals, s.burials = acct.NewRefusals(), newBurials()
+	s.submittingBytes = proposedBytes{byAccount: map[string]int64{}}
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
 
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -170,6 +170,8 @@
 		h.log.leads, h.log.proposals, h.log.confirmations = false, nil, nil
 		h.log.term++
 		h.scheduler.HandleLogChange()
+	case "job-memory":
+		h.jobMemoryBytes = intArg(t, d, "bytes", 0)
 	case "restore":
 		restored := jobs.New()
 		restored.Restore(*h.log.batch.State())
--- a/internal/ctrl/sched/submitting.go
+++ b/internal/ctrl/sched/submitting.go
@@ -1,13 +1,17 @@
 package sched
 
-import "cowslipstack/internal/model/batch"
+import (
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/model/batch"
+)
 
 // jobRecord is the record of a new job that is proposed and not yet applied.
 type jobRecord struct {
 	// calls counts the submissions that wait for it.
 	calls int
-	// account is the client account of the job.
+	// account is the client account of the job, and bytes the memory that it takes.
 	account string
+	bytes   int64
 	// after are called once the record is applied or lost.
 	after []func()
 }
@@ -16,8 +20,9 @@
 func (s *Scheduler) noteSubmitting(job *batch.Job) *jobRecord {
 	record := s.submitting[job.ID]
 	if record == nil {
-		record = &jobRecord{account: job.Account}
+		record = &jobRecord{account: job.Account, bytes: jobs.MemoryOf(job)}
 		s.submitting[job.ID] = record
+		s.submittingBytes.add(record.account, record.bytes)
 	}
 	record.calls++
 	return record
@@ -30,6 +35,7 @@
 	}
 	if s.submitting[id] == record {
 		delete(s.submitting, id)
+		s.submittingBytes.add(record.account, -record.bytes)
 	}
 	for _, f := range record.after {
 		f()
--- a/internal/ctrl/sched/waiting.go
+++ b/internal/ctrl/sched/waiting.go
@@ -100,6 +100,8 @@
 	}
 	clearWaitingGauges(slices.DeleteFunc(former, func(pool string) bool { return slices.Contains(s.countedPools, pool) }))
 	s.observeAccounts(wallMs)
+	_, bytes := s.options.Log.Batch().MemoryUsed("")
+	jobMemory.Set(float64(bytes))
 	s.logUnplaced(now)
 	s.logCapacity(now)
 }
