--- a/internal/app/crowd/flood_test.go
+++ b/internal/app/crowd/flood_test.go
@@ -29,7 +29,8 @@
 
 // newFlood returns the flood that a command describes:
 //   - calls, clients: how many requests, and from how many clients.
-//   - send: jobs (of tasks equal tasks in each of steps steps, with a text of so many bytes), or heartbeats (each of another worker).
+//   - send: jobs (of tasks equal tasks in each of steps steps, with a text of so many bytes), heartbeats (each of another worker), or
+//     configurations (each a new version with queues queues).
 func newFlood(t *testing.T, p *process, d *datadriven.TestData) *flood {
 	t.Helper()
 	f := &flood{process: p, calls: argument(t, d, "calls"), clients: argument(t, d, "clients")}
@@ -49,6 +50,12 @@
 				`{"service":"pool-%d","address":"10.%d.%d.%d:1","state":"ready","seq":1,"born":1,"capacity":{"cpu":1,"memMb":1},`+
 					`"labels":["a","r1"],"running":[],"ended":[]}`, i, 1+i>>16, i>>8&0xff, i&0xff)
 		}
+	case "configurations":
+		queues := argument(t, d, "queues")
+		f.request = func(int) (method, address, path, text string) {
+			p.version++
+			return http.MethodPost, p.control(), "/-/config/replace", p.configuration(p.version, queues)
+		}
 	default:
 		t.Fatalf("%s: unknown flood %s", d.Pos, send)
 	}
--- a/internal/app/crowd/requests_test.go
+++ b/internal/app/crowd/requests_test.go
@@ -117,8 +117,17 @@
 // replaceConfiguration makes a new version of a configuration of about 230 KB active.
 func (p *process) replaceConfiguration(ctx context.Context) bool {
 	version := p.version + 1
+	if p.call(ctx, http.MethodPost, p.control(), "/-/config/replace", p.configuration(version, configurationQueues)) != http.StatusOK {
+		return false
+	}
+	p.version = version
+	return true
+}
+
+// configuration returns a version of the configuration with a number of queues besides that of the jobs.
+func (p *process) configuration(version, count int) string {
 	queues := []map[string]any{{"host": "queue.example", "pathPrefix": "/q/", "timeoutMs": 3000, "service": "pool", "maxAttempts": 2}}
-	for i := range configurationQueues {
+	for i := range count {
 		queues = append(queues, map[string]any{
 			"host": fmt.Sprintf("queue-%d.example", i), "pathPrefix": "/batches-of-one-account/", "timeoutMs": 3000, "targetLatencyMs": 2000,
 			"priority": 1, "service": "pool", "maxAttempts": 2,
@@ -130,11 +139,7 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	if p.call(ctx, http.MethodPost, p.control(), "/-/config/replace", string(text)) != http.StatusOK {
-		return false
-	}
-	p.version = version
-	return true
+	return string(text)
 }
 
 // callPeer asks for a job as another process does.
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -32,6 +32,9 @@
 // ticksPerHeartbeat is the number of ticks of the consensus log between two heartbeats.
 const ticksPerHeartbeat = 5
 
+// snapshotBytes is the number of bytes of log entries from which a snapshot is made.
+const snapshotBytes = 16 << 20
+
 // newNode opens the data folder and returns the replica of the consensus log that it holds.
 func newNode(settings conf.Daemon, lc fx.Lifecycle, l *loop.Loop, c clock.Clock, logger *zap.Logger, sender *dial.Replicas) (*node.Node, error) {
 	log, recovered, err := store.Open(settings.Control.DataFolder, string(settings.Name), codec.Codec{})
@@ -50,9 +53,10 @@
 			HeartbeatTicks: ticksPerHeartbeat,
 			ElectionTicks:  int(conf.Milliseconds(settings.Control.ElectionMs) / tick),
 			Random:         rand.IntN,
+			KeptBytes:      snapshotBytes,
 		}),
 		Transport: sender, Codec: codec.Codec{}, Disk: log, Tick: tick,
-		SnapshotEntries: uint64(settings.Control.SnapshotRecords),
+		SnapshotEntries: uint64(settings.Control.SnapshotRecords), SnapshotBytes: snapshotBytes,
 	})
 }
 
--- a/internal/app/site/protect.go
+++ b/internal/app/site/protect.go
@@ -68,6 +68,18 @@
 	return max(minJobMemory, memoryOf(settings)*int64(settings.Overload.JobsPercent)/100)
 }
 
+const (
+	// logMemoryShare is the inverse of the share of the memory that the log entries between two snapshots may take, and as much those
+	// that are kept before a snapshot.
+	logMemoryShare = 32
+	minLogMemory   = 2 << 20
+)
+
+// logMemory returns the bytes of log entries from which a snapshot is made.
+func logMemory(settings conf.Site) int {
+	return int(max(minLogMemory, memoryOf(settings)/logMemoryShare))
+}
+
 // newGuards derives the limits of all listeners from the settings and the process's limits on memory and descriptors.
 func newGuards(settings conf.Site, c clock.Clock, logger *zap.Logger) (*guards, error) {
 	o := settings.Overload
--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -106,10 +106,11 @@
 			ElectionTicks:      int(time.Duration(settings.Control.ElectionMs) * time.Millisecond / tick),
 			FirstElectionTicks: int(firstElectionTimeout / tick),
 			Random:             rand.IntN,
+			KeptBytes:          logMemory(settings),
 		}),
 		Transport: r.transport, Codec: codec.Codec{}, Disk: d.log, Tick: tick,
-		SnapshotEntries: uint64(settings.Control.SnapshotRecords),
-		OnFailure:       r.fail,
+		SnapshotEntries: uint64(settings.Control.SnapshotRecords), SnapshotBytes: logMemory(settings),
+		OnFailure: r.fail,
 	})
 	r.node = n
 	return r, err
--- a/internal/base/conf/daemon_gen.go
+++ b/internal/base/conf/daemon_gen.go
@@ -21,7 +21,8 @@
 	// HeartbeatMs is the time between a leader's heartbeats.
 	HeartbeatMs int `json:"heartbeat_ms,omitempty,omitzero"`
 
-	// SnapshotRecords is the number of log entries between snapshots.
+	// SnapshotRecords is the number of log entries between snapshots; a snapshot is
+	// made earlier once the entries take 16 MiB, and as much as the last snapshot.
 	SnapshotRecords int `json:"snapshot_records,omitempty,omitzero"`
 }
 
--- a/internal/base/conf/site_gen.go
+++ b/internal/base/conf/site_gen.go
@@ -514,7 +514,9 @@
 	// once.
 	Losses int `json:"losses,omitempty,omitzero"`
 
-	// SnapshotRecords is the number of log entries between snapshots.
+	// SnapshotRecords is the number of log entries between snapshots; a snapshot is
+	// made earlier once the entries take a thirty-second of the memory, and as much
+	// as the last snapshot.
 	SnapshotRecords int `json:"snapshot_records,omitempty,omitzero"`
 }
 
--- a/internal/ctrl/node/disk.go
+++ b/internal/ctrl/node/disk.go
@@ -143,7 +143,7 @@
 		return
 	}
 	n.options.Replica.Compact(n.applied, data)
-	n.snapshotted = n.applied
+	n.snapshotted, n.appliedBytes, n.snapshotBytes = n.applied, 0, len(data)
 	n.options.Logger.Info("snapshot_made", zap.Uint64("index", n.applied), zap.Int("bytes", len(data)))
 }
 
@@ -154,6 +154,7 @@
 	}
 	n.machine.Restore(st)
 	n.applied, n.snapshotted = s.Index, s.Index
+	n.appliedBytes, n.snapshotBytes = 0, len(s.Data)
 	n.options.Logger.Info("snapshot_restored", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
 	return nil
 }
--- a/internal/ctrl/node/node.go
+++ b/internal/ctrl/node/node.go
@@ -64,6 +64,8 @@
 	Tick time.Duration
 	// SnapshotEntries is the number of log entries between two snapshots.
 	SnapshotEntries uint64
+	// SnapshotBytes is the number of bytes of log entries between two snapshots, if the last snapshot has no more; 0 means no limit.
+	SnapshotBytes int
 	// OnFailure is called on the loop when this replica has stopped because of a failure; it may be nil.
 	OnFailure func(error)
 }
@@ -85,6 +87,8 @@
 	// applied and snapshotted are the last log indexes that the machine and the latest snapshot cover.
 	applied     uint64
 	snapshotted uint64
+	// appliedBytes are the bytes of the log entries since the latest snapshot, and snapshotBytes those of the snapshot.
+	appliedBytes, snapshotBytes int
 	// membersIndex is the log index of the membership that the transport knows.
 	membersIndex uint64
 	leader       quorum.ReplicaID
@@ -194,7 +198,7 @@
 	}
 	step()
 	n.handleOutput(n.options.Replica.Take())
-	if n.applied >= n.snapshotted+n.options.SnapshotEntries {
+	if n.snapshotDue() {
 		n.snapshot()
 		n.handleOutput(n.options.Replica.Take())
 	}
@@ -203,6 +207,14 @@
 	n.runDeferred()
 }
 
+// snapshotDue reports whether so much was applied since the latest snapshot that another one is to be made.
+func (n *Node) snapshotDue() bool {
+	if limit := n.options.SnapshotBytes; limit > 0 && n.appliedBytes >= max(limit, n.snapshotBytes) {
+		return true
+	}
+	return n.applied >= n.snapshotted+n.options.SnapshotEntries
+}
+
 // deferCall makes a call at the end of the current step, when the log may take another step.
 func (n *Node) deferCall(call func()) {
 	n.deferred = append(n.deferred, call)
--- a/internal/ctrl/node/output.go
+++ b/internal/ctrl/node/output.go
@@ -50,6 +50,7 @@
 
 func (n *Node) applyEntry(e quorum.Entry) {
 	n.applied = e.Index
+	n.appliedBytes += len(e.Data)
 	var o outcome
 	if e.Kind == quorum.EntryCommand {
 		c, err := n.options.Codec.DecodeCommand(e.Data)
--- a/internal/ctrl/quorum/log.go
+++ b/internal/ctrl/quorum/log.go
@@ -76,6 +76,20 @@
 	return m.base + uint64(at) + 1
 }
 
+// lastWithin returns how many of the entries up to an index, at most the last count, have at most so many bytes; 0 bytes is no limit.
+func (m *memoryLog) lastWithin(index, count uint64, bytes int) uint64 {
+	if bytes == 0 {
+		return count
+	}
+	kept := uint64(0)
+	for ; kept < count && kept < index-m.base; kept++ {
+		if bytes -= len(m.entries[index-m.base-1-kept].Data) + entryOverheadBytes; bytes < 0 {
+			break
+		}
+	}
+	return kept
+}
+
 // compact stores a snapshot and drops the entries it includes, except the last keep of them.
 func (m *memoryLog) compact(s Snapshot, keep uint64) {
 	m.snapshot = s
--- a/internal/ctrl/quorum/options.go
+++ b/internal/ctrl/quorum/options.go
@@ -19,6 +19,8 @@
 	FirstElectionTicks int
 	// Random returns a random number from 0 up to, but not including, its argument.
 	Random func(int) int
+	// KeptBytes limits the entries before a snapshot that are kept for followers that lag slightly; 0 means no limit.
+	KeptBytes int
 	// MessageBytes limits the entries of one message; 0 means DefaultMessageBytes.
 	MessageBytes int
 }
--- a/internal/ctrl/quorum/replica.go
+++ b/internal/ctrl/quorum/replica.go
@@ -206,14 +206,14 @@
 }
 
 // Compact takes a snapshot of the state machine at an applied index and drops the entries it replaces, but for the last
-// keptEntries.
+// keptEntries, or fewer where these have more than Options.KeptBytes.
 func (r *Replica) Compact(index uint64, data []byte) {
 	term, ok := r.log.term(index)
 	if !check.That(ok && index <= r.applied, "snapshot_of_applied_entries", r.logFields(zap.Uint64("index", index))...) {
 		return
 	}
 	s := Snapshot{Index: index, Term: term, Members: slices.Clone(r.membersAt(index)), Data: data}
-	r.log.compact(s, keptEntries)
+	r.log.compact(s, r.log.lastWithin(index, keptEntries, r.options.KeptBytes))
 	r.compactMemberships(index)
 	r.pendingSnapshot = &Write{Snapshot: &s}
 }
--- a/internal/ctrl/quorum/script_test.go
+++ b/internal/ctrl/quorum/script_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"strconv"
@@ -118,6 +119,14 @@
 		s.start(h)
 	case "compact":
 		s.compact(h)
+	case "compact-to":
+		// Keeps so many bytes of entries at most.
+		if h.replica.options.KeptBytes, err = strconv.Atoi(rest[0]); err != nil {
+			return err.Error()
+		}
+		h.replica.Compact(h.replica.applied, binary.LittleEndian.AppendUint64(nil, h.stateHash))
+		s.handle(h)
+		return s.status()
 	case "propose":
 		for range strings.Split(rest[0], "") {
 			_, err = h.replica.Propose([]byte(rest[0]))
