Bound the memory that workers' heartbeats take of which nothing is known

What operators would see: a process is gone for want of memory. Heartbeats of 90,000 workers that nobody knows, within 8 s, take a process with limits.memory_mb = 96 to 133 MB; 400 heartbeats of 3,000 rows each, every one of another worker, to 256.

Cause: the leader keeps each worker that reports for 15 s with all that it lists, the pool that it names for good, and its address for good.

Change: the last heartbeats are estimated, and one of a worker that is on no VM of the list and has got no tasks is refused once they take a sixteenth of the memory (8 MB at least): 503. Real workers are listed within a second of their start. A pool that only heartbeats name isn't kept, nor the address of a worker that is forgotten.

Tests: app/crowd made-up-workers, made-up-rows, whose crowds and bounds were fixed on the code before, where both fail; ctrl/sched TestScripts/heartbeats-beyond-memory.

--- a/internal/app/crowd/flood_test.go
+++ b/internal/app/crowd/flood_test.go
@@ -29,7 +29,8 @@
 
 // newFlood returns the flood that a command describes:
 //   - calls, clients: how many requests, and from how many clients.
-//   - send: jobs (of tasks equal tasks in each of steps steps, with a text of so many bytes), heartbeats (each of another worker), or
+//   - send: jobs (of tasks equal tasks in each of steps steps, with a text of so many bytes), heartbeats (each of another
+//     worker, which lists so many rows), or
 //     configurations (each a new version with queues queues).
 func newFlood(t *testing.T, p *process, d *datadriven.TestData) *flood {
 	t.Helper()
@@ -45,10 +46,15 @@
 			return http.MethodPost, p.callers(), fmt.Sprintf("/q/%016x", uint64(firstFloodID)+uint64(i)), body
 		}
 	case "heartbeats":
+		rows := argument(t, d, "rows")
 		f.request = func(i int) (method, address, path, text string) {
+			var running []string
+			for row := range rows {
+				running = append(running, fmt.Sprintf(`["%016x.0.0.%d",1,"",50]`, i, row))
+			}
 			return http.MethodPost, p.control(), fmt.Sprintf("/-/instances/worker-%d/heartbeat", i), fmt.Sprintf(
 				`{"service":"pool-%d","address":"10.%d.%d.%d:1","state":"ready","seq":1,"born":1,"capacity":{"cpu":1,"memMb":1},`+
-					`"labels":["a","r1"],"running":[],"ended":[]}`, i, 1+i>>16, i>>8&0xff, i&0xff)
+					`"labels":["a","r1"],"running":[%s],"ended":[]}`, i, 1+i>>16, i>>8&0xff, i&0xff, strings.Join(running, ","))
 		}
 	case "configurations":
 		queues := argument(t, d, "queues")
--- a/internal/app/site/protect.go
+++ b/internal/app/site/protect.go
@@ -80,6 +80,17 @@
 	return int(max(minLogMemory, memoryOf(settings)/logMemoryShare))
 }
 
+const (
+	// reportMemoryShare is the inverse of the share of the memory that the heartbeats of workers may take of which nothing is known.
+	reportMemoryShare = 16
+	minReportMemory   = 8 << 20
+)
+
+// reportMemory returns the bytes that the heartbeats of workers may take of which nothing is known.
+func reportMemory(settings conf.Site) int64 {
+	return max(minReportMemory, memoryOf(settings)/reportMemoryShare)
+}
+
 // newGuards derives the limits of all listeners from the settings and the process's limits on memory and descriptors.
 func newGuards(settings conf.Site, c clock.Clock, logger *zap.Logger) (*guards, error) {
 	o := settings.Overload
--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -157,7 +157,8 @@
 	return sched.New(sched.Options{
 		PoolPlanner: pools.Planner{},
 		Log:         r.node, Clock: c, Uptime: u, Logger: logger, ProcessName: settings.Name, ControlAddress: settings.Listen.Control,
-		PlatformLimits: platformLimits(settings), JobMemoryBytes: jobMemory(settings), SendOrder: o.enqueue, Members: r.memberViews,
+		PlatformLimits: platformLimits(settings), JobMemoryBytes: jobMemory(settings),
+		ReportMemoryBytes: reportMemory(settings), SendOrder: o.enqueue, Members: r.memberViews,
 		HasEnoughVoters: func() bool {
 			_, members, _ := r.node.Self()
 			return m.HasEnoughVoters(members, settings.Control.Losses)
--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -16,7 +16,7 @@
 	if pool == nil || pool.Standby {
 		return nil
 	}
-	q := s.queueOf(w.pool)
+	q := s.heardQueue(w)
 	if s.awaitsSuspect(w) {
 		return nil
 	}
--- a/internal/ctrl/sched/harness_test.go
+++ b/internal/ctrl/sched/harness_test.go
@@ -99,6 +99,8 @@
 	logger   *zap.Logger
 	// jobMemoryBytes is the memory for jobs.
 	jobMemoryBytes int64
+	// reportMemoryBytes is the memory for heartbeats of workers that are on no VM of the list.
+	reportMemoryBytes int64
 }
 
 func newHarness() *harness {
@@ -108,7 +110,7 @@
 func newLoggedHarness(logger *zap.Logger) *harness {
 	h := &harness{
 		uptime: &uptime{ms: 100_000}, clock: clock.NewManual(time.Unix(1_000, 0)), sequence: map[string]uint64{}, hasEnoughVoters: true,
-		planner: pools.Planner{}, logger: logger, jobMemoryBytes: 1 << 40,
+		planner: pools.Planner{}, logger: logger, jobMemoryBytes: 1 << 40, reportMemoryBytes: 1 << 40,
 	}
 	h.log = &fakeLog{batch: jobs.New(), wallMs: func() int64 { return h.clock.Now().UnixMilli() }}
 	h.start("leader-a")
@@ -124,7 +126,7 @@
 			LeaseMaxMs: 6000, GangMs: 3000, StopMs: 900, MoveMs: 1500, MaintenanceMs: 2000, HolderLockMs: 3000,
 			MaxOrdersPerS: 64,
 		},
-		JobMemoryBytes:  h.jobMemoryBytes,
+		JobMemoryBytes: h.jobMemoryBytes, ReportMemoryBytes: h.reportMemoryBytes,
 		HasEnoughVoters: func() bool { return h.hasEnoughVoters },
 		PoolPlanner:     h.planner,
 		Members: func() []batch.MemberView {
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -16,6 +16,9 @@
 		reply(batch.Reply{Code: batch.CodeInvalid, Detail: err.Error()})
 		return
 	}
+	if s.refuseReport(h, reply) {
+		return
+	}
 	w := s.workerOf(h.Worker)
 	now := s.now()
 	if !s.acceptHeartbeat(w, h, now) {
@@ -23,6 +26,7 @@
 		reply(batch.Reply{Code: batch.CodeOK})
 		return
 	}
+	s.keepReport(w, h)
 	s.noteUnreadRows(w, h)
 	s.dropImpossibleEnds(w, h)
 	acknowledge := s.recordEnds(w, h)
@@ -133,6 +137,7 @@
 	*w = worker{
 		id: w.id, incarnation: h.Incarnation, running: map[batch.TaskID]*attempt{}, share: fullSharePercent, leaseEndMs: w.leaseEndMs,
 		joinedMs: s.now(), repliesEndMs: w.repliesEndMs, formerRepliesEndMs: w.repliesEndMs, inDoubt: w.inDoubt, vm: w.vm,
+		reportBytes: w.reportBytes,
 	}
 }
 
@@ -217,7 +222,7 @@
 		return max(minIntervalMs, unusableHeartbeatMs)
 	case w.suspect != (suspectStart{}):
 		return max(minIntervalMs, trialHeartbeatMs)
-	case s.queueOf(w.pool).demand+len(s.queueOf(w.pool).suspects.order)+len(s.queueOf(w.pool).alone.order) > 0:
+	case s.heardQueue(w).hasReady():
 		return max(minIntervalMs, demandHeartbeatMs)
 	case len(w.running) > 0:
 		return max(minIntervalMs, busyHeartbeatMs)
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -26,8 +26,10 @@
 	// jobsWithoutMemoryTotal counts the jobs that were refused since too many are stored, and jobMemory what the stored ones take.
 	jobsWithoutMemoryTotal = metrics.NewCounter("cowslip_jobs_refused_for_memory_total")
 	jobMemory              = metrics.NewGauge("cowslip_jobs_memory_bytes", nil)
-	commandsLostTotal      = metrics.NewCounter("cowslip_records_lost_total")
-	unauthorizedTotal      = metrics.NewCounter("cowslip_calls_unauthorized_total")
+	// heartbeatsWithoutMemoryTotal counts the heartbeats that were refused since too many unlisted workers report.
+	heartbeatsWithoutMemoryTotal = metrics.NewCounter("cowslip_heartbeats_refused_for_memory_total")
+	commandsLostTotal            = metrics.NewCounter("cowslip_records_lost_total")
+	unauthorizedTotal            = metrics.NewCounter("cowslip_calls_unauthorized_total")
 	// tombstonesTotal counts the cancels of unknown jobs that are remembered, tombstonesRefusedTotal those refused for want of room.
 	tombstonesTotal        = metrics.NewCounter("cowslip_cancels_ahead_total")
 	tombstonesRefusedTotal = metrics.NewCounter("cowslip_cancels_ahead_refused_total")
--- a/internal/ctrl/sched/queue.go
+++ b/internal/ctrl/sched/queue.go
@@ -82,12 +82,29 @@
 func (s *Scheduler) queueOf(pool string) *poolQueue {
 	q := s.queues[pool]
 	if q == nil {
-		q = &poolQueue{jobs: map[string]*activeJob{}, unplaced: map[string]*activeJob{}}
+		q = newPoolQueue()
 		s.queues[pool] = q
 	}
 	return q
 }
 
+func newPoolQueue() *poolQueue {
+	return &poolQueue{jobs: map[string]*activeJob{}, unplaced: map[string]*activeJob{}}
+}
+
+// heardQueue returns the queue of the pool that a worker names; one that nothing else names isn't kept.
+func (s *Scheduler) heardQueue(w *worker) *poolQueue {
+	if q := s.queues[w.pool]; q != nil {
+		return q
+	}
+	return newPoolQueue()
+}
+
+// hasReady reports whether tasks are ready, those that start only on certain workers included.
+func (q *poolQueue) hasReady() bool {
+	return q.demand+len(q.suspects.order)+len(q.alone.order) > 0
+}
+
 // poolOf returns the pool that runs a job's tasks under the current configuration.
 func (s *Scheduler) poolOf(j *jobs.Job) string {
 	if q := s.currentConfiguration().Queue(j.Spec.Queue); q != nil {
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -40,6 +40,8 @@
 	PlatformLimits PlatformLimits
 	// JobMemoryBytes is the memory that the stored jobs may take, by the estimate of package jobs.
 	JobMemoryBytes int64
+	// ReportMemoryBytes is the memory that the last heartbeats of all workers may take for one to be heard that is on no VM of the list.
+	ReportMemoryBytes int64
 	// HasEnoughVoters reports whether enough replicas vote for a system without a configuration to accept calls.
 	HasEnoughVoters func() bool
 	// Members returns the replicas of the log, for inspection by operators.
@@ -102,8 +104,10 @@
 	workers    map[string]*worker
 	// workerByAddress holds the identity of the worker last heard at each address.
 	workerByAddress map[string]string
-	queues          map[string]*poolQueue
-	jobs            map[string]*activeJob
+	// reportBytes is about how many bytes are kept of the workers' last heartbeats.
+	reportBytes int64
+	queues      map[string]*poolQueue
+	jobs        map[string]*activeJob
 	// gangJobs are the jobs with gangs, and scheduledJobs those with an occurrence that is still to become due.
 	gangJobs, scheduledJobs map[string]*activeJob
 	// configurationVersion is that of the configuration that the view of the jobs is based on.
@@ -148,6 +152,7 @@
 	s.fleet, s.permits, s.unexplainedMs = newFleetView(), newPermits(), map[string][]int64{}
 	s.crashedMs, s.submitting, s.accounts = map[string]int64{}, map[string]*jobRecord{}, acct.New(s.options.Log.Batch())
 	s.refusals, s.burials = acct.NewRefusals(), newBurials()
+	s.reportBytes = 0
 	s.submittingBytes = proposedBytes{byAccount: map[string]int64{}}
 	s.estimates = estimates{scale: map[batch.QueueKey]*mean{}, work: map[batch.QueueKey]*mean{}}
 }
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -172,6 +172,8 @@
 		h.scheduler.HandleLogChange()
 	case "job-memory":
 		h.jobMemoryBytes = intArg(t, d, "bytes", 0)
+	case "report-memory":
+		h.reportMemoryBytes = intArg(t, d, "bytes", 0)
 	case "restore":
 		restored := jobs.New()
 		restored.Restore(*h.log.batch.State())
--- a/internal/ctrl/sched/worker.go
+++ b/internal/ctrl/sched/worker.go
@@ -84,6 +84,8 @@
 	intervalMs int64
 	// share is the CPU share of its best-effort tasks, in percent.
 	share int
+	// reportBytes is about how many bytes are kept of its last heartbeat.
+	reportBytes int64
 }
 
 // attempt is the progress of one attempt that a worker lists.
@@ -157,7 +159,7 @@
 // expireLeases ends what runs on workers whose lease has expired on any clock, and forgets workers that are silent
 // for long.
 func (s *Scheduler) expireLeases(now int64) {
-	for id, w := range s.workers {
+	for _, w := range s.workers {
 		if w.leaseEndMs > 0 && w.leaseEndMs <= now {
 			w.leaseEndMs = 0
 			leaseExpiriesTotal.Inc()
@@ -165,7 +167,7 @@
 			s.releaseAbandoned(w)
 		}
 		if w.leaseEndMs == 0 && now-w.heardMs >= forgetMs {
-			delete(s.workers, id)
+			s.forget(w)
 		}
 	}
 }
