Bound the VMs that waves name

What operators would see: 400 waves of 10,000 VMs each, sent within a second, take a process with limits.memory_mb = 96 to 188 MB; and a wave of 100,000 VMs that aren't listed would keep the control loop busy for seconds, since each was looked for in two lists (by reading).

Cause: 256 waves were kept whatever they name, and a wave's VMs were compared with those that had begun one by one.

Change: a wave of more than 16,384 VMs is refused (400), and waves are forgotten, complete ones first, once all together name more than 131,072; the lists are looked up by name, and one change records 512 VMs that are gone or have returned at most.

Tests: app/crowd large-waves, whose crowd and bound were fixed on the code before, where it fails; ctrl/sched TestScripts/waves-of-many-vms.

--- a/internal/app/crowd/flood_test.go
+++ b/internal/app/crowd/flood_test.go
@@ -30,8 +30,7 @@
 // newFlood returns the flood that a command describes:
 //   - calls, clients: how many requests, and from how many clients.
 //   - send: jobs (of tasks equal tasks in each of steps steps, with a text of so many bytes), heartbeats (each of another
-//     worker, which lists so many rows), or
-//     configurations (each a new version with queues queues).
+//     worker, which lists so many rows), configurations (each a new version with queues queues), or waves (each of vms VMs).
 func newFlood(t *testing.T, p *process, d *datadriven.TestData) *flood {
 	t.Helper()
 	f := &flood{process: p, calls: argument(t, d, "calls"), clients: argument(t, d, "clients")}
@@ -62,6 +61,14 @@
 			p.version++
 			return http.MethodPost, p.control(), "/-/config/replace", p.configuration(p.version, queues)
 		}
+	case "waves":
+		var vms strings.Builder
+		for i := range argument(t, d, "vms") {
+			fmt.Fprintf(&vms, `"vm-%d",`, i)
+		}
+		f.request = func(i int) (method, address, path, text string) {
+			return http.MethodPost, p.control(), "/-/wave-start", fmt.Sprintf(`{"wave":%d,"machines":[%s"vm"],"durationS":20,"maxCount":1}`, i, vms.String())
+		}
 	default:
 		t.Fatalf("%s: unknown flood %s", d.Pos, send)
 	}
--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -302,10 +302,17 @@
 	if m.Wave(w.ID) != nil {
 		return
 	}
-	m.state.Waves = append(m.state.Waves, w)
-	if len(m.state.Waves) > maxWaves {
-		m.state.Waves = slices.Delete(m.state.Waves, 0, len(m.state.Waves)-maxWaves)
+	waves := m.state.Waves
+	named := len(w.VMs)
+	for i := range waves {
+		named += len(waves[i].VMs)
 	}
+	for len(waves) > 0 && (len(waves) >= maxWaves || named > maxWaveVMs) {
+		drop := max(0, slices.IndexFunc(waves, func(w batch.Wave) bool { return w.IsComplete() }))
+		named -= len(waves[drop].VMs)
+		waves = slices.Delete(waves, drop, drop+1)
+	}
+	m.state.Waves = append(waves, w)
 }
 
 func (m *StateMachine) markChanged(id string) {
--- a/internal/ctrl/jobs/state.go
+++ b/internal/ctrl/jobs/state.go
@@ -11,8 +11,10 @@
 	endedJobKeptMs = 180_000
 	// orderKeptMs is how long the last order for a VM is recorded, longer than the platform keeps holders apart.
 	orderKeptMs = 30_000
-	// maxWaves limits the recorded waves; the oldest are dropped.
-	maxWaves = 256
+	// maxWaves limits the recorded waves, and maxWaveVMs the VMs that they name together; complete ones are dropped first, the oldest
+	// before others.
+	maxWaves   = 256
+	maxWaveVMs = 131_072
 )
 
 // State is the replicated state that the changes have built; plain data for snapshots.
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -147,8 +147,12 @@
 	case "leave":
 		h.call("leave", &batch.Call{Deregister: &batch.Deregistration{Worker: stringArg(d, "worker", "w1"), Incarnation: intArg(t, d, "incarnation", 0)}})
 	case "wave":
+		vms := strings.FieldsFunc(stringArg(d, "vms", ""), func(r rune) bool { return r == ',' })
+		for i := range intArg(t, d, "unknown_vms", 0) {
+			vms = append(vms, fmt.Sprint("unknown-", i))
+		}
 		h.call("wave", &batch.Call{StartWave: &batch.Wave{
-			ID: uint64(intArg(t, d, "id", 1)), VMs: strings.Split(stringArg(d, "vms", ""), ","),
+			ID: uint64(intArg(t, d, "id", 1)), VMs: vms,
 			DurationMs: intArg(t, d, "ms", 20000), MaxConcurrent: int(intArg(t, d, "max_concurrent", 1)),
 		}})
 	case "wave-state":
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -153,8 +153,12 @@
 // without long-running tasks, then by load. VMs that the list shows to be gone are recorded as gone.
 func (s *Scheduler) remainingVMs(w *batch.Wave, now int64) []candidate {
 	var left []candidate
+	taken := make(map[string]bool, len(w.Begun)+len(w.Gone))
+	for _, name := range slices.Concat(w.Begun, w.Gone) {
+		taken[name] = true
+	}
 	for _, name := range w.VMs {
-		if slices.Contains(w.Begun, name) || slices.Contains(w.Gone, name) {
+		if taken[name] {
 			continue
 		}
 		v := s.fleet.vms[name]
@@ -182,10 +186,13 @@
 	return left
 }
 
-// recordVM adds a VM of a wave to a list of the pending change, unless it is there.
+// maxRecordedVMs bounds the VMs of waves in one change, but for those whose maintenance has begun.
+const maxRecordedVMs = 512
+
+// recordVM adds a VM of a wave to a list of the pending change, unless it is there or the list is full: the next plan adds it then.
 func (s *Scheduler) recordVM(list *[]batch.WaveVM, w *batch.Wave, name, cause string) {
 	v := batch.WaveVM{Wave: w.ID, VM: name}
-	if slices.Contains(*list, v) {
+	if slices.Contains(*list, v) || len(*list) >= maxRecordedVMs && list != &s.proposals.pending.MaintenanceStarts {
 		return
 	}
 	*list = append(*list, v)
--- a/internal/ctrl/sched/wavecall.go
+++ b/internal/ctrl/sched/wavecall.go
@@ -1,17 +1,26 @@
 package sched
 
 import (
+	"fmt"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/model/batch"
 )
 
+// maxVMs is the number of VMs that a wave may name: far more than a site has.
+const maxVMs = 16_384
+
 // startWave accepts a maintenance wave from an operator.
 func (s *Scheduler) startWave(w *batch.Wave, reply func(batch.Reply)) {
 	if w.ID == 0 || len(w.VMs) == 0 || w.MaxConcurrent < 1 || w.DurationMs <= 0 {
 		reply(batch.Reply{Code: batch.CodeInvalid, Detail: "a wave needs a number, VMs, a time limit and a most at once"})
 		return
 	}
+	if len(w.VMs) > maxVMs {
+		reply(batch.Reply{Code: batch.CodeInvalid, Detail: fmt.Sprintf("a wave names %d VMs at most", maxVMs)})
+		return
+	}
 	wave := *w
 	wave.VMs = uniqueNames(w.VMs)
 	wave.AcceptedMs = s.wallMs()
