Don't give the leader up for a call that was given up before it was sent

Cause: a call that its caller gives up before its frame is written is known not to be sent since, and edge/proxy took each call that isn't sent for a sign that the leader can't be reached.

Change: only where the call's own time hasn't ended.

Test: edge/proxy TestScripts/former-leader-holds-calls (superseded_unsent), where before the leader of term 7 was lost.

--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -249,7 +249,9 @@
 	case err == nil:
 		return reply, true
 	case errors.Is(err, ErrNotSent):
-		p.options.Tracker.ReportLost(l.Term)
+		if ctx.Err() == nil {
+			p.options.Tracker.ReportLost(l.Term)
+		}
 		return batch.Reply{Code: batch.CodeNotRun, Detail: err.Error()}, false
 	default:
 		return batch.Reply{Code: batch.CodeUnknown, Detail: err.Error()}, true
--- a/internal/edge/proxy/script_test.go
+++ b/internal/edge/proxy/script_test.go
@@ -60,6 +60,10 @@
 		return batch.Reply{Code: batch.CodeRefused, Detail: "the job can't be in time"}, nil
 	case "not_sent":
 		return batch.Reply{}, errors.Mark(errors.New("no connection"), proxy.ErrNotSent)
+	case "superseded_unsent":
+		f.leader.Term++
+		f.supersede()
+		return batch.Reply{}, errors.Mark(errors.New("given up before it was sent"), proxy.ErrNotSent)
 	case "superseded":
 		f.leader.Term++
 		f.supersede()
