Refuse an unknown key only once the leader was asked since the call came

Cause, shown by the log: the entry asked for the access table 5 ms before, for another call, and asks at most once in 250 ms; the call with the new key was refused by the table as it was.

Change: such a call waits for the next request that is due, 250 ms at most, and all such calls share it. The leader is asked no more often than before.

--- a/internal/edge/access/gate.go
+++ b/internal/edge/access/gate.go
@@ -37,14 +37,19 @@
 	mu sync.Mutex
 	// asking is the request to the leader that is in progress, nil if there is none.
 	asking *request
-	// confirmed is when the last request that succeeded was made.
-	confirmed time.Time
+	// begun is the number of requests that have been made.
+	begun uint64
+	// confirmed is when the last request that succeeded was made, and confirmedNumber its number.
+	confirmed       time.Time
+	confirmedNumber uint64
 }
 
 // request is one request for the table; done is closed once reply is set.
 type request struct {
-	done  chan struct{}
-	reply batch.Reply
+	// number counts the requests.
+	number uint64
+	done   chan struct{}
+	reply  batch.Reply
 }
 
 // New returns a gate without a table; it starts no goroutine.
@@ -67,7 +72,7 @@
 	if t := g.table.Load(); t != nil && t.admits(credential, target) {
 		return batch.Reply{Code: batch.CodeOK}
 	}
-	if reply := g.refresh(ctx); reply.Code != batch.CodeOK {
+	if reply := g.refreshAnew(ctx); reply.Code != batch.CodeOK {
 		return reply
 	}
 	if g.table.Load().admits(credential, target) {
@@ -88,24 +93,72 @@
 // request.
 func (g *Gate) refresh(ctx context.Context) batch.Reply {
 	g.mu.Lock()
-	r := g.asking
-	switch {
-	case r != nil:
-	case g.table.Load() != nil && g.options.Clock.Now().Sub(g.confirmed) < minInterval:
+	if g.asking == nil && g.untilNextRequest() > 0 {
 		g.mu.Unlock()
 		return batch.Reply{Code: batch.CodeOK}
-	default:
-		r = &request{done: make(chan struct{})}
-		g.asking = r
-		// Other calls wait for the reply, so that it doesn't end with this one.
-		go g.ask(context.WithoutCancel(ctx), r)
 	}
+	r := g.share(ctx)
+	g.mu.Unlock()
+	return r.wait(ctx)
+}
+
+// refreshAnew makes sure that the table was confirmed by a request that began since, for a call whose key isn't in the table: the key
+// may have come into force just before the call.
+func (g *Gate) refreshAnew(ctx context.Context) batch.Reply {
+	g.mu.Lock()
+	former := g.begun
 	g.mu.Unlock()
+	for {
+		g.mu.Lock()
+		if g.confirmedNumber > former {
+			g.mu.Unlock()
+			return batch.Reply{Code: batch.CodeOK}
+		}
+		if pause := g.untilNextRequest(); g.asking == nil && pause > 0 {
+			g.mu.Unlock()
+			if !clock.Sleep(ctx, g.options.Clock, pause) {
+				return notReadInTime
+			}
+			continue
+		}
+		r := g.share(ctx)
+		g.mu.Unlock()
+		if reply := r.wait(ctx); reply.Code != batch.CodeOK {
+			return reply
+		}
+	}
+}
+
+// untilNextRequest returns how long the next request for the table has to wait, negative or 0 if it may be made. The caller holds the
+// lock.
+func (g *Gate) untilNextRequest() time.Duration {
+	if g.table.Load() == nil {
+		return 0
+	}
+	return minInterval - g.options.Clock.Now().Sub(g.confirmed)
+}
+
+// share returns the request in progress, or begins one. The caller holds the lock.
+func (g *Gate) share(ctx context.Context) *request {
+	if g.asking == nil {
+		g.begun++
+		g.asking = &request{number: g.begun, done: make(chan struct{})}
+		// Other calls wait for the reply, so that it doesn't end with this one.
+		go g.ask(context.WithoutCancel(ctx), g.asking)
+	}
+	return g.asking
+}
+
+// notReadInTime is the reply to a call whose deadline passes before the table is read.
+var notReadInTime = batch.Reply{Code: batch.CodeNotRun, Detail: "the access table was not read in time"}
+
+// wait waits for the reply to a request.
+func (r *request) wait(ctx context.Context) batch.Reply {
 	select {
 	case <-r.done:
 		return r.reply
 	case <-ctx.Done():
-		return batch.Reply{Code: batch.CodeNotRun, Detail: "the access table was not read in time"}
+		return notReadInTime
 	}
 }
 
@@ -128,7 +181,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.reply.Code == batch.CodeOK {
-		g.confirmed = asked
+		g.confirmed, g.confirmedNumber = asked, r.number
 		g.take(known, r.reply.Access)
 	}
 	g.asking = nil
--- a/internal/edge/access/gate_test.go
+++ b/internal/edge/access/gate_test.go
@@ -70,7 +70,7 @@
 func TestConcurrentCalls(t *testing.T) {
 	leader := &changingLeader{}
 	leader.version.Store(1)
-	now := clock.NewManual(time.Unix(1000, 0))
+	now := eagerClock{clock.NewManual(time.Unix(1000, 0))}
 	gate := access.New(access.Options{Leader: leader, Clock: now, Logger: zap.NewNop()})
 	target := &batch.RequestTarget{Host: "h", Path: "/q/1"}
 	var callers sync.WaitGroup
@@ -90,15 +90,60 @@
 	callers.Go(func() {
 		for range 200 {
 			version := leader.version.Add(1)
-			now.Advance(250 * time.Millisecond)
 			if r := gate.Admit(t.Context(), keyOf(version), target); r.Code != batch.CodeOK {
-				// The table may have been asked for just before the change; the next request shows it.
-				now.Advance(250 * time.Millisecond)
-				if r := gate.Admit(t.Context(), keyOf(version), target); r.Code != batch.CodeOK {
-					t.Errorf("a key that was added is answered %s", r.Code)
-				}
+				t.Errorf("a key that was added is answered %s", r.Code)
 			}
 		}
 	})
 	callers.Wait()
 }
+
+// countingLeader counts the requests for its table, which never changes.
+type countingLeader struct{ asked atomic.Int64 }
+
+func (l *countingLeader) Do(context.Context, *batch.Call) batch.Reply {
+	l.asked.Add(1)
+	return batch.Reply{Code: batch.CodeOK, Access: &batch.AccessTable{Version: 1, RequiresKeys: true, Keys: []batch.KeyDigest{batch.DigestOf("ka")}}}
+}
+
+// countingClock is a manual clock that counts the timers.
+type countingClock struct {
+	*clock.Manual
+	timers atomic.Int64
+}
+
+func (c *countingClock) NewTimer(d time.Duration) clock.Timer {
+	defer c.timers.Add(1)
+	return c.Manual.NewTimer(d)
+}
+
+// TestUnknownKeysShareRequests guards against a crowd with unknown keys that makes a process ask the leader more than once in an
+// interval.
+func TestUnknownKeysShareRequests(t *testing.T) {
+	const callers = 50
+	leader, now := &countingLeader{}, &countingClock{Manual: clock.NewManual(time.Unix(1000, 0))}
+	gate := access.New(access.Options{Leader: leader, Clock: now, Logger: zap.NewNop()})
+	target := &batch.RequestTarget{Host: "h", Path: "/q/1"}
+	if r := gate.Admit(t.Context(), batch.DigestOf("ka"), target); r.Code != batch.CodeOK {
+		t.Fatalf("a valid key is answered %s", r.Code)
+	}
+	var crowd sync.WaitGroup
+	for range callers {
+		crowd.Go(func() {
+			if r := gate.Admit(t.Context(), batch.DigestOf("never"), target); r.Code != batch.CodeUnauthorized {
+				t.Errorf("an unknown key is answered %s", r.Code)
+			}
+		})
+	}
+	for deadline := time.Now().Add(30 * time.Second); now.timers.Load() < callers && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if asked := leader.asked.Load(); asked != 1 {
+		t.Errorf("the leader was asked %d times before the interval had passed", asked)
+	}
+	now.Advance(250 * time.Millisecond)
+	crowd.Wait()
+	if asked := leader.asked.Load(); asked != 2 {
+		t.Errorf("the leader was asked %d times", asked)
+	}
+}
--- a/internal/edge/access/script_test.go
+++ b/internal/edge/access/script_test.go
@@ -37,9 +37,19 @@
 	return batch.Reply{Code: batch.CodeOK, Access: &t}
 }
 
-// TestScripts plays the calls and changes under testdata, and prints what the gate answers and how often it asked the leader.
+// eagerClock is a manual clock on which each timer's time passes at once.
+type eagerClock struct{ *clock.Manual }
+
+func (c eagerClock) NewTimer(d time.Duration) clock.Timer {
+	timer := c.Manual.NewTimer(d)
+	c.Advance(d)
+	return timer
+}
+
+// TestScripts plays the calls and changes under testdata, and prints what the gate answers, how often it asked the leader and how long it
+// waited.
 func TestScripts(t *testing.T) {
-	leader, now := &fakeLeader{code: batch.CodeOK}, clock.NewManual(time.Unix(1000, 0))
+	leader, now := &fakeLeader{code: batch.CodeOK}, eagerClock{clock.NewManual(time.Unix(1000, 0))}
 	gate := access.New(access.Options{Leader: leader, Clock: now, Logger: zap.NewNop()})
 	tests.RunScripts(t, func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
@@ -61,9 +71,13 @@
 			var key, path string
 			d.MaybeScanArgs(t, "key", &key)
 			d.ScanArgs(t, "path", &path)
-			before := leader.asked
+			before, came := leader.asked, now.Now()
 			reply := gate.Admit(t.Context(), batch.DigestOf(key), &batch.RequestTarget{Host: "h", Path: path})
-			return fmt.Sprintf("%s, asked %d times\n", reply.Code, leader.asked-before)
+			waited := ""
+			if ms := now.Now().Sub(came).Milliseconds(); ms > 0 {
+				waited = fmt.Sprintf(" after %d ms", ms)
+			}
+			return fmt.Sprintf("%s, asked %d times%s\n", reply.Code, leader.asked-before, waited)
 		case "recheck":
 			before := leader.asked
 			gate.Recheck(t.Context())
