--- a/internal/app/chaos/frozen_test.go
+++ b/internal/app/chaos/frozen_test.go
@@ -29,7 +29,9 @@
 			s := newSoak(t, 0, frozenProcesses, 0)
 			r := &frozenScript{soak: s, caller: s.startSite(restartConfiguration), submissions: map[string]*heldSubmission{}}
 			s.awaitReady(r.caller)
-			r.execute(file)
+			s.runSteps(file, r.runStep)
+			s.checkLogs()
+			s.saveLogs()
 		})
 	}
 }
@@ -52,24 +54,6 @@
 	before string
 }
 
-// execute runs the steps of a file, one a line; a line whose first word is "#" is a comment.
-func (r *frozenScript) execute(file string) {
-	is := is.New(r.soak.t)
-	f, err := os.Open(file)
-	is.NoErr(err)
-	defer func() { is.NoErr(f.Close()) }()
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		words := strings.Fields(lines.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		r.soak.t.Logf("%s %s", time.Now().Format("15:04:05.000"), lines.Text())
-		r.runStep(words)
-	}
-	r.soak.checkLogs()
-	r.soak.saveLogs()
-}
-
 func (r *frozenScript) runStep(words []string) {
 	is := is.New(r.soak.t)
 	switch words[0] {
--- a/internal/app/chaos/restart_test.go
+++ b/internal/app/chaos/restart_test.go
@@ -27,7 +27,8 @@
 			s := newSoak(t, 0, restartProcesses, 0)
 			r := &restartScript{soak: s, caller: s.startSite(restartConfiguration), jobs: map[string]*observedJob{}}
 			s.awaitReady(r.caller)
-			r.execute(file)
+			s.runSteps(file, r.runStep)
+			r.checkResult()
 		})
 	}
 }
@@ -46,9 +47,9 @@
 	jobs map[string]*observedJob
 }
 
-// execute runs the steps of a file, one a line; a line whose first word is "#" is a comment.
-func (r *restartScript) execute(file string) {
-	is := is.New(r.soak.t)
+// runSteps runs the steps of a file, one a line; a line whose first word is "#" is a comment.
+func (s *soak) runSteps(file string, runStep func(words []string)) {
+	is := is.New(s.t)
 	f, err := os.Open(file)
 	is.NoErr(err)
 	defer func() { is.NoErr(f.Close()) }()
@@ -57,10 +58,9 @@
 		if len(words) == 0 || words[0] == "#" {
 			continue
 		}
-		r.soak.t.Logf("%s %s", time.Now().Format("15:04:05.000"), lines.Text())
-		r.runStep(words)
+		s.t.Logf("%s %s", time.Now().Format("15:04:05.000"), lines.Text())
+		runStep(words)
 	}
-	r.checkResult()
 }
 
 func (r *restartScript) runStep(words []string) {
