--- a/internal/ctrl/sched/reports.go
+++ b/internal/ctrl/sched/reports.go
@@ -28,11 +28,12 @@
 	if s.fleet.byWorker[h.Worker] != "" || len(s.options.Log.Batch().TasksOn(h.Worker)) > 0 {
 		return false
 	}
-	used := s.reportBytes + reportBytes(h)
+	others := s.reportBytes
 	if w := s.workers[h.Worker]; w != nil {
-		used -= w.reportBytes
+		others -= w.reportBytes
 	}
-	if used <= s.options.ReportMemoryBytes {
+	// One alone may be larger than the limit.
+	if limit := s.options.ReportMemoryBytes; others <= limit/2 || others+reportBytes(h) <= limit {
 		return false
 	}
 	heartbeatsWithoutMemoryTotal.Inc()
