Take the largest single job of a client account

By reading: with client accounts and little memory (limits.memory_mb below 168) a job of 20,000 steps would never be accepted, since an account's half of the memory for jobs is less than it takes. Beside less than an eighth any single job of an account is taken now, within the memory for all. Test: ctrl/sched TestScripts/accounts-job-memory.

--- a/internal/ctrl/sched/memory.go
+++ b/internal/ctrl/sched/memory.go
@@ -14,8 +14,10 @@
 	// while large ones fill the rest; smallJobShare is the inverse of that part.
 	smallJobBytes = 16 << 10
 	smallJobShare = 8
-	// accountMemoryShare is the inverse of the part of the memory that the jobs of one client account may take.
+	// accountMemoryShare is the inverse of the part of the memory that the jobs of one client account may take, unless a single one
+	// takes more; accountLittleShare is that of the part beside which any single one is taken.
 	accountMemoryShare = 2
+	accountLittleShare = 8
 	// memoryRetryMs is after how many milliseconds the caller of a job may come back that there was no memory for; they come back
 	// over as long a time.
 	memoryRetryMs = 5000
@@ -60,7 +62,7 @@
 	limit := s.options.JobMemoryBytes
 	own, all := s.options.Log.Batch().MemoryUsed(account)
 	own, all = own+s.submittingBytes.byAccount[account], all+s.submittingBytes.all
-	if account != "" && own+bytes > limit/accountMemoryShare {
+	if account != "" && own > limit/accountLittleShare && own+bytes > limit/accountMemoryShare {
 		return false
 	}
 	if bytes > smallJobBytes {
