Store all waves that are ordered at once

Cause: the next record had place for one wave. While two records were under way a second wave was left out of it, and its operator was answered once that record was committed.

Change: a record has place for any number of waves; the first is encoded as before. A wave that is sent twice before it is stored is in the record once.

--- a/internal/ctrl/jobs/apply.go
+++ b/internal/ctrl/jobs/apply.go
@@ -43,8 +43,8 @@
 	for i := range c.Starts {
 		m.startAttempt(&c.Starts[i])
 	}
-	if c.Wave != nil {
-		m.addWave(*c.Wave)
+	for _, w := range c.Waves {
+		m.addWave(w)
 	}
 	m.updateWaves(c)
 	m.recordOrders(c)
--- a/internal/ctrl/sched/wavecall.go
+++ b/internal/ctrl/sched/wavecall.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -25,10 +26,11 @@
 	wave.VMs = uniqueNames(w.VMs)
 	wave.AcceptedMs = s.wallMs()
 	wave.Begun, wave.Gone = nil, nil
-	if s.options.Log.Batch().Wave(w.ID) == nil && s.proposals.pending.Wave == nil {
+	isPending := slices.ContainsFunc(s.proposals.pending.Waves, func(p batch.Wave) bool { return p.ID == w.ID })
+	if s.options.Log.Batch().Wave(w.ID) == nil && !isPending {
 		s.options.Logger.Info("wave_accepting", zap.Uint64("wave", w.ID), zap.Int("vms", len(w.VMs)),
 			zap.Int("most_at_once", w.MaxConcurrent), zap.Int64("duration_ms", w.DurationMs))
-		s.proposals.pending.Wave = &wave
+		s.proposals.pending.Waves = append(s.proposals.pending.Waves, wave)
 	}
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
 }
--- a/internal/model/batch/change.go
+++ b/internal/model/batch/change.go
@@ -20,8 +20,8 @@
 	BegunLate []TaskID
 	// Starts are the attempts to start, with their workers.
 	Starts []AttemptStart
-	// Wave is a maintenance wave to add; nil for none.
-	Wave *Wave
+	// Waves are the maintenance waves to add.
+	Waves []Wave
 	// MaintenanceStarts are the VMs of waves whose maintenance has begun.
 	MaintenanceStarts []WaveVM
 	// GoneVMs are the VMs of waves that are gone, and ReturnedVMs those that were gone and are listed again.
@@ -46,8 +46,8 @@
 
 // IsEmpty reports whether the change has no effect; Leader is not considered.
 func (c *Change) IsEmpty() bool {
-	return c.Configuration == nil && c.Wave == nil && !c.ExpireTombstones &&
-		len(c.Tombstones)+len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.MaintenanceStarts)+
+	return c.Configuration == nil && !c.ExpireTombstones &&
+		len(c.Tombstones)+len(c.NewJobs)+len(c.CancelledJobs)+len(c.BegunJobs)+len(c.Ends)+len(c.Crashes)+len(c.BegunLate)+len(c.Starts)+len(c.Waves)+len(c.MaintenanceStarts)+
 			len(c.GoneVMs)+len(c.ReturnedVMs)+len(c.OrderedVMs) == 0
 }
 
--- a/internal/wire/codec/batch.go
+++ b/internal/wire/codec/batch.go
@@ -42,8 +42,13 @@
 			Task: taskIDToWire(s.Task), Attempt: intToWire(s.Attempt), Worker: s.Worker, Incarnation: s.Incarnation, Sequence: s.Sequence,
 		})
 	}
-	if c.Wave != nil {
-		w.Wave = batchWaveToWire(c.Wave)
+	for i := range c.Waves {
+		wave := batchWaveToWire(&c.Waves[i])
+		if i == 0 {
+			w.Wave = wave
+		} else {
+			w.Waves = append(w.Waves, wave)
+		}
 	}
 	w.Upkeeps, w.Gone, w.Returned = waveVMsToWire(c.MaintenanceStarts), waveVMsToWire(c.GoneVMs), waveVMsToWire(c.ReturnedVMs)
 	return w
@@ -84,8 +89,10 @@
 		})
 	}
 	if w.GetWave() != nil {
-		wave := batchWaveFromWire(w.GetWave())
-		c.Wave = &wave
+		c.Waves = append(c.Waves, batchWaveFromWire(w.GetWave()))
+	}
+	for _, wave := range w.GetWaves() {
+		c.Waves = append(c.Waves, batchWaveFromWire(wave))
 	}
 	c.MaintenanceStarts, c.GoneVMs = waveVMsFromWire(w.GetUpkeeps()), waveVMsFromWire(w.GetGone())
 	c.ReturnedVMs = waveVMsFromWire(w.GetReturned())
--- a/internal/wire/codec/fields_test.go
+++ b/internal/wire/codec/fields_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// TestCommandHoldsAllWaves checks that a log entry preserves the waves beyond the first, which have a field of their own.
+func TestCommandHoldsAllWaves(t *testing.T) {
+	is := is.New(t)
+	want := record.Command{RequestID: "request", Time: time.Unix(5, 0).UTC(), Batch: &batch.Change{Waves: []batch.Wave{{ID: 1}, {ID: 2}, {ID: 3}}}}
+	data, err := codec.Codec{}.EncodeCommand(want)
+	is.NoErr(err)
+	got, err := codec.Codec{}.DecodeCommand(data)
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
 // TestMessageHoldsEveryField checks that encoding preserves every field of messages between replicas and of results.
 func TestMessageHoldsEveryField(t *testing.T) {
 	is := is.New(t)
