Count a VM whose order had no answer as away until a list shows otherwise

Cause: an order without an answer left the VM as it was: up, its tasks available, to be ordered again after 0.5 s.

Change: it is held like an order that is done and not verified, until a list that began a second after the call's end; it counts as down for a wave meanwhile.

--- a/internal/ctrl/sched/fleet.go
+++ b/internal/ctrl/sched/fleet.go
@@ -17,9 +17,10 @@
 	orderPending bool
 	// awayUntilMs is the uptime until which it is moving or in maintenance by this leader's order.
 	awayUntilMs int64
-	// unverifiedMs is the uptime at which an order was answered as done, until a VM list shows whether it was
-	// carried out just then; 0 for none.
+	// unverifiedMs is the uptime at which an order was answered as done, until a VM list that was requested then or later shows
+	// whether it was carried out just then; 0 for none. unanswered is set if it had no answer: then unverifiedMs is later.
 	unverifiedMs int64
+	unanswered   bool
 	// retryAtMs is the uptime from which it may be ordered again.
 	retryAtMs int64
 	// fenced is set when a higher fencing token was used on it: this leader orders it no more.
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -73,6 +73,8 @@
 	drainingPlanIntervalMs = 100
 	// orderRetryMs is the delay before a VM is ordered again after an order that wasn't answered as done.
 	orderRetryMs = 500
+	// lateOrderMs is how long after a call for a VM had no answer the provider may still carry it out.
+	lateOrderMs = 1000
 	// orderValidMs is how long after it was decided an order for a VM may be sent: with the time of the call it must be over
 	// before a new leader orders the VM.
 	orderValidMs = 900
--- a/internal/ctrl/sched/pools.go
+++ b/internal/ctrl/sched/pools.go
@@ -178,6 +178,9 @@
 			done()
 		case OrderFenced:
 			v.fenced = true
+		case OrderUnknown:
+			v.retryAtMs = s.now() + orderRetryMs
+			v.unverifiedMs, v.unanswered = s.now()+lateOrderMs, true
 		default:
 			v.retryAtMs = s.now() + orderRetryMs
 		}
--- a/internal/ctrl/sched/vmlist.go
+++ b/internal/ctrl/sched/vmlist.go
@@ -193,12 +193,17 @@
 	s.fleet.listWanted = true
 }
 
-// verify compares a VM whose order is done with a list that was requested since, at uptime asked.
+// verify compares a VM whose order is done, or had no answer, with a list that was requested since, at uptime asked.
 func (s *Scheduler) verify(known *vm, v VM, asked int64) {
-	known.unverifiedMs = 0
+	unanswered := known.unanswered
+	known.unverifiedMs, known.unanswered = 0, false
 	if v.State == VMUp && v.Worker != "" && v.Worker == known.Worker {
 		known.awayUntilMs = 0
-		s.options.Logger.Info("vm_order_was_done", zap.String("vm", v.Name), zap.String("worker", v.Worker))
+		if unanswered {
+			s.options.Logger.Info("vm_order_not_carried_out", zap.String("vm", v.Name), zap.String("worker", v.Worker))
+		} else {
+			s.options.Logger.Info("vm_order_was_done", zap.String("vm", v.Name), zap.String("worker", v.Worker))
+		}
 		return
 	}
 	s.endAllOn(known, asked)
--- a/internal/ctrl/sched/wave.go
+++ b/internal/ctrl/sched/wave.go
@@ -142,7 +142,7 @@
 	}
 	for _, name := range w.VMs {
 		v := s.fleet.vms[name]
-		if v != nil && (v.State == VMMaintained || v.orderPending) || s.fleet.maybeDownUntilMs[name] > now {
+		if v != nil && (v.State == VMMaintained || v.orderPending || v.unanswered) || s.fleet.maybeDownUntilMs[name] > now {
 			down[name] = true
 		}
 	}
