--- a/internal/ctrl/sched/assign.go
+++ b/internal/ctrl/sched/assign.go
@@ -99,7 +99,7 @@
 // isOrdered reports whether an order for a worker's VM is in flight, or was answered and isn't verified yet.
 func (s *Scheduler) isOrdered(w *worker) bool {
 	v := s.fleet.vms[s.fleet.byWorker[w.id]]
-	return v != nil && (v.orderPending || v.unverifiedMs > 0)
+	return v != nil && v.isOrdered()
 }
 
 // onlyHere returns a function that reports whether no other worker of a worker's pool takes a ready task.
--- a/internal/ctrl/sched/fleet.go
+++ b/internal/ctrl/sched/fleet.go
@@ -82,16 +82,22 @@
 	}
 }
 
+// isOrdered reports whether an order for a VM is in flight, or was answered as done and isn't verified yet. One without an answer may
+// never have come: the worker there goes on.
+func (v *vm) isOrdered() bool {
+	return v.orderPending || v.unverifiedMs > 0 && !v.unanswered
+}
+
 // leaving reports whether a worker gets no tasks because its VM is to be moved or maintained.
 func (f *fleetView) leaving(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.drainForMove || v.drainForWave || v.orderPending || v.unverifiedMs > 0)
+	return v != nil && (v.drainForMove || v.drainForWave || v.isOrdered())
 }
 
 // maintenanceDue reports whether a worker's VM is to be maintained soon.
 func (f *fleetView) maintenanceDue(w *worker) bool {
 	v := f.vms[f.byWorker[w.id]]
-	return v != nil && (v.waveDue || v.orderPending || v.unverifiedMs > 0)
+	return v != nil && (v.waveDue || v.isOrdered())
 }
 
 // manageFleet reads the VM list and orders moves and maintenance.
