--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -45,7 +45,7 @@
 	case c.Configure != nil:
 		s.configure(c.Configure, reply)
 	case c.ReadConfiguration:
-		s.replyWhenConfirmed(reply, s.readConfiguration)
+		s.readConfiguration(arrivedMs, reply)
 	case c.StartWave != nil:
 		s.startWave(c.StartWave, reply)
 	case c.WaveState > 0:
@@ -227,7 +227,22 @@
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
 }
 
-func (s *Scheduler) readConfiguration() batch.Reply {
+// readConfiguration replies with the configuration in force, and logs which version that is and on which confirmation the reply
+// rests.
+func (s *Scheduler) readConfiguration(arrivedMs int64, reply func(batch.Reply)) {
+	term := s.term
+	s.replyWhenConfirmed(func(r batch.Reply) {
+		fields := []zap.Field{zap.Stringer("code", r.Code), zap.Uint64("term", term), zap.Int64("waited_ms", s.now()-arrivedMs)}
+		if r.Code == batch.CodeOK {
+			fields = append(fields, zap.Uint64("version", s.currentConfiguration().Version),
+				zap.Int64("confirmed_ms_ago", s.now()-s.leadership.confirmedMs), zap.Time("confirmed_at", s.leadership.confirmedAt.UTC()))
+		}
+		s.options.Logger.Info("configuration_read", fields...)
+		reply(r)
+	}, s.configurationReply)
+}
+
+func (s *Scheduler) configurationReply() batch.Reply {
 	c := s.currentConfiguration()
 	if c.Version == 0 {
 		return batch.Reply{Code: batch.CodeNotRun, Detail: "no configuration was accepted yet"}
--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -20,6 +21,8 @@
 type leadership struct {
 	// confirmedMs is the uptime at which the last successful confirmation was requested.
 	confirmedMs int64
+	// confirmedAt is the time of day of the same moment.
+	confirmedAt time.Time
 	confirming  bool
 	// waiting are the calls that the request in flight confirms, and late those that came after it was made.
 	waiting, late []func(ok bool)
@@ -106,7 +109,7 @@
 	if s.leadership.confirming {
 		return
 	}
-	asked, term := s.now(), s.term
+	asked, askedAt, term := s.now(), s.options.Clock.Now(), s.term
 	s.leadership.confirming = true
 	s.leadership.waiting, s.leadership.late = append(s.leadership.waiting, s.leadership.late...), nil
 	err := s.options.Log.ConfirmNow(func(err error) {
@@ -114,7 +117,7 @@
 			return
 		}
 		s.leadership.confirming = false
-		s.leadership.confirmedMs = asked
+		s.leadership.confirmedMs, s.leadership.confirmedAt = asked, askedAt
 		if !s.active {
 			s.activate()
 		}
--- a/internal/edge/proxy/proxy.go
+++ b/internal/edge/proxy/proxy.go
@@ -98,6 +98,15 @@
 	redirectBytes = 32 << 10
 )
 
+// logPassedOn logs which process answered a read of the configuration.
+func (p *Proxy) logPassedOn(c *batch.Call, l Leader, reply batch.Reply, err error) {
+	if !c.ReadConfiguration {
+		return
+	}
+	p.options.Logger.Info("configuration_read_passed_on", zap.String("to", l.Address), zap.Uint64("term", l.Term),
+		zap.Stringer("code", reply.Code), zap.Error(err))
+}
+
 // RedirectAddress returns the leader's control address for a call with a request or response of so many bytes that it
 // should be redirected there, and an empty string if the call should be made here. A negative size means that it isn't
 // known.
@@ -240,6 +249,7 @@
 		return batch.Reply{Code: batch.CodeNotRun, Detail: "no leader is known"}, false
 	default:
 		reply, err = p.options.Remote.Do(ctx, l.Address, c)
+		p.logPassedOn(c, l, reply, err)
 	}
 	switch {
 	case err == nil && reply.Code == batch.CodeNotRun && !l.Here:
--- a/pages_test.go
+++ b/pages_test.go
@@ -48,7 +48,7 @@
 }
 
 // otherNames are the names in docs/METRICS.md that are neither log events nor metrics.
-var otherNames = map[string]bool{"torn_bytes": true, "listed_ms_ago": true, "worst_tail_percent": true, "silent_ms": true, "up_unheard_ms": true}
+var otherNames = map[string]bool{"torn_bytes": true, "listed_ms_ago": true, "worst_tail_percent": true, "silent_ms": true, "up_unheard_ms": true, "confirmed_ms_ago": true, "confirmed_at": true}
 
 // TestMetricsPage checks that docs/METRICS.md names exactly the log events and the metrics in the code.
 func TestMetricsPage(t *testing.T) {
