--- /dev/null
+++ b/internal/ctrl/sched/absence_host_test.go
@@ -0,0 +1,202 @@
+package sched_test
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/ctrl/node"
+	"cowslipstack/internal/ctrl/quorum"
+	"cowslipstack/internal/ctrl/sched"
+	"cowslipstack/internal/model/batch"
+	"cowslipstack/internal/model/record"
+	"cowslipstack/internal/plan/pools"
+)
+
+const (
+	// absenceElectionTicks and absenceHeartbeatTicks are those of a site's replicas, whose tick is 50 ms.
+	absenceElectionTicks  = 14
+	absenceHeartbeatTicks = 2
+)
+
+// absenceHost is a process with a replica and a scheduler. It is the scheduler's log and its uptime.
+type absenceHost struct {
+	day       *absenceDay
+	id        quorum.ReplicaID
+	replica   *quorum.Replica
+	machine   *jobs.StateMachine
+	scheduler *sched.Scheduler
+	// hard and entries are what the disk holds, unsynced what it doesn't hold yet.
+	hard     quorum.HardState
+	entries  []quorum.Entry
+	unsynced []quorum.Write
+	// up is false while the process is dead, frozen true while it stands still.
+	up, frozen bool
+	// wakesMs is when a process that stands still goes on, or a dead one starts again.
+	wakesMs int64
+	// uptimeStandsStill means that the uptime doesn't go on in this absence; lostMs is how far it is behind.
+	uptimeStandsStill bool
+	lostMs            int64
+	// unread are the messages and calls that have come and not been handled.
+	unread []func()
+
+	waiting  map[uint64]proposal
+	reads    map[uint64]func(error)
+	deferred []func()
+	running  bool
+}
+
+// proposal waits for the entry that was proposed in a term.
+type proposal struct {
+	term uint64
+	done func(error)
+}
+
+// start starts the process with what its disk holds.
+func (h *absenceHost) start() {
+	h.up, h.frozen, h.unsynced, h.unread, h.deferred = true, false, nil, nil, nil
+	h.waiting, h.reads, h.machine = map[uint64]proposal{}, map[uint64]func(error){}, jobs.New()
+	h.replica = quorum.New(quorum.Options{
+		ID: h.id, Hard: h.hard, Entries: h.entries, HeartbeatTicks: absenceHeartbeatTicks, ElectionTicks: absenceElectionTicks,
+		FirstElectionTicks: absenceElectionTicks / 2, Random: h.day.random.IntN,
+	})
+	h.scheduler = sched.New(sched.Options{
+		Log: h, Clock: h.day.clock, Uptime: h, Logger: zap.NewNop(), ProcessName: string(rune('a' + h.id - 1)),
+		PlatformLimits: sched.PlatformLimits{LeaseMaxMs: 6000, GangMs: 3000, StopMs: 900, MoveMs: 1500, MaintenanceMs: 2000, HolderLockMs: 3000, MaxOrdersPerS: 64},
+		JobMemoryBytes: 1 << 40, ReportMemoryBytes: 1 << 40, HasEnoughVoters: func() bool { return true },
+		Members: func() []batch.MemberView { return nil }, PoolPlanner: pools.Planner{}, SendOrder: func(sched.Order) bool { return true },
+	})
+}
+
+// Milliseconds returns the uptime.
+func (h *absenceHost) Milliseconds() int64 { return h.day.nowMs - h.lostMs }
+
+// Leads returns whether the replica leads, and its term.
+func (h *absenceHost) Leads() (bool, uint64) {
+	return h.replica.Role() == quorum.RoleLeader, h.replica.Term()
+}
+
+// Batch returns the state that the replica has applied.
+func (h *absenceHost) Batch() *jobs.StateMachine { return h.machine }
+
+// ProposeNow proposes a command; the data of its entry is its number among all commands of the day.
+func (h *absenceHost) ProposeNow(c record.Command, done func(error)) error {
+	h.day.commands = append(h.day.commands, c)
+	data := binary.BigEndian.AppendUint64(nil, uint64(len(h.day.commands)-1))
+	return h.stepWith(func() error {
+		at, err := h.replica.Propose(data)
+		if err == nil {
+			h.waiting[at.Index] = proposal{term: at.Term, done: done}
+		}
+		return err
+	})
+}
+
+// ConfirmNow asks a quorum whether the replica leads.
+func (h *absenceHost) ConfirmNow(done func(error)) error {
+	return h.stepWith(func() error {
+		id, err := h.replica.Read()
+		if err == nil {
+			h.reads[id] = done
+		}
+		return err
+	})
+}
+
+func (h *absenceHost) stepWith(run func() error) error {
+	var refused error
+	h.step(func() { refused = run() })
+	return refused
+}
+
+// step takes a step of the replica and handles its output as package node does.
+func (h *absenceHost) step(run func()) {
+	run()
+	out := h.replica.Take()
+	if out.Deposed {
+		h.failWaiters()
+	}
+	if out.Write != nil {
+		h.unsynced = append(h.unsynced, *out.Write)
+	}
+	h.day.network = append(h.day.network, out.Messages...)
+	for _, e := range out.Committed {
+		h.apply(e)
+	}
+	for _, id := range out.Reads {
+		if done := h.reads[id]; done != nil {
+			h.deferred = append(h.deferred, func() { done(nil) })
+			delete(h.reads, id)
+		}
+	}
+	h.deferred = append(h.deferred, h.scheduler.HandleLogChange)
+	if h.running {
+		return
+	}
+	h.running = true
+	for len(h.deferred) > 0 {
+		call := h.deferred[0]
+		h.deferred = h.deferred[1:]
+		call()
+	}
+	h.running = false
+}
+
+func (h *absenceHost) failWaiters() {
+	for _, p := range h.waiting {
+		h.deferred = append(h.deferred, func() { p.done(node.ErrUnknown) })
+	}
+	for _, done := range h.reads {
+		h.deferred = append(h.deferred, func() { done(node.ErrUnknown) })
+	}
+	clear(h.waiting)
+	clear(h.reads)
+}
+
+func (h *absenceHost) apply(e quorum.Entry) {
+	if e.Kind == quorum.EntryCommand {
+		c := h.day.commands[binary.BigEndian.Uint64(e.Data)]
+		h.machine.Apply(c.Batch, c.Time.UnixMilli())
+	}
+	p, ok := h.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(h.waiting, e.Index)
+	var err error
+	if p.term != e.Term {
+		err = errors.WithStack(node.ErrUnknown)
+	}
+	h.deferred = append(h.deferred, func() { p.done(err) })
+}
+
+// sync lets the disk hold all writes.
+func (h *absenceHost) sync() {
+	if len(h.unsynced) == 0 {
+		return
+	}
+	h.save(h.unsynced)
+	last := h.unsynced[len(h.unsynced)-1].Sequence
+	h.unsynced = nil
+	h.step(func() { h.replica.Persisted(last) })
+}
+
+func (h *absenceHost) save(writes []quorum.Write) {
+	for _, w := range writes {
+		for _, e := range w.Entries {
+			h.entries = append(slices.Clone(h.entries[:e.Index-1]), e)
+		}
+		if w.Hard != nil {
+			h.hard = *w.Hard
+		}
+	}
+}
+
+// kill ends the process; its disk holds the first of the writes that weren't synced.
+func (h *absenceHost) kill(saved int) {
+	h.save(h.unsynced[:min(saved, len(h.unsynced))])
+	h.up, h.unread = false, nil
+}
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -71,7 +71,7 @@
 // TestScripts runs the scripts under testdata.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		if filepath.Dir(path) == filepath.FromSlash(loadsFolder) {
+		if folder := filepath.ToSlash(filepath.Dir(path)); folder == loadsFolder || folder == absencesFolder {
 			return
 		}
 		core, logs := observer.New(zap.InfoLevel)
