Rest each answer on a confirmation that was asked for after its call came

What is left of the class: a confirmation also held for calls that came within 300 ms of it by the uptime. Where the uptime stands still with the VM, a former leader took it for a new one.

No clock decides now. A call waits for a request that was made after it came, or for a record that was proposed after it came; a heartbeat whose changes are applied needs no second confirmation. The periodic request is gone. Calls share requests, with a pause between two, so that hundreds of heartbeats a second cost at most some fifty requests. A call is refused at once where the log says that this process doesn't lead.

Scripts: five expected answers before the quorum's, and expect them with it now; inspect expects a confirmation of its own (age 0).

--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -37,8 +37,8 @@
 // ticksPerHeartbeat is the heartbeat interval of the replicated log in ticks.
 const ticksPerHeartbeat = 2
 
-// firstElectionTimeout is the minimum timeout of the first election after a start. It is longer than a former leader's
-// confirmation is valid, and shorter than the usual election timeout because after a power loss there may be no leader.
+// firstElectionTimeout is the minimum timeout of the first election after a start. It is as long as a former leader of an earlier
+// version relies on a confirmation, and shorter than the usual election timeout because after a power loss there may be no leader.
 const firstElectionTimeout = 300 * time.Millisecond
 
 // disk is the opened data folder of a process; its log is nil if there is none.
--- a/internal/ctrl/sched/commit.go
+++ b/internal/ctrl/sched/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -17,18 +16,8 @@
 	inFlight int
 }
 
-// leadership tracks the confirmation of the leadership by a quorum.
-type leadership struct {
-	// confirmedMs is the uptime at which the last successful confirmation was requested.
-	confirmedMs int64
-	// confirmedAt is the time of day of the same moment.
-	confirmedAt time.Time
-	confirming  bool
-	// waiting are the calls that the request in flight confirms, and late those that came after it was made.
-	waiting, late []func(ok bool)
-}
-
-// commit calls done once all changes collected so far are applied, or may be lost.
+// commit calls done once all changes collected so far are applied, or may be lost. If they are applied, a quorum has shown since the
+// call that this process leads.
 func (s *Scheduler) commit(done func(ok bool)) {
 	s.proposals.waiting = append(s.proposals.waiting, done)
 	s.flush()
@@ -43,8 +32,7 @@
 	change, waiting, term := c.pending, c.waiting, s.term
 	c.pending, c.waiting = batch.Change{}, nil
 	if change.IsEmpty() {
-		// The changes that these calls wait for are in an earlier command, or nothing changed: a recent
-		// confirmation is enough.
+		// The changes that these calls wait for are in an earlier command, or nothing changed.
 		s.whenConfirmed(func(ok bool) { notifyAll(waiting, ok) })
 		return
 	}
@@ -93,57 +81,6 @@
 	}
 }
 
-// whenConfirmed calls done once a quorum asked from now on, or within maxConfirmationAgeMs, has confirmed the
-// leadership, or with false when it is lost.
-func (s *Scheduler) whenConfirmed(done func(ok bool)) {
-	if s.active && s.now()-s.leadership.confirmedMs <= maxConfirmationAgeMs {
-		done(true)
-		return
-	}
-	s.leadership.late = append(s.leadership.late, done)
-	s.confirmLeadership()
-}
-
-// confirmLeadership asks a quorum whether this process leads; at most one request is in flight.
-func (s *Scheduler) confirmLeadership() {
-	if s.leadership.confirming {
-		return
-	}
-	asked, askedAt, term := s.now(), s.options.Clock.Now(), s.term
-	s.leadership.confirming = true
-	s.leadership.waiting, s.leadership.late = append(s.leadership.waiting, s.leadership.late...), nil
-	err := s.options.Log.ConfirmNow(func(err error) {
-		if term != s.term || err != nil {
-			return
-		}
-		s.leadership.confirming = false
-		s.leadership.confirmedMs, s.leadership.confirmedAt = asked, askedAt
-		if !s.active {
-			s.activate()
-		}
-		s.notifyConfirmed()
-	})
-	if err != nil {
-		s.leadership.confirming = false
-	}
-}
-
-// notifyConfirmed continues the calls that the last request confirms. Another process may lead since an old request was
-// made: calls that came after it wait for another one.
-func (s *Scheduler) notifyConfirmed() {
-	l := &s.leadership
-	waiting := l.waiting
-	l.waiting = nil
-	if s.now()-l.confirmedMs <= maxConfirmationAgeMs {
-		waiting = append(waiting, l.late...)
-		l.late = nil
-	}
-	notifyAll(waiting, true)
-	if len(l.late) > 0 {
-		s.confirmLeadership()
-	}
-}
-
 // endUnsentStarts ends attempts that were committed after the incarnation of their worker had ended: their orders aren't sent.
 func (s *Scheduler) endUnsentStarts(starts []batch.AttemptStart) {
 	for _, start := range starts {
--- a/internal/ctrl/sched/harness_test.go
+++ b/internal/ctrl/sched/harness_test.go
@@ -42,6 +42,9 @@
 }
 
 func (l *fakeLog) ConfirmNow(done func(error)) error {
+	if !l.leads {
+		return quorum.ErrNotLeader
+	}
 	l.confirmations = append(l.confirmations, done)
 	return nil
 }
@@ -49,17 +52,24 @@
 // commitAll applies what was proposed and confirms what was asked, until nothing is left.
 func (l *fakeLog) commitAll() {
 	for !l.paused && len(l.proposals)+len(l.confirmations) > 0 {
-		proposals, confirmations := l.proposals, l.confirmations
-		l.proposals, l.confirmations = nil, nil
-		for _, apply := range proposals {
-			apply()
-		}
+		confirmations := l.confirmations
+		l.confirmations = nil
+		l.commitRecords()
 		for _, confirm := range confirmations {
 			confirm(nil)
 		}
 	}
 }
 
+// commitRecords applies what was proposed so far, and nothing that is proposed because of it.
+func (l *fakeLog) commitRecords() {
+	proposals := l.proposals
+	l.proposals = nil
+	for _, apply := range proposals {
+		apply()
+	}
+}
+
 // answerConfirmations confirms what was asked so far, and nothing that is asked because of it.
 func (l *fakeLog) answerConfirmations() {
 	confirmations := l.confirmations
--- a/internal/ctrl/sched/heartbeat.go
+++ b/internal/ctrl/sched/heartbeat.go
@@ -46,31 +46,25 @@
 			reply(batch.Reply{Code: batch.CodeUnknown, Detail: "the leadership changed before the orders were committed"})
 			return
 		}
-		s.whenConfirmed(func(ok bool) {
-			if !ok {
-				reply(batch.Reply{Code: batch.CodeUnknown, Detail: "the leadership isn't confirmed"})
-				return
-			}
-			if w.incarnation != h.Incarnation {
-				// The incarnation that asked is over, and the one in its place would obey what was meant for it.
-				s.endUnsentOrders(w, orders.Start)
-				reply(batch.Reply{Code: batch.CodeOK})
-				return
-			}
-			s.completeOrders(w, h, &orders, acknowledge)
-			w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyWindowMs)
-			if s.now()-arrivedMs > maxReplyDelayMs || w.sequence != h.Sequence || w.left {
-				// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
-				// or where a newer heartbeat shows no room for it.
-				s.endUnsentOrders(w, orders.Start)
-				orders.Start, orders.LeaseMs = nil, 0
-			} else {
-				w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
-				w.noteOrdered(h, &orders, s.now())
-				s.logOrders(w, h, orders.Start)
-			}
-			reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
-		})
+		if w.incarnation != h.Incarnation {
+			// The incarnation that asked is over, and the one in its place would obey what was meant for it.
+			s.endUnsentOrders(w, orders.Start)
+			reply(batch.Reply{Code: batch.CodeOK})
+			return
+		}
+		s.completeOrders(w, h, &orders, acknowledge)
+		w.repliesEndMs = max(w.repliesEndMs, arrivedMs+replyWindowMs)
+		if s.now()-arrivedMs > maxReplyDelayMs || w.sequence != h.Sequence || w.left {
+			// The worker has left, or has given up on this reply or soon will; a task started in it would run unnoticed,
+			// or where a newer heartbeat shows no room for it.
+			s.endUnsentOrders(w, orders.Start)
+			orders.Start, orders.LeaseMs = nil, 0
+		} else {
+			w.leaseEndMs = max(w.leaseEndMs, s.now()+lease)
+			w.noteOrdered(h, &orders, s.now())
+			s.logOrders(w, h, orders.Start)
+		}
+		reply(batch.Reply{Code: batch.CodeOK, Orders: orders})
 	})
 }
 
--- a/internal/ctrl/sched/limits.go
+++ b/internal/ctrl/sched/limits.go
@@ -7,8 +7,8 @@
 const (
 	// TickMs is the interval between calls of Scheduler.Tick.
 	TickMs = 25
-	// maxConfirmationAgeMs is how old a quorum's confirmation of the leadership may be when a reply relies on it.
-	maxConfirmationAgeMs = 300
+	// formerConfirmationMs is how old the confirmation may be on which a reply of a former leader rests that runs an earlier version.
+	formerConfirmationMs = 300
 	// leaseMs is the lease of a worker: long enough to survive a change of leader, short enough to restart a lost
 	// worker's tasks soon.
 	leaseMs = 4500
--- a/internal/ctrl/sched/scheduler.go
+++ b/internal/ctrl/sched/scheduler.go
@@ -228,8 +228,8 @@
 	w := s.workerOf(id)
 	w.inherited, w.heardMs = true, s.activeSinceMs
 	// Upper bound of any lease that a former leader granted, on the oldest confirmation it may have used.
-	w.leaseEndMs = s.activeSinceMs + withClockDrift(s.workerLeaseMs()) + maxConfirmationAgeMs
-	w.repliesEndMs = s.activeSinceMs + maxConfirmationAgeMs + replyWindowMs
+	w.leaseEndMs = s.activeSinceMs + withClockDrift(s.workerLeaseMs()) + formerConfirmationMs
+	w.repliesEndMs = s.activeSinceMs + formerConfirmationMs + replyWindowMs
 	for task := range s.options.Log.Batch().TasksOn(id) {
 		_, t := s.findTask(task)
 		for _, r := range t.Attempts {
@@ -279,9 +279,7 @@
 		return
 	}
 	now := s.now()
-	if now-s.leadership.confirmedMs > maxConfirmationAgeMs/2 {
-		s.confirmLeadership()
-	}
+	s.confirmLate()
 	s.expireLeases(now)
 	s.awaitSettling(now)
 	s.openDueOccurrences()
--- a/internal/ctrl/sched/script_test.go
+++ b/internal/ctrl/sched/script_test.go
@@ -166,10 +166,15 @@
 		h.log.commitAll()
 	case "refuse-records", "take-records":
 		h.log.busy = d.Cmd == "refuse-records"
+	case "commit-records":
+		h.log.commitRecords()
 	case "answer-confirmations":
 		h.log.answerConfirmations()
 	case "fail-confirmations":
 		h.log.failConfirmations()
+	case "lose-log":
+		// The scheduler hasn't heard of it yet.
+		h.log.leads = false
 	case "lose-leadership":
 		h.log.leads, h.log.proposals, h.log.confirmations = false, nil, nil
 		h.log.term++
