--- a/internal/app/chaos/frozen_test.go
+++ b/internal/app/chaos/frozen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,8 +22,15 @@
 
 // TestFrozenProcessHoldsSubmission runs the scripts of testdata/frozen (review/9): a job that is cancelled while a process that
 // stands still holds its submission doesn't run.
-func TestFrozenProcessHoldsSubmission(t *testing.T) {
-	files, err := filepath.Glob("testdata/frozen/*")
+func TestFrozenProcessHoldsSubmission(t *testing.T) { runFrozenScripts(t, "testdata/frozen/*") }
+
+// TestFrozenLeaderHoldsReads runs the scripts of testdata/frozen-leader: a read that came while the leader stood still isn't
+// answered with a configuration older than one that was acknowledged before it.
+func TestFrozenLeaderHoldsReads(t *testing.T) { runFrozenScripts(t, "testdata/frozen-leader/*") }
+
+func runFrozenScripts(t *testing.T, pattern string) {
+	t.Helper()
+	files, err := filepath.Glob(pattern)
 	is.New(t).NoErr(err)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
@@ -42,14 +50,24 @@
 	expires time.Time
 }
 
+// heldRead is a read of the configuration that was sent on a connection of its own, and the least version that its answer may have.
+type heldRead struct {
+	conn  net.Conn
+	least int
+}
+
 // frozenScript runs the steps of one script: "freeze" and "thaw" a process, "kill leader"; "submit" sends a job's submission to a
 // process and doesn't wait for an answer, "leave" closes its connection, "expire" waits until its deadline has passed, "answer" reads
 // its status; "cancel" and "state" make a call until it has a clear answer, which is compared; "await" waits for a line in the log of
-// the process that was frozen.
+// the process that was frozen. "lead" waits until another process leads; "configure" sends a version until it is acknowledged; "read"
+// sends a number of reads of the configuration, whose answers must have a version at least, and doesn't wait; "answers" checks them.
+// Processes are named by their index, "leader" or "frozen", the one that was frozen last.
 type frozenScript struct {
 	soak        *soak
 	caller      *siteCaller
 	submissions map[string]*heldSubmission
+	frozen      *siteProcess
+	reads       []heldRead
 	// before is what the log of the process held that was frozen last.
 	before string
 }
@@ -58,14 +76,23 @@
 	is := is.New(r.soak.t)
 	switch words[0] {
 	case "freeze":
-		is.NoErr(r.process(words[1]).command.Process.Signal(syscall.SIGSTOP))
-		r.before = r.logOf(r.process(words[1]))
+		r.frozen = r.process(words[1])
+		is.NoErr(r.frozen.command.Process.Signal(syscall.SIGSTOP))
+		r.before = r.logOf(r.frozen)
 	case "thaw":
 		is.NoErr(r.process(words[1]).command.Process.Signal(syscall.SIGCONT))
 	case "kill":
 		r.killLeader()
 	case "submit":
 		r.submit(words[1], r.process(words[2]), words[3])
+	case "lead":
+		r.soak.await("a leader other than "+r.frozen.name, func() bool { return r.lastLeader() != r.frozen })
+	case "configure":
+		r.configure(words[1], r.process(words[2]))
+	case "read":
+		r.read(r.number(words[1]), r.process(words[2]), r.number(words[3]))
+	case "answers":
+		r.checkReads()
 	case "leave":
 		is.NoErr(r.submissions[words[1]].conn.Close())
 	case "expire":
@@ -83,10 +110,20 @@
 	}
 }
 
-func (r *frozenScript) process(index string) *siteProcess {
-	n, err := strconv.Atoi(index)
+func (r *frozenScript) process(name string) *siteProcess {
+	switch name {
+	case "leader":
+		return r.lastLeader()
+	case "frozen":
+		return r.frozen
+	}
+	return r.soak.processes[r.number(name)]
+}
+
+func (r *frozenScript) number(word string) int {
+	n, err := strconv.Atoi(word)
 	is.New(r.soak.t).NoErr(err)
-	return r.soak.processes[n]
+	return n
 }
 
 func (r *frozenScript) expect(want, got string) {
@@ -120,6 +157,48 @@
 	return strconv.Itoa(answer.StatusCode)
 }
 
+func (r *frozenScript) configure(version string, p *siteProcess) {
+	text := strings.Replace(restartConfiguration, `"version":1,`, `"version":`+version+`,`, 1)
+	r.soak.await("version "+version, func() bool {
+		status, _ := r.caller.call(http.MethodPost, p.control(), "/-/config/replace", text)
+		return status == http.StatusOK
+	})
+}
+
+func (r *frozenScript) read(count int, p *siteProcess, least int) {
+	is := is.New(r.soak.t)
+	for range count {
+		conn, err := net.Dial("tcp", p.control())
+		is.NoErr(err)
+		r.soak.t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "GET /-/config/get HTTP/1.1\r\nHost: %s\r\n\r\n", p.control())
+		is.NoErr(err)
+		r.reads = append(r.reads, heldRead{conn: conn, least: least})
+	}
+}
+
+// checkReads reads the answers; one that isn't a success promises nothing.
+func (r *frozenScript) checkReads() {
+	is := is.New(r.soak.t)
+	statuses := map[int]int{}
+	for _, read := range r.reads {
+		is.NoErr(read.conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+		answer, err := http.ReadResponse(bufio.NewReader(read.conn), nil)
+		is.NoErr(err)
+		var m struct {
+			Version int `json:"version"`
+		}
+		if statuses[answer.StatusCode]++; answer.StatusCode == http.StatusOK {
+			is.NoErr(json.NewDecoder(answer.Body).Decode(&m))
+			if m.Version < read.least {
+				r.soak.t.Errorf("version %d was read after version %d was acknowledged", m.Version, read.least)
+			}
+		}
+		is.NoErr(answer.Body.Close())
+	}
+	r.soak.t.Logf("statuses of the reads: %v", statuses)
+}
+
 // callUntilClear makes a call on a job until its status is none of those without a clear outcome, and returns it with the job's
 // state, if there is one.
 func (r *frozenScript) callUntilClear(method, id string, p *siteProcess) string {
