--- a/internal/ctrl/sched/absence_host_test.go
+++ b/internal/ctrl/sched/absence_host_test.go
@@ -65,8 +65,7 @@
 	})
 	h.scheduler = sched.New(sched.Options{
 		Log: h, Clock: h.day.clock, Uptime: h, Logger: zap.NewNop(), ProcessName: string(rune('a' + h.id - 1)),
-		PlatformLimits: sched.PlatformLimits{LeaseMaxMs: 6000, GangMs: 3000, StopMs: 900, MoveMs: 1500, MaintenanceMs: 2000, HolderLockMs: 3000, MaxOrdersPerS: 64},
-		JobMemoryBytes: 1 << 40, ReportMemoryBytes: 1 << 40, HasEnoughVoters: func() bool { return true },
+		PlatformLimits: platformLimits, JobMemoryBytes: 1 << 40, ReportMemoryBytes: 1 << 40, HasEnoughVoters: func() bool { return true },
 		Members: func() []batch.MemberView { return nil }, PoolPlanner: pools.Planner{}, SendOrder: func(sched.Order) bool { return true },
 	})
 }
--- a/internal/ctrl/sched/absence_test.go
+++ b/internal/ctrl/sched/absence_test.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,15 +10,13 @@
 
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/ctrl/quorum"
-	"cowslipstack/internal/model/batch"
 	"cowslipstack/internal/model/record"
 )
 
 const (
 	// absencesFolder holds the kinds of absences that are drawn.
 	absencesFolder = "testdata/absences"
-	// absenceHosts is the number of processes, and absenceStepMs the time between two steps.
-	absenceHosts  = 3
+	// absenceStepMs is the time between two steps.
 	absenceStepMs = 25
 	// absenceExchanges bounds the exchanges between two steps.
 	absenceExchanges = 4
@@ -35,6 +30,17 @@
 	thousand = 1000
 )
 
+// absenceKind is a kind of days, with rates per thousand steps and process.
+type absenceKind struct {
+	// Hosts is the number of processes, and Steps how long absences are drawn.
+	Hosts, Steps int
+	// Freeze is the rate at which processes stand still, and FreezeAsking that of a leader that has asked a quorum. In StandStill of a
+	// thousand of these absences the uptime stands still as well.
+	Freeze, FreezeAsking, StandStill int
+	// Kill, Cut and HandOver are the rates at which processes die, lose messages to another one, and hand the leadership over.
+	Kill, Cut, HandOver int
+}
+
 // absenceDay plays drawn absences, and compares what is answered with a plain model: the highest version that was acknowledged and
 // the jobs that were accepted before a call was sent.
 type absenceDay struct {
@@ -42,9 +48,10 @@
 	clock  *clock.Manual
 	nowMs  int64
 	hosts  []*absenceHost
-	// rates are the rates of the absences, per thousand steps and process.
-	rates    map[string]int
-	network  []quorum.Message
+	kind   absenceKind
+	// network holds the messages under way.
+	network []quorum.Message
+	// commands are those of the log, by the number that is the data of their entries.
 	commands []record.Command
 	// cutMs is until when messages between two replicas are lost.
 	cutMs map[[2]quorum.ReplicaID]int64
@@ -60,13 +67,14 @@
 func TestNoAnswerIsOlderThanWhatWasAcknowledged(t *testing.T) {
 	datadriven.Walk(t, absencesFolder, func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			rates := map[string]int{}
-			for _, name := range []string{"freeze", "freeze_asking", "stand_still", "kill", "cut", "hand_over"} {
-				rates[name] = int(intArg(t, d, name, 0))
+			number := func(name string, fallback int64) int { return int(intArg(t, d, name, fallback)) }
+			kind := absenceKind{
+				Hosts: number("hosts", 3), Steps: number("steps", 1), Freeze: number("freeze", 0), FreezeAsking: number("freeze_asking", 0),
+				StandStill: number("stand_still", 0), Kill: number("kill", 0), Cut: number("cut", 0), HandOver: number("hand_over", 0),
 			}
 			var verdicts []string
-			for seed := range intArg(t, d, "seeds", 1) {
-				if verdict := newAbsenceDay(uint64(seed), rates).play(int(intArg(t, d, "steps", 1))); verdict != "" {
+			for seed := range number("seeds", 1) {
+				if verdict := newAbsenceDay(uint64(seed), kind).play(); verdict != "" {
 					verdicts = append(verdicts, fmt.Sprintf("seed %d: %s", seed, verdict))
 				}
 			}
@@ -78,13 +86,13 @@
 	})
 }
 
-func newAbsenceDay(seed uint64, rates map[string]int) *absenceDay {
+func newAbsenceDay(seed uint64, kind absenceKind) *absenceDay {
 	d := &absenceDay{
-		random: rand.New(rand.NewPCG(seed, 0)), clock: clock.NewManual(time.Unix(1_000_000, 0)), nowMs: 100_000, rates: rates,
+		random: rand.New(rand.NewPCG(seed, 0)), clock: clock.NewManual(time.Unix(1_000_000, 0)), nowMs: 100_000, kind: kind,
 		cutMs: map[[2]quorum.ReplicaID]int64{},
 	}
 	var members []quorum.Member
-	for i := range absenceHosts {
+	for i := range kind.Hosts {
 		members = append(members, quorum.Member{ID: quorum.ReplicaID(i + 1), Voter: true})
 	}
 	for _, m := range members {
@@ -96,9 +104,9 @@
 	return d
 }
 
-// play plays a number of steps and returns what was wrong, empty for nothing.
-func (d *absenceDay) play(steps int) string {
-	for range steps {
+// play plays the day and returns what was wrong, empty for nothing.
+func (d *absenceDay) play() string {
+	for range d.kind.Steps {
 		d.step()
 		for _, h := range d.hosts {
 			d.drawAbsence(h)
@@ -186,7 +194,7 @@
 }
 
 // happens draws whether something of a rate happens now.
-func (d *absenceDay) happens(name string) bool { return d.random.IntN(thousand) < d.rates[name] }
+func (d *absenceDay) happens(rate int) bool { return d.random.IntN(thousand) < rate }
 
 func (d *absenceDay) drawAbsence(h *absenceHost) {
 	if !h.up || h.frozen {
@@ -195,18 +203,18 @@
 	leads, _ := h.Leads()
 	until := d.nowMs + int64(d.random.IntN(absenceMaxMs))
 	switch {
-	case d.happens("freeze"), len(h.reads) > 0 && d.happens("freeze_asking"):
-		h.frozen, h.wakesMs, h.uptimeStandsStill = true, until, d.random.IntN(thousand) < d.rates["stand_still"]
-	case d.happens("kill"):
+	case d.happens(d.kind.Freeze), len(h.reads) > 0 && d.happens(d.kind.FreezeAsking):
+		h.frozen, h.wakesMs, h.uptimeStandsStill = true, until, d.happens(d.kind.StandStill)
+	case d.happens(d.kind.Kill):
 		h.kill(d.random.IntN(3))
 		h.wakesMs = until
-	case d.happens("cut"):
+	case d.happens(d.kind.Cut):
 		other := d.hosts[d.random.IntN(len(d.hosts))]
 		d.cutMs[[2]quorum.ReplicaID{h.id, other.id}] = until
 		if d.random.IntN(2) == 0 {
 			d.cutMs[[2]quorum.ReplicaID{other.id, h.id}] = until
 		}
-	case leads && d.happens("hand_over"):
+	case leads && d.happens(d.kind.HandOver):
 		h.step(func() { _ = h.replica.Transfer(d.hosts[d.random.IntN(len(d.hosts))].id) }) // Not to itself.
 	}
 }
@@ -219,96 +227,3 @@
 	}
 	d.wakeDue()
 }
-
-// drawCalls makes calls at any process, whether it leads, stands still or not.
-func (d *absenceDay) drawCalls() {
-	h := d.hosts[d.random.IntN(len(d.hosts))]
-	switch d.random.IntN(6) {
-	case 0:
-		d.configure(h)
-	case 1:
-		d.submit(h)
-	case 2:
-		d.askForJob(h)
-	case 3:
-		d.readAccess(h)
-	default:
-		d.readConfiguration(h)
-	}
-}
-
-// call makes a call at a process; reply is called if it answers.
-func (d *absenceDay) call(h *absenceHost, c *batch.Call, reply func(batch.Reply)) {
-	if h.up {
-		h.unread = append(h.unread, func() { h.scheduler.Call(c, h.Milliseconds(), reply) })
-	}
-}
-
-func (d *absenceDay) configure(h *absenceHost) {
-	d.sentVersion++
-	c := &batch.Configuration{
-		Version: d.sentVersion, Text: []byte(strconv.FormatUint(d.sentVersion, 10)),
-		Queues: []batch.Queue{{Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, SlackFactor: 2, TargetLatencyMs: 3000, TimeoutMs: 3000}},
-		Pools:  []batch.Pool{{Name: "p", AdmissionCheck: true}},
-	}
-	d.call(h, &batch.Call{Configure: c}, func(r batch.Reply) {
-		if r.Code == batch.CodeOK {
-			d.acknowledgedVersion = max(d.acknowledgedVersion, c.Version)
-		}
-	})
-}
-
-func (d *absenceDay) submit(h *absenceHost) {
-	if len(d.accepted) >= absenceMaxJobs {
-		return
-	}
-	id := fmt.Sprintf("%016x", d.random.Uint64())
-	job := batch.Job{Steps: []batch.Step{{Count: 1, Need: batch.Resources{CPUMilli: 100}, EstimateMs: 300}}}
-	d.call(h, &batch.Call{Submit: &batch.Submission{Host: "h", Path: "/q/" + id, Job: job}}, func(r batch.Reply) {
-		if r.Code == batch.CodeOK && !slices.Contains(d.accepted, id) {
-			d.accepted = append(d.accepted, id)
-		}
-	})
-}
-
-func (d *absenceDay) askForJob(h *absenceHost) {
-	if len(d.accepted) == 0 {
-		return
-	}
-	id, sentMs := d.accepted[d.random.IntN(len(d.accepted))], d.nowMs
-	d.call(h, &batch.Call{JobState: &batch.RequestTarget{Host: "h", Path: "/q/" + id}}, func(r batch.Reply) {
-		if r.Code == batch.CodeGone {
-			d.breach(h, sentMs, "doesn't know a job that was accepted before")
-		}
-	})
-}
-
-func (d *absenceDay) readConfiguration(h *absenceHost) {
-	d.expectVersion(h, &batch.Call{ReadConfiguration: true}, func(r batch.Reply) uint64 {
-		version, _ := strconv.ParseUint(strings.TrimSpace(string(r.Text)), 10, 64) // 0 is older than any.
-		return version
-	})
-}
-
-func (d *absenceDay) readAccess(h *absenceHost) {
-	d.expectVersion(h, &batch.Call{ReadAccess: &batch.AccessRequest{}}, func(r batch.Reply) uint64 { return r.Access.Version })
-}
-
-// expectVersion makes a call whose answer holds the version that was acknowledged when it was sent, or a higher one.
-func (d *absenceDay) expectVersion(h *absenceHost, c *batch.Call, versionOf func(batch.Reply) uint64) {
-	least, sentMs := d.acknowledgedVersion, d.nowMs
-	d.reads++
-	d.call(h, c, func(r batch.Reply) {
-		if r.Code != batch.CodeOK {
-			return
-		}
-		d.answers++
-		if version := versionOf(r); version < least {
-			d.breach(h, sentMs, fmt.Sprintf("gives version %d, though version %d was acknowledged before", version, least))
-		}
-	})
-}
-
-func (d *absenceDay) breach(h *absenceHost, sentMs int64, what string) {
-	d.breaches = append(d.breaches, fmt.Sprintf("at %d ms replica %d %s the call was sent, %d ms ago", d.nowMs, h.id, what, d.nowMs-sentMs))
-}
--- a/internal/ctrl/sched/harness_test.go
+++ b/internal/ctrl/sched/harness_test.go
@@ -93,6 +93,11 @@
 
 func (u *uptime) Milliseconds() int64 { return u.ms }
 
+// platformLimits are those of the platform in the tests.
+var platformLimits = sched.PlatformLimits{
+	LeaseMaxMs: 6000, GangMs: 3000, StopMs: 900, MoveMs: 1500, MaintenanceMs: 2000, HolderLockMs: 3000, MaxOrdersPerS: 64,
+}
+
 // harness is a scheduler with fakes of everything that it depends on.
 type harness struct {
 	log             *fakeLog
@@ -132,10 +137,7 @@
 func (h *harness) start(processName string) {
 	h.scheduler = sched.New(sched.Options{
 		Log: h.log, Clock: h.clock, Uptime: h.uptime, Logger: h.logger, ProcessName: processName, ControlAddress: processName + ":1",
-		PlatformLimits: sched.PlatformLimits{
-			LeaseMaxMs: 6000, GangMs: 3000, StopMs: 900, MoveMs: 1500, MaintenanceMs: 2000, HolderLockMs: 3000,
-			MaxOrdersPerS: 64,
-		},
+		PlatformLimits: platformLimits,
 		JobMemoryBytes: h.jobMemoryBytes, ReportMemoryBytes: h.reportMemoryBytes,
 		HasEnoughVoters: func() bool { return h.hasEnoughVoters },
 		PoolPlanner:     h.planner,
