--- a/internal/ctrl/sched/confirm.go
+++ b/internal/ctrl/sched/confirm.go
@@ -45,6 +45,7 @@
 		return
 	}
 	askedMs, askedAt, term := s.now(), s.options.Clock.Now(), s.term
+	confirmationsTotal.Inc()
 	l.confirming = true
 	l.waiting, l.late = l.late, nil
 	err := s.options.Log.ConfirmNow(func(err error) {
--- a/internal/ctrl/sched/metrics.go
+++ b/internal/ctrl/sched/metrics.go
@@ -19,6 +19,7 @@
 	movesTotal         = metrics.NewCounter("cowslip_vm_moves_total")
 	maintainedTotal    = metrics.NewCounter("cowslip_vm_maintained_total")
 	callsShedTotal     = metrics.NewCounter("cowslip_calls_shed_total")
+	confirmationsTotal = metrics.NewCounter("cowslip_confirmations_total")
 	jobsRefusedTotal   = metrics.NewCounter("cowslip_jobs_refused_total")
 	formerOrdersTotal  = metrics.NewCounter("cowslip_attempts_of_former_incarnation_total")
 	// givenUpRunningTotal counts the attempts that workers list after they were given up.
