Play lost disks, replaced processes and crossing changes against the model; red where the voters were reduced

A model of its own holds the changes: an answer is never older than what was acknowledged or given before, goes by one text a version, takes nothing invalid and refuses nothing valid. At most as many disks are lost as the tolerance allows until their processes vote again.

--- a/internal/ctrl/sched/absence_calls_test.go
+++ b/internal/ctrl/sched/absence_calls_test.go
@@ -3,29 +3,31 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 
 	"cowslipstack/internal/model/batch"
 )
 
 // drawCalls makes calls at any process, whether it leads, stands still or not.
 func (d *absenceDay) drawCalls() {
-	h := d.hosts[d.random.IntN(len(d.hosts))]
-	switch d.random.IntN(6) {
+	h := d.anyHost()
+	switch d.random.IntN(8) {
 	case 0:
-		d.configure(h)
+		d.drawOrder()
 	case 1:
 		d.submit(h)
 	case 2:
 		d.askForJob(h)
 	case 3:
 		d.readAccess(h)
+	case 4, 5:
+		d.askForQueue(h)
 	default:
 		d.readConfiguration(h)
 	}
 }
 
+func (d *absenceDay) anyHost() *absenceHost { return d.hosts[d.random.IntN(len(d.hosts))] }
+
 // call makes a call at a process; reply is called if it answers.
 func (d *absenceDay) call(h *absenceHost, c *batch.Call, reply func(batch.Reply)) {
 	if h.up {
@@ -33,20 +35,6 @@
 	}
 }
 
-func (d *absenceDay) configure(h *absenceHost) {
-	d.sentVersion++
-	c := &batch.Configuration{
-		Version: d.sentVersion, Text: []byte(strconv.FormatUint(d.sentVersion, 10)),
-		Queues: []batch.Queue{{Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, SlackFactor: 2, TargetLatencyMs: 3000, TimeoutMs: 3000}},
-		Pools:  []batch.Pool{{Name: "p", AdmissionCheck: true}},
-	}
-	d.call(h, &batch.Call{Configure: c}, func(r batch.Reply) {
-		if r.Code == batch.CodeOK {
-			d.acknowledgedVersion = max(d.acknowledgedVersion, c.Version)
-		}
-	})
-}
-
 func (d *absenceDay) submit(h *absenceHost) {
 	if len(d.accepted) >= absenceMaxJobs {
 		return
@@ -73,31 +61,52 @@
 }
 
 func (d *absenceDay) readConfiguration(h *absenceHost) {
-	d.expectVersion(h, &batch.Call{ReadConfiguration: true}, func(r batch.Reply) uint64 {
-		version, _ := strconv.ParseUint(strings.TrimSpace(string(r.Text)), 10, 64) // 0 is older than any.
-		return version
+	least, sentMs := d.model.least(), d.nowMs
+	d.reads++
+	d.call(h, &batch.Call{ReadConfiguration: true}, func(r batch.Reply) {
+		if r.Code == batch.CodeOK {
+			d.answers++
+			d.breachIf(h, sentMs, d.model.noteRead(string(r.Text), least))
+		}
 	})
 }
 
 func (d *absenceDay) readAccess(h *absenceHost) {
-	d.expectVersion(h, &batch.Call{ReadAccess: &batch.AccessRequest{}}, func(r batch.Reply) uint64 { return r.Access.Version })
+	least, sentMs := d.model.least(), d.nowMs
+	d.reads++
+	d.call(h, &batch.Call{ReadAccess: &batch.AccessRequest{}}, func(r batch.Reply) {
+		if r.Code == batch.CodeOK {
+			d.answers++
+			d.breachIf(h, sentMs, d.model.noteVersion(r.Access.Version, least))
+		}
+	})
 }
 
-// expectVersion makes a call whose answer holds the version that was acknowledged when it was sent, or a higher one.
-func (d *absenceDay) expectVersion(h *absenceHost, c *batch.Call, versionOf func(batch.Reply) uint64) {
-	least, sentMs := d.acknowledgedVersion, d.nowMs
-	d.reads++
+// askForQueue asks for the waiting jobs of the queue that one configuration alone has.
+func (d *absenceDay) askForQueue(h *absenceHost) {
+	o := d.model.recentOrder(d.random.IntN)
+	if o == nil {
+		return
+	}
+	least, sentMs := d.model.least(), d.nowMs
+	c := &batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: o.queuePath()}}
 	d.call(h, c, func(r batch.Reply) {
-		if r.Code != batch.CodeOK {
-			return
-		}
-		d.answers++
-		if version := versionOf(r); version < least {
-			d.breach(h, sentMs, fmt.Sprintf("gives version %d, though version %d was acknowledged before", version, least))
+		switch r.Code {
+		case batch.CodeOK:
+			d.breachIf(h, sentMs, d.model.noteObeyed(o, least))
+		case batch.CodeNotFound:
+			d.breachIf(h, sentMs, d.model.noteNotObeyed(o, least))
+		default:
 		}
 	})
 }
 
+func (d *absenceDay) breachIf(h *absenceHost, sentMs int64, what string) {
+	if what != "" {
+		d.breach(h, sentMs, what)
+	}
+}
+
 func (d *absenceDay) breach(h *absenceHost, sentMs int64, what string) {
 	d.breaches = append(d.breaches, fmt.Sprintf("at %d ms replica %d %s the call was sent, %d ms ago", d.nowMs, h.id, what, d.nowMs-sentMs))
 }
--- a/internal/ctrl/sched/absence_host_test.go
+++ b/internal/ctrl/sched/absence_host_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"encoding/binary"
-	"slices"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/ctrl/jobs"
+	"cowslipstack/internal/ctrl/member"
 	"cowslipstack/internal/ctrl/node"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/ctrl/sched"
@@ -20,28 +21,39 @@
 	// absenceElectionTicks and absenceHeartbeatTicks are those of a site's replicas, whose tick is 50 ms.
 	absenceElectionTicks  = 14
 	absenceHeartbeatTicks = 2
+	// absenceKeptBytes limits the log entries that are kept before a snapshot, so that replicas that lag get the snapshot.
+	absenceKeptBytes = 200
 )
 
 // absenceHost is a process with a replica and a scheduler. It is the scheduler's log and its uptime.
 type absenceHost struct {
-	day       *absenceDay
-	id        quorum.ReplicaID
-	replica   *quorum.Replica
-	machine   *jobs.StateMachine
-	scheduler *sched.Scheduler
-	// hard and entries are what the disk holds, unsynced what it doesn't hold yet.
-	hard     quorum.HardState
-	entries  []quorum.Entry
+	day *absenceDay
+	// number is the host's place among the hosts of the day; name is another one once the process was replaced.
+	number     int
+	name       string
+	id         quorum.ReplicaID
+	replica    *quorum.Replica
+	machine    *jobs.StateMachine
+	scheduler  *sched.Scheduler
+	membership *member.Membership
+	// disk is what the disk holds, unsynced what it doesn't hold yet.
+	disk     absenceDisk
 	unsynced []quorum.Write
 	// up is false while the process is dead, frozen true while it stands still.
 	up, frozen bool
 	// wakesMs is when a process that stands still goes on, or a dead one starts again.
 	wakesMs int64
+	// lostDisk means that the process has lost its disk and isn't a voter again.
+	lostDisk bool
 	// uptimeStandsStill means that the uptime doesn't go on in this absence; lostMs is how far it is behind.
 	uptimeStandsStill bool
 	lostMs            int64
 	// unread are the messages and calls that have come and not been handled.
 	unread []func()
+	// applied and snapshotted are the last entries that the state and the latest snapshot cover.
+	applied, snapshotted uint64
+	// changing means that a change of the members is proposed.
+	changing bool
 
 	waiting  map[uint64]proposal
 	reads    map[uint64]func(error)
@@ -57,14 +69,20 @@
 
 // start starts the process with what its disk holds.
 func (h *absenceHost) start() {
-	h.up, h.frozen, h.unsynced, h.unread, h.deferred = true, false, nil, nil, nil
+	h.up, h.frozen, h.changing, h.unsynced, h.unread, h.deferred = true, false, false, nil, nil, nil
 	h.waiting, h.reads, h.machine = map[uint64]proposal{}, map[uint64]func(error){}, jobs.New()
+	h.applied, h.snapshotted = h.disk.snapshot.Index, h.disk.snapshot.Index
+	if h.applied > 0 {
+		h.machine.Restore(decodeState(h.disk.snapshot.Data))
+	}
 	h.replica = quorum.New(quorum.Options{
-		ID: h.id, Hard: h.hard, Entries: h.entries, HeartbeatTicks: absenceHeartbeatTicks, ElectionTicks: absenceElectionTicks,
-		FirstElectionTicks: absenceElectionTicks / 2, Random: h.day.random.IntN,
+		ID: h.id, Hard: h.disk.hard, Snapshot: h.disk.snapshot, Entries: h.disk.entries, KeptBytes: absenceKeptBytes,
+		HeartbeatTicks: absenceHeartbeatTicks, ElectionTicks: absenceElectionTicks, FirstElectionTicks: absenceElectionTicks / 2,
+		Random: h.day.random.IntN,
 	})
+	h.membership = member.New(member.Process{Name: h.name, Address: h.name, ControlAddress: h.name, Replica: h.id}, zap.NewNop())
 	h.scheduler = sched.New(sched.Options{
-		Log: h, Clock: h.day.clock, Uptime: h, Logger: zap.NewNop(), ProcessName: string(rune('a' + h.id - 1)),
+		Log: h, Clock: h.day.clock, Uptime: h, Logger: zap.NewNop(), ProcessName: h.name,
 		PlatformLimits: platformLimits, JobMemoryBytes: 1 << 40, ReportMemoryBytes: 1 << 40, HasEnoughVoters: func() bool { return true },
 		Members: func() []batch.MemberView { return nil }, PoolPlanner: pools.Planner{}, SendOrder: func(sched.Order) bool { return true },
 	})
@@ -85,8 +103,12 @@
 func (h *absenceHost) ProposeNow(c record.Command, done func(error)) error {
 	h.day.commands = append(h.day.commands, c)
 	data := binary.BigEndian.AppendUint64(nil, uint64(len(h.day.commands)-1))
+	return h.propose(done, func() (quorum.Position, error) { return h.replica.Propose(data) })
+}
+
+func (h *absenceHost) propose(done func(error), propose func() (quorum.Position, error)) error {
 	return h.stepWith(func() error {
-		at, err := h.replica.Propose(data)
+		at, err := propose()
 		if err == nil {
 			h.waiting[at.Index] = proposal{term: at.Term, done: done}
 		}
@@ -114,14 +136,39 @@
 // step takes a step of the replica and handles its output as package node does.
 func (h *absenceHost) step(run func()) {
 	run()
-	out := h.replica.Take()
+	h.handle(h.replica.Take())
+	if limit := h.day.kind.SnapshotEntries; limit > 0 && h.applied >= h.snapshotted+uint64(limit) {
+		h.replica.Compact(h.applied, encodeState(h.machine.State()))
+		h.snapshotted = h.applied
+		h.handle(h.replica.Take())
+	}
+	h.deferred = append(h.deferred, h.scheduler.HandleLogChange)
+	if h.running {
+		return
+	}
+	h.running = true
+	for len(h.deferred) > 0 {
+		call := h.deferred[0]
+		h.deferred = h.deferred[1:]
+		call()
+	}
+	h.running = false
+}
+
+func (h *absenceHost) handle(out quorum.Output) {
 	if out.Deposed {
 		h.failWaiters()
 	}
 	if out.Write != nil {
 		h.unsynced = append(h.unsynced, *out.Write)
 	}
-	h.day.network = append(h.day.network, out.Messages...)
+	for _, m := range out.Messages {
+		h.day.sendMessage(h, m)
+	}
+	if out.Restore != nil {
+		h.machine.Restore(decodeState(out.Restore.Data))
+		h.applied, h.snapshotted = out.Restore.Index, out.Restore.Index
+	}
 	for _, e := range out.Committed {
 		h.apply(e)
 	}
@@ -131,17 +178,6 @@
 			delete(h.reads, id)
 		}
 	}
-	h.deferred = append(h.deferred, h.scheduler.HandleLogChange)
-	if h.running {
-		return
-	}
-	h.running = true
-	for len(h.deferred) > 0 {
-		call := h.deferred[0]
-		h.deferred = h.deferred[1:]
-		call()
-	}
-	h.running = false
 }
 
 func (h *absenceHost) failWaiters() {
@@ -156,6 +192,7 @@
 }
 
 func (h *absenceHost) apply(e quorum.Entry) {
+	h.applied = e.Index
 	if e.Kind == quorum.EntryCommand {
 		c := h.day.commands[binary.BigEndian.Uint64(e.Data)]
 		h.machine.Apply(c.Batch, c.Time.UnixMilli())
@@ -177,25 +214,37 @@
 	if len(h.unsynced) == 0 {
 		return
 	}
-	h.save(h.unsynced)
 	last := h.unsynced[len(h.unsynced)-1].Sequence
+	h.save(len(h.unsynced))
 	h.unsynced = nil
 	h.step(func() { h.replica.Persisted(last) })
 }
 
-func (h *absenceHost) save(writes []quorum.Write) {
-	for _, w := range writes {
-		for _, e := range w.Entries {
-			h.entries = append(slices.Clone(h.entries[:e.Index-1]), e)
-		}
-		if w.Hard != nil {
-			h.hard = *w.Hard
-		}
+// save lets the disk hold the first of the writes.
+func (h *absenceHost) save(count int) {
+	for _, w := range h.unsynced[:min(count, len(h.unsynced))] {
+		h.disk.save(w)
 	}
 }
 
-// kill ends the process; its disk holds the first of the writes that weren't synced.
-func (h *absenceHost) kill(saved int) {
-	h.save(h.unsynced[:min(saved, len(h.unsynced))])
-	h.up, h.unread = false, nil
+// kill ends the process until a time; its disk holds the first of the writes that weren't synced.
+func (h *absenceHost) kill(saved int, until int64) {
+	if h.up {
+		h.save(saved)
+	}
+	h.up, h.unread, h.wakesMs = false, nil, until
+}
+
+// loseDisk ends the process until a time, and leaves it an empty disk.
+func (h *absenceHost) loseDisk(until int64) {
+	h.kill(0, until)
+	h.disk, h.lostDisk = absenceDisk{}, true
+	h.day.lastID++
+	h.id = h.day.lastID
+}
+
+// replace removes the process for good; from a time on another one is there with an empty disk and another name.
+func (h *absenceHost) replace(until int64) {
+	h.loseDisk(until)
+	h.name = fmt.Sprintf("p%d-%d", h.number, h.id)
 }
