--- a/internal/app/daemon/listen.go
+++ b/internal/app/daemon/listen.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/build"
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/tasks"
 	"cowslipstack/internal/wire/certs"
@@ -104,7 +105,10 @@
 	start("operators", l.operators, h.Operators, gs.operators)
 	start("endpoints", l.endpoints, h.Endpoints, gs.endpoints)
 	start("callers", l.callers, h.Callers, gs.callers)
-	lc.Append(fx.StartHook(func() { logger.Info("started", fields...) }))
+	lc.Append(fx.StartHook(func() {
+		build.Register()
+		logger.Info("started", append(fields, zap.String("version", build.Version()))...)
+	}))
 }
 
 const (
--- a/internal/app/opcli/version.go
+++ b/internal/app/opcli/version.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"runtime/debug"
+	"runtime"
 
 	"github.com/cockroachdb/errors"
 
+	"cowslipstack/internal/base/build"
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/schema"
 )
@@ -17,11 +18,7 @@
 type ReferenceCommand struct{}
 
 func (c *cli) version() error {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return errors.New("this build has no version information")
-	}
-	_, err := fmt.Fprintf(c.out, "cowslip %s %s\n", info.Main.Version, info.GoVersion)
+	_, err := fmt.Fprintf(c.out, "cowslip %s %s\n", build.Version(), runtime.Version())
 	return errors.Wrap(err, "write version")
 }
 
--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/build"
 	"cowslipstack/internal/base/check"
 	"cowslipstack/internal/base/clock"
 	"cowslipstack/internal/base/conf"
@@ -57,7 +58,8 @@
 	if err := app.Start(ctx); err != nil {
 		return dig.RootCause(err)
 	}
-	logger.Info("started", zap.String("data_centre", settings.DataCentre), zap.String("control", settings.Listen.Control),
+	build.Register()
+	logger.Info("started", zap.String("version", build.Version()), zap.String("data_centre", settings.DataCentre), zap.String("control", settings.Listen.Control),
 		zap.Bool("first_start", settings.Control.FirstStart), zap.Strings("seeds", settings.Seeds))
 	exit := p.group.Wait(ctx)
 	if exit == nil {
--- a/internal/app/site/tick.go
+++ b/internal/app/site/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -81,7 +82,7 @@
 	}
 	t.changePending = true
 	t.logger.Info("members_changing", zap.Stringer("change", change.Kind), zap.String("name", change.Member.Name),
-		zap.Uint64("identity", uint64(change.Member.ID)))
+		zap.String("identity", fmt.Sprintf("%016x", uint64(change.Member.ID))))
 	t.changeMembers(change)
 }
 
--- a/internal/ctrl/node/node.go
+++ b/internal/ctrl/node/node.go
@@ -93,6 +93,8 @@
 	membersIndex uint64
 	leader       quorum.ReplicaID
 	leaderTerm   uint64
+	// leaderless is the number of ticks since a leader was known.
+	leaderless int
 	// deposed is closed, and replaced, when this replica loses the leadership.
 	deposed chan struct{}
 	// failure is the error with which this replica stopped, nil while it runs.
@@ -151,6 +153,7 @@
 		case <-ticker.C():
 			tick := func() {
 				n.step(n.options.Replica.Tick)
+				n.observeElection()
 			}
 			if err := n.options.Loop.Post(ctx, tick); err != nil {
 				return nil
--- a/internal/ctrl/node/output.go
+++ b/internal/ctrl/node/output.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+
 	"go.uber.org/zap"
 
 	"cowslipstack/internal/ctrl/quorum"
@@ -78,6 +80,7 @@
 		for _, m := range r.Members() {
 			n.options.Transport.SetProcess(m.ID, m.Name)
 		}
+		n.logMembers(index)
 	}
 	if leader := r.Leader(); leader != n.leader || r.Term() != n.leaderTerm {
 		n.leader, n.leaderTerm = leader, r.Term()
@@ -86,6 +89,55 @@
 	}
 }
 
+// logMembers logs the members that the entry at an index of the log names, committed or not.
+func (n *Node) logMembers(index uint64) {
+	var voters, learners []string
+	for _, m := range n.options.Replica.Members() {
+		if m.Voter {
+			voters = append(voters, memberText(m))
+		} else {
+			learners = append(learners, memberText(m))
+		}
+	}
+	n.options.Logger.Info("members_known", zap.Uint64("index", index), zap.Uint64("committed", n.options.Replica.Commit()),
+		zap.Strings("voters", voters), zap.Strings("learners", learners))
+}
+
+// memberText names a member with its identity, which a process whose disk was lost doesn't keep.
+func memberText(m quorum.Member) string {
+	return fmt.Sprintf("%s/%016x", m.Name, uint64(m.ID))
+}
+
+// leaderlessTicks is the number of ticks between two log lines of a replica that knows no leader.
+const leaderlessTicks = 40
+
+// observeElection logs, from time to time while no leader is known, which voters have granted this replica their votes.
+func (n *Node) observeElection() {
+	r := n.options.Replica
+	if r.Leader() != 0 {
+		n.leaderless = 0
+		return
+	}
+	if n.leaderless++; n.leaderless%leaderlessTicks != 0 {
+		return
+	}
+	names := map[quorum.ReplicaID]string{}
+	for _, m := range r.Members() {
+		names[m.ID] = memberText(m)
+	}
+	voters, granted := r.Votes()
+	n.options.Logger.Info("leader_missing", zap.Stringer("role", r.Role()), zap.Uint64("term", r.Term()),
+		zap.Strings("voters", namesOf(voters, names)), zap.Strings("granted", namesOf(granted, names)))
+}
+
+func namesOf(ids []quorum.ReplicaID, names map[quorum.ReplicaID]string) []string {
+	var all []string
+	for _, id := range ids {
+		all = append(all, names[id])
+	}
+	return all
+}
+
 func (n *Node) leaderName() string {
 	for _, m := range n.options.Replica.Members() {
 		if m.ID == n.options.Replica.Leader() {
--- a/internal/ctrl/quorum/elect.go
+++ b/internal/ctrl/quorum/elect.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Votes returns the voters, and those of them that have granted their votes in the election that this replica has begun; none if it has
+// begun none.
+func (r *Replica) Votes() (voters, granted []ReplicaID) {
+	voters = r.voters()
+	if r.role == RoleFollower || r.role == RoleLeader {
+		return voters, nil
+	}
+	for _, id := range voters {
+		if r.grantedVotes[id] {
+			granted = append(granted, id)
+		}
+	}
+	return voters, granted
+}
+
 // recordVote records an answer and, once a quorum has granted its votes, starts the election or becomes leader.
 func (r *Replica) recordVote(id ReplicaID, granted bool) {
 	if granted {
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -42,7 +42,7 @@
 	case c.Deregister != nil:
 		s.handleDeregistration(c.Deregister, reply)
 	case c.Configure != nil:
-		s.configure(c.Configure, reply)
+		s.configure(c.Configure, arrivedMs, reply)
 	case c.ReadConfiguration:
 		s.readConfiguration(arrivedMs, reply)
 	case c.StartWave != nil:
--- a/internal/ctrl/sched/configure.go
+++ b/internal/ctrl/sched/configure.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"time"
 
 	"go.uber.org/zap"
 
+	"cowslipstack/internal/base/hist"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -12,7 +14,8 @@
 	return &s.options.Log.Batch().State().Configuration
 }
 
-func (s *Scheduler) configure(c *batch.Configuration, reply func(batch.Reply)) {
+// configure takes a configuration that arrived at an uptime in milliseconds.
+func (s *Scheduler) configure(c *batch.Configuration, arrivedMs int64, reply func(batch.Reply)) {
 	current := s.currentConfiguration()
 	if err := c.Check(); err != nil {
 		s.options.Logger.Info("configuration_refused", zap.Uint64("version", c.Version), zap.Uint64("held", current.Version),
@@ -28,7 +31,16 @@
 			s.proposals.pending.Configuration = c
 		}
 	}
-	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK})
+	term := s.term
+	s.replyWhenCommitted(func(r batch.Reply) {
+		waited := time.Duration(s.now()-arrivedMs) * time.Millisecond
+		if r.Code == batch.CodeOK {
+			hist.Observe("cowslip_configuration_seconds", hist.Labels{}, waited)
+		}
+		s.options.Logger.Info("configuration_answered", zap.Uint64("version", c.Version), zap.Stringer("code", r.Code),
+			zap.Uint64("in_force", s.currentConfiguration().Version), zap.Int64("waited_ms", waited.Milliseconds()), zap.Uint64("term", term))
+		reply(r)
+	}, batch.Reply{Code: batch.CodeOK})
 }
 
 // readConfiguration replies with the configuration in force, and logs which version that is and on which confirmation the reply
