Remove no voter that may hold its disk below the number that the losses to tolerate need

What callers would see: after two lost disks, at a tolerance of two, no process leads any more for good; every change of the configuration that was acknowledged is gone, and each read is answered 503.

Cause: a learner that had caught up took the place of any voter that was silent for 1.5 s, though a seat was free for it: a process came back without its disk, its old identity was removed, and then a voter that only stood still was removed too, before the learner was promoted. The group went on with 2 x losses voters, until the silent one was back. Two disks lost meanwhile are half of them, and the one that stood still, with its disk, isn't a member.

Class: a change of the members that lowers what the group bears.

Now a silent voter goes only while there are more voters than 2 x losses + 1, so its successor votes first; the old identity of a process that has come back without its disk still goes first, as it can't come back. With more than one silent voter the longest silent goes, once all have been silent for 4 s. An even number of voters becomes odd again.

--- a/internal/ctrl/member/change.go
+++ b/internal/ctrl/member/change.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 
 	"cowslipstack/internal/ctrl/quorum"
@@ -9,14 +10,22 @@
 const (
 	// maxVoters limits the number of voters; further replicas stay learners.
 	maxVoters = 9
-	// replaceAfterMs is how long a voter must be silent before a learner replaces it, in milliseconds.
+	// replaceAfterMs is how long a voter must be silent before a learner takes its place, in milliseconds.
 	replaceAfterMs = 1500
-	// removeAfterMs is how long a surplus voter or a learner must be silent before it is removed, in milliseconds.
+	// ambiguousAfterMs is how long all silent voters must be silent if there are several, in milliseconds: those that only stand still may be
+	// back by then.
+	ambiguousAfterMs = 4000
+	// removeAfterMs is how long a surplus voter or a learner must be silent before it is removed without a learner that takes its place, in
+	// milliseconds.
 	removeAfterMs = 8000
 )
 
 // NextChange returns the next membership change that aligns the members with the processes that are alive, and false if
-// none is needed. losses is the number of simultaneous voter losses to tolerate.
+// none is needed. losses is the number of disks that may be lost at the same time.
+//
+// A voter that is silent may still hold its disk, and with it the only copies that are left of what was acknowledged. So it is removed
+// only while there are more voters than 2 x losses + 1: a learner is made a voter first. What is removed at once is the old identity of a
+// process that has come back without its disk.
 func (m *Membership) NextChange(statuses []quorum.MemberStatus, losses int, now int64) (quorum.Change, bool) {
 	for _, p := range m.ReplicaProcesses() {
 		if p.Name == m.self.Name || !m.processes[p.Name].alive(now) {
@@ -26,24 +35,52 @@
 			return quorum.Change{Kind: quorum.ChangeAdd, Member: quorum.Member{ID: p.Replica, Name: p.Name}}, true
 		}
 	}
-	learners := m.promotableLearners(statuses, now)
-	if len(learners) > 0 {
-		if change, ok := m.changeForLearner(learners, statuses, losses, now); ok {
-			return change, true
-		}
+	v := m.viewOf(statuses, now)
+	needed := 2*losses + 1
+	if old, ok := v.supersededVoter(); ok {
+		return quorum.Change{Kind: quorum.ChangeRemove, Member: old}, true
+	}
+	if surplus, ok := v.surplusVoter(needed); ok {
+		return quorum.Change{Kind: quorum.ChangeRemove, Member: surplus}, true
+	}
+	if learner, ok := v.learnerToPromote(needed); ok {
+		return quorum.Change{Kind: quorum.ChangePromote, Member: learner}, true
 	}
-	return m.changeForSilentMember(statuses, losses, now)
+	return v.silentLearner()
 }
 
-// promotableLearners returns the learners that have caught up and whose processes are alive.
-func (m *Membership) promotableLearners(statuses []quorum.MemberStatus, now int64) []quorum.MemberStatus {
-	var all []quorum.MemberStatus
+// view is what the leader sees of the members.
+type view struct {
+	// voters are all voters, the leader included.
+	voters []quorum.MemberStatus
+	// lost are the voters that have been silent for replaceAfterMs, the one that was silent for longest first, with the times.
+	lost     []quorum.Member
+	silentMs []int64
+	// learners are those that have caught up and whose processes are alive; others are the learners that aren't.
+	learners []quorum.Member
+	others   []quorum.MemberStatus
+	// othersSilentMs is how long each of the others has been silent.
+	othersSilentMs []int64
+}
+
+func (m *Membership) viewOf(statuses []quorum.MemberStatus, now int64) *view {
+	v := &view{}
 	for _, s := range statuses {
-		if !s.Member.Voter && s.CaughtUp && m.isPresent(s.Member, now) {
-			all = append(all, s)
+		silent := m.silentMs(s.Member, now)
+		switch {
+		case s.Member.Voter:
+			v.voters = append(v.voters, s)
+			if !s.Leader && !s.Heard && silent > replaceAfterMs {
+				at, _ := slices.BinarySearchFunc(v.silentMs, silent, func(a, b int64) int { return cmp.Compare(b, a) })
+				v.lost, v.silentMs = slices.Insert(v.lost, at, s.Member), slices.Insert(v.silentMs, at, silent)
+			}
+		case s.CaughtUp && m.isPresent(s.Member, now):
+			v.learners = append(v.learners, s.Member)
+		default:
+			v.others, v.othersSilentMs = append(v.others, s), append(v.othersSilentMs, silent)
 		}
 	}
-	return all
+	return v
 }
 
 // isPresent reports whether a member's process is alive with the same replica identity.
@@ -52,45 +89,69 @@
 	return member.Name == m.self.Name || k != nil && k.alive(now) && k.process.Replica == member.ID
 }
 
-// changeForLearner returns the next step towards making a learner a voter: first the old identity of its process, or a
-// voter that is lost, is removed. With an even number of replicas one stays a learner and replaces the next voter that is
-// lost: if the voters are partitioned in two, an odd number has a majority on one side, an even number may have none.
-func (m *Membership) changeForLearner(learners, statuses []quorum.MemberStatus, losses int, now int64) (quorum.Change, bool) {
-	s := learners[0]
-	voters, lost := 0, quorum.Member{}
-	for _, o := range statuses {
-		if !o.Member.Voter {
-			continue
+// supersededVoter returns the old identity of a process whose disk was lost, once its new identity has caught up.
+func (v *view) supersededVoter() (quorum.Member, bool) {
+	for _, s := range v.voters {
+		if slices.ContainsFunc(v.learners, func(l quorum.Member) bool { return l.Name == s.Member.Name }) {
+			return s.Member, true
 		}
-		voters++
-		if slices.ContainsFunc(learners, func(l quorum.MemberStatus) bool { return l.Member.Name == o.Member.Name }) {
-			return quorum.Change{Kind: quorum.ChangeRemove, Member: o.Member}, true
+	}
+	return quorum.Member{}, false
+}
+
+// surplusVoter returns the voter to remove while there are more than needed: one that is lost, if the others are then odd in number, a
+// learner takes its place, or it has been silent for long. If the voters are even in number, none is lost, and no learner will make them odd, it
+// is a voter that is heard: if the voters are partitioned in two, an odd number has a majority on one side, an even number may have none.
+func (v *view) surplusVoter(needed int) (quorum.Member, bool) {
+	even := len(v.voters)%2 == 0
+	switch {
+	case len(v.voters) <= needed:
+		return quorum.Member{}, false
+	case len(v.lost) > 0:
+		enough := int64(replaceAfterMs)
+		if len(v.lost) > 1 {
+			enough = ambiguousAfterMs
 		}
-		if !o.Leader && !o.Heard && m.silentMs(o.Member, now) > replaceAfterMs {
-			lost = o.Member
+		if !even && len(v.learners) == 0 {
+			enough = removeAfterMs
 		}
+		return v.lost[0], v.silentMs[len(v.lost)-1] > enough
+	case even && len(v.learners)+len(v.others) == 0:
+		return v.lastHeardVoter()
+	default:
+		return quorum.Member{}, false
 	}
-	if lost.ID != 0 {
-		return quorum.Change{Kind: quorum.ChangeRemove, Member: lost}, true
-	}
-	keepAsLearner := len(learners) == 1 && voters%2 == 1 && voters >= 2*losses+1
-	return quorum.Change{Kind: quorum.ChangePromote, Member: s.Member}, voters < maxVoters && !keepAsLearner
 }
 
-// changeForSilentMember returns the removal of a silent learner, or of a silent voter that is not needed to tolerate
-// losses; false if there is none.
-func (m *Membership) changeForSilentMember(statuses []quorum.MemberStatus, losses int, now int64) (quorum.Change, bool) {
-	voters := 0
-	for _, s := range statuses {
-		if s.Member.Voter {
-			voters++
+// lastHeardVoter returns the last voter that doesn't lead, if all are heard.
+func (v *view) lastHeardVoter() (last quorum.Member, ok bool) {
+	for _, s := range v.voters {
+		switch {
+		case s.Leader:
+		case !s.Heard:
+			return quorum.Member{}, false
+		default:
+			last, ok = s.Member, true
 		}
 	}
-	for _, s := range statuses {
-		silent := m.silentMs(s.Member, now)
-		switch {
-		case s.Leader || s.Heard || silent < removeAfterMs:
-		case !s.Member.Voter, voters > 2*losses+1:
+	return last, ok
+}
+
+// learnerToPromote returns the learner to make a voter. With an odd number of voters, of which none is lost and as many as needed, the last
+// learner stays one.
+func (v *view) learnerToPromote(needed int) (quorum.Member, bool) {
+	voters := len(v.voters)
+	if len(v.learners) == 0 || voters >= maxVoters {
+		return quorum.Member{}, false
+	}
+	keep := len(v.learners) == 1 && voters%2 == 1 && voters >= needed && len(v.lost) == 0
+	return v.learners[0], !keep
+}
+
+// silentLearner returns the removal of a learner that has been silent for long.
+func (v *view) silentLearner() (quorum.Change, bool) {
+	for i, s := range v.others {
+		if !s.Heard && v.othersSilentMs[i] >= removeAfterMs {
 			return quorum.Change{Kind: quorum.ChangeRemove, Member: s.Member}, true
 		}
 	}
--- a/internal/ctrl/member/script_test.go
+++ b/internal/ctrl/member/script_test.go
@@ -103,7 +103,11 @@
 				}
 				return "had ended for another leader\n"
 			case "next-change":
-				return showChange(all[names[0]], d.Input, now)
+				losses := 1
+				if d.HasArg("losses") {
+					d.ScanArgs(t, "losses", &losses)
+				}
+				return showChange(all[names[0]], d.Input, losses, now)
 			default:
 				t.Fatalf("unknown command %s", d.Cmd)
 				return ""
@@ -114,7 +118,7 @@
 
 // showChange returns the next change for members given one per line: name, identity, and any of voter, leader, heard and
 // caught-up.
-func showChange(m *member.Membership, input string, now int64) string {
+func showChange(m *member.Membership, input string, losses int, now int64) string {
 	var all []quorum.MemberStatus
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
 		f := strings.Fields(line)
@@ -128,7 +132,7 @@
 		}
 		all = append(all, s)
 	}
-	c, ok := m.NextChange(all, 1, now)
+	c, ok := m.NextChange(all, losses, now)
 	if !ok {
 		return "nothing\n"
 	}
--- a/internal/ctrl/sched/absence_draw_test.go
+++ b/internal/ctrl/sched/absence_draw_test.go
@@ -1,5 +1,7 @@
 package sched_test
 
+import "slices"
+
 func (d *absenceDay) drawAbsence(h *absenceHost) {
 	if !h.up || h.frozen {
 		return
@@ -53,10 +55,23 @@
 	}
 }
 
+// split cuts the processes into two halves for a time.
+func (d *absenceDay) split() {
+	until := d.nowMs + int64(d.random.IntN(absenceMaxMs))
+	half := d.random.Perm(len(d.hosts))[:len(d.hosts)/2]
+	for i, h := range d.hosts {
+		for j, o := range d.hosts {
+			if slices.Contains(half, i) != slices.Contains(half, j) {
+				d.cutMs[[2]*absenceHost{h, o}] = until
+			}
+		}
+	}
+}
+
 // isOldestDisk reports whether no process has had its disk for longer than one.
 func (d *absenceDay) isOldestDisk(h *absenceHost) bool {
 	for _, o := range d.hosts {
-		if !o.lostDisk && o.id < h.id {
+		if !o.lost && o.id < h.id {
 			return false
 		}
 	}
--- a/internal/ctrl/sched/absence_host_test.go
+++ b/internal/ctrl/sched/absence_host_test.go
@@ -43,8 +43,10 @@
 	up, frozen bool
 	// wakesMs is when a process that stands still goes on, or a dead one starts again.
 	wakesMs int64
-	// lostDisk means that the process has lost its disk and isn't a voter again.
-	lostDisk bool
+	// lost means that the process counts as lost since it has lost its disk, replaced that it has another name since; it has been back for
+	// backMs.
+	lost, replaced bool
+	backMs         int64
 	// uptimeStandsStill means that the uptime doesn't go on in this absence; lostMs is how far it is behind.
 	uptimeStandsStill bool
 	lostMs            int64
@@ -238,7 +240,7 @@
 // loseDisk ends the process until a time, and leaves it an empty disk.
 func (h *absenceHost) loseDisk(until int64) {
 	h.kill(0, until)
-	h.disk, h.lostDisk = absenceDisk{}, true
+	h.disk, h.lost, h.replaced, h.backMs = absenceDisk{}, true, false, 0
 	h.day.lastID++
 	h.id = h.day.lastID
 }
@@ -246,5 +248,6 @@
 // replace removes the process for good; from a time on another one is there with an empty disk and another name.
 func (h *absenceHost) replace(until int64) {
 	h.loseDisk(until)
+	h.replaced = true
 	h.name = fmt.Sprintf("p%d-%d", h.number, h.id)
 }
--- a/internal/ctrl/sched/absence_members_test.go
+++ b/internal/ctrl/sched/absence_members_test.go
@@ -6,6 +6,8 @@
 	// absenceHelloSteps is how many steps lie between two hellos of a process, absenceCheckSteps between two checks of the members.
 	absenceHelloSteps = 16
 	absenceCheckSteps = 4
+	// absenceCatchUpMs is how long a process without its disk counts as lost once it is back, as on the large site.
+	absenceCatchUpMs = 6000
 )
 
 // envelope is a message between processes under way.
@@ -59,21 +61,30 @@
 	}
 }
 
-// noteRecovered ends the loss of disks whose processes are voters by a committed change.
+// noteRecovered ends the loss of disks whose processes have been back for absenceCatchUpMs while another one led and reached them. A process
+// that was replaced is told from one that stands still only while no other is away.
 func (d *absenceDay) noteRecovered() {
 	leader := d.newestLeader()
-	if leader == nil || leader.replica.MembersIndex() > leader.replica.Commit() {
+	if leader == nil || leader.frozen || !leader.scheduler.Active() {
 		return
 	}
-	for _, m := range leader.replica.Members() {
-		for _, h := range d.hosts {
-			if h.id == m.ID && m.Voter {
-				h.lostDisk = false
-			}
+	allThere := true
+	for _, h := range d.hosts {
+		allThere = allThere && d.reaches(leader, h)
+	}
+	for _, h := range d.hosts {
+		if h.lost && (allThere || !h.replaced && d.reaches(leader, h)) {
+			h.backMs += absenceStepMs
+			h.lost = h.backMs < absenceCatchUpMs
 		}
 	}
 }
 
+// reaches reports whether messages pass between two processes, both ways.
+func (d *absenceDay) reaches(h, o *absenceHost) bool {
+	return o.up && !o.frozen && d.nowMs >= d.cutMs[[2]*absenceHost{h, o}] && d.nowMs >= d.cutMs[[2]*absenceHost{o, h}]
+}
+
 // newestLeader returns the process that leads in the highest term, nil for none.
 func (d *absenceDay) newestLeader() *absenceHost {
 	var newest *absenceHost
@@ -85,13 +96,13 @@
 	return newest
 }
 
-// mayLoseDisk reports whether one more disk may be lost: at most Losses of them until their processes are voters again.
+// mayLoseDisk reports whether one more disk may be lost: at most Losses of them at a time.
 func (d *absenceDay) mayLoseDisk(h *absenceHost) bool {
 	lost := 0
 	for _, o := range d.hosts {
-		if o.lostDisk {
+		if o.lost {
 			lost++
 		}
 	}
-	return !h.lostDisk && lost < d.kind.Losses
+	return !h.lost && lost < d.kind.Losses
 }
--- a/internal/ctrl/sched/absence_test.go
+++ b/internal/ctrl/sched/absence_test.go
@@ -41,7 +41,7 @@
 type absenceKind struct {
 	// Hosts is the number of processes, and Steps how long absences are drawn.
 	Hosts, Steps int
-	// Losses is how many disks may be lost until their processes are voters again.
+	// Losses is how many disks may be lost at a time.
 	Losses int
 	// Freeze is the rate at which processes stand still, and FreezeAsking that of a leader that has asked a quorum. In StandStill of a
 	// thousand of these absences the uptime stands still as well.
@@ -52,6 +52,8 @@
 	LoseDisk, Replace int
 	// Strike is the rate per thousand steps at which all processes die, right after a change was acknowledged.
 	Strike int
+	// Split is the rate per thousand steps at which the processes are cut into two halves.
+	Split int
 	// SnapshotEntries is the number of log entries between two snapshots, 0 for none.
 	SnapshotEntries int
 	// Crossing means that changes of the configuration cross each other, and that their acknowledgements are lost at times.
@@ -111,7 +113,7 @@
 		Hosts: number("hosts", 3), Steps: number("steps", 1), Losses: number("losses", 1),
 		Freeze: number("freeze", 0), FreezeAsking: number("freeze_asking", 0), StandStill: number("stand_still", 0),
 		Kill: number("kill", 0), Cut: number("cut", 0), HandOver: number("hand_over", 0),
-		LoseDisk: number("lose_disk", 0), Replace: number("replace", 0), Strike: number("strike", 0),
+		LoseDisk: number("lose_disk", 0), Replace: number("replace", 0), Strike: number("strike", 0), Split: number("split", 0),
 		SnapshotEntries: number("snapshot_entries", 0), Crossing: number("crossing", 0) > 0, EndsInStrike: number("ends_in_strike", 0) > 0,
 	}
 	if *absenceSeeds > 0 {
@@ -147,6 +149,9 @@
 			d.drawAbsence(h)
 		}
 		d.striking = d.striking || d.happens(d.kind.Strike)
+		if d.happens(d.kind.Split) {
+			d.split()
+		}
 		d.drawCalls()
 	}
 	d.heal()
