--- a/internal/ctrl/sched/absence_calls_test.go
+++ b/internal/ctrl/sched/absence_calls_test.go
@@ -61,41 +61,41 @@
 }
 
 func (d *absenceDay) readConfiguration(h *absenceHost) {
-	least, sentMs := d.model.least(), d.nowMs
+	least, sentMs := d.model.Least(), d.nowMs
 	d.reads++
 	d.call(h, &batch.Call{ReadConfiguration: true}, func(r batch.Reply) {
 		if r.Code == batch.CodeOK {
 			d.answers++
-			d.breachIf(h, sentMs, d.model.noteRead(string(r.Text), least))
+			d.breachIf(h, sentMs, d.model.NoteRead(string(r.Text), least))
 		}
 	})
 }
 
 func (d *absenceDay) readAccess(h *absenceHost) {
-	least, sentMs := d.model.least(), d.nowMs
+	least, sentMs := d.model.Least(), d.nowMs
 	d.reads++
 	d.call(h, &batch.Call{ReadAccess: &batch.AccessRequest{}}, func(r batch.Reply) {
 		if r.Code == batch.CodeOK {
 			d.answers++
-			d.breachIf(h, sentMs, d.model.noteVersion(r.Access.Version, least))
+			d.breachIf(h, sentMs, d.model.NoteVersion(r.Access.Version, least))
 		}
 	})
 }
 
 // askForQueue asks for the waiting jobs of the queue that one configuration alone has.
 func (d *absenceDay) askForQueue(h *absenceHost) {
-	o := d.model.recentOrder(d.random.IntN)
+	o := d.model.Recent(d.random.IntN)
 	if o == nil {
 		return
 	}
-	least, sentMs := d.model.least(), d.nowMs
-	c := &batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: o.queuePath()}}
+	least, sentMs := d.model.Least(), d.nowMs
+	c := &batch.Call{Pending: &batch.RequestTarget{Host: "h", Path: queuePath(o)}}
 	d.call(h, c, func(r batch.Reply) {
 		switch r.Code {
 		case batch.CodeOK:
-			d.breachIf(h, sentMs, d.model.noteObeyed(o, least))
+			d.breachIf(h, sentMs, d.model.NoteObeyed(o, least))
 		case batch.CodeNotFound:
-			d.breachIf(h, sentMs, d.model.noteNotObeyed(o, least))
+			d.breachIf(h, sentMs, d.model.NoteNotObeyed(o, least))
 		default:
 		}
 	})
--- a/internal/ctrl/sched/absence_orders_test.go
+++ b/internal/ctrl/sched/absence_orders_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/model/batch"
 )
 
@@ -11,34 +12,37 @@
 	orderPatience = 40
 )
 
-// absenceOrder is a change of the configuration as an operator sends it.
+// absenceOrder is an order and how far the operator has come with it.
 type absenceOrder struct {
-	version uint64
-	text    string
-	invalid bool
-	// acknowledged means that a process has acknowledged it.
-	acknowledged bool
+	*tests.Order
 	// attempts is how often it was sent, answered whether the last attempt got a clear answer, and waited how many steps it has waited for
 	// one.
 	attempts, waited int
 	answered         bool
 }
 
-// queuePath returns the path of the queue that this configuration alone has.
-func (o *absenceOrder) queuePath() string { return "/" + o.text + "/" }
+// queuePath returns the path of the queue that one order alone has.
+func queuePath(o *tests.Order) string { return "/" + o.Name + "/" }
 
 func (o *absenceOrder) call() *batch.Call {
 	queue := batch.Queue{Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, SlackFactor: 2, TargetLatencyMs: 3000, TimeoutMs: 3000}
 	own := queue
-	own.Prefix = o.queuePath()
-	if o.invalid {
+	own.Prefix = queuePath(o.Order)
+	if o.Invalid {
 		own.Pool = "unknown"
 	}
 	return &batch.Call{Configure: &batch.Configuration{
-		Version: o.version, Text: []byte(o.text), Queues: []batch.Queue{queue, own}, Pools: []batch.Pool{{Name: "p", AdmissionCheck: true}},
+		Version: o.Version, Text: []byte(o.Text), Queues: []batch.Queue{queue, own}, Pools: []batch.Pool{{Name: "p", AdmissionCheck: true}},
 	}}
 }
 
+// newOrder returns an order that wasn't sent before.
+func (d *absenceDay) newOrder(version uint64, invalid bool) *absenceOrder {
+	o := &absenceOrder{Order: d.model.Add(version, invalid, func(o *tests.Order) string { return o.Name })}
+	d.orders = append(d.orders, o)
+	return o
+}
+
 // drawOrder sends a change; in days with crossing changes also two under one version, one that was sent before, one of a lower version,
 // and invalid ones.
 func (d *absenceDay) drawOrder() {
@@ -46,23 +50,24 @@
 	if d.kind.Crossing {
 		kind = d.random.IntN(7)
 	}
-	next := d.model.highest + 1 + uint64(d.random.IntN(3))
+	next := d.model.Highest() + 1 + uint64(d.random.IntN(3))
 	switch kind {
 	case 3:
-		d.sendOrder(d.model.newOrder(next, false))
-		d.sendOrder(d.model.newOrder(next, false))
+		d.sendOrder(d.newOrder(next, false))
+		d.sendOrder(d.newOrder(next, false))
 	case 4:
-		if o := d.model.recentOrder(d.random.IntN); o != nil {
+		if len(d.orders) > 0 {
+			o := d.orders[len(d.orders)-1-min(d.random.IntN(len(d.orders)), d.random.IntN(8))]
 			o.attempts = 0
 			d.sendOrder(o)
 		}
 	case 5:
-		d.sendOrder(d.model.newOrder(next, false))
-		d.sendOrder(d.model.newOrder(d.lowerVersion(next), false))
+		d.sendOrder(d.newOrder(next, false))
+		d.sendOrder(d.newOrder(d.lowerVersion(next), false))
 	case 6:
-		d.sendOrder(d.model.newOrder([]uint64{next, d.lowerVersion(next)}[d.random.IntN(2)], true))
+		d.sendOrder(d.newOrder([]uint64{next, d.lowerVersion(next)}[d.random.IntN(2)], true))
 	default:
-		d.sendOrder(d.model.newOrder(next, false))
+		d.sendOrder(d.newOrder(next, false))
 	}
 }
 
@@ -87,14 +92,14 @@
 			return // The answer is lost on its way.
 		}
 		o.answered = o.answered || attempt == o.attempts
-		d.breachIf(h, sentMs, d.model.noteOrderAnswer(o, r.Code == batch.CodeOK))
+		d.breachIf(h, sentMs, d.model.NoteAnswer(o.Order, r.Code == batch.CodeOK))
 		d.noteAcknowledged(h)
 	})
 }
 
 // resendOrders sends the changes that had no clear answer for some time again, to any process.
 func (d *absenceDay) resendOrders() {
-	for _, o := range d.model.orders {
+	for _, o := range d.orders {
 		if o.answered || o.attempts >= orderAttempts {
 			continue
 		}
--- a/internal/ctrl/sched/absence_test.go
+++ b/internal/ctrl/sched/absence_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"cowslipstack/internal/base/clock"
+	"cowslipstack/internal/base/tests"
 	"cowslipstack/internal/ctrl/quorum"
 	"cowslipstack/internal/model/record"
 )
@@ -80,7 +81,8 @@
 	striking bool
 	struck   *absenceHost
 
-	model          *configurationModel
+	model          *tests.Orders
+	orders         []*absenceOrder
 	accepted       []string
 	reads, answers int
 	breaches       []string
@@ -125,7 +127,7 @@
 func newAbsenceDay(seed uint64, kind absenceKind) *absenceDay {
 	d := &absenceDay{
 		random: rand.New(rand.NewPCG(seed, 0)), clock: clock.NewManual(time.Unix(1_000_000, 0)), nowMs: 100_000, kind: kind,
-		cutMs: map[[2]*absenceHost]int64{}, model: newConfigurationModel(),
+		cutMs: map[[2]*absenceHost]int64{}, model: tests.NewOrders(),
 	}
 	var members []quorum.Member
 	for i := range kind.Hosts {
@@ -158,7 +160,7 @@
 	if d.kind.EndsInStrike {
 		d.striking = true
 	}
-	acknowledged := d.model.acknowledged
+	acknowledged := d.model.Acknowledged()
 	for range absenceRecoverySteps {
 		d.step()
 		d.drawCalls()
@@ -166,7 +168,7 @@
 	switch {
 	case len(d.breaches) > 0:
 		return fmt.Sprintf("%s; %d in all", d.breaches[0], len(d.breaches))
-	case d.model.acknowledged == acknowledged:
+	case d.model.Acknowledged() == acknowledged:
 		return "no configuration is taken after the last absence"
 	case d.answers == 0:
 		return fmt.Sprintf("none of %d reads was answered", d.reads)
