Judge a caller's key by the configuration that the answer rests on

What callers saw: a question about a queue's waiting jobs with a key that no configuration ever held was answered 200, and a question about an accepted job, whose caller's key was withdrawn meanwhile, 410.

Cause: such a call was judged when it came, and answered once a quorum had confirmed the leadership. If the configuration changed in between, the answer rested on the new one and the check on the old one: where the queue wasn't there yet no key was asked for, and where the key was withdrawn the job counted as unknown.

Class: one answer from two versions of the state. Both calls are now judged when the answer is made. Submissions and cancels stay as they are: they are judged and proposed at the same moment.

--- a/internal/ctrl/sched/access.go
+++ b/internal/ctrl/sched/access.go
@@ -56,28 +56,18 @@
 	}
 }
 
-// refuseAccess replies to a call on a job that the caller may not see, and reports whether it did.
-func (s *Scheduler) refuseAccess(c *batch.Call, target *batch.RequestTarget, j *jobs.Job, reply func(batch.Reply)) bool {
-	switch s.accessTo(c, target, j) {
-	case accessHidden:
-		s.replyWhenConfirmed(reply, func() batch.Reply { return batch.Reply{Code: batch.CodeGone, Detail: "no such job"} })
-		return true
-	case accessDenied:
-		s.replyUnauthorized(reply, target.Host, target.Path)
-		return true
-	default:
-		return false
-	}
+// replyUnauthorized replies that a call needs a key, once the leadership is confirmed: a former leader may not know the key yet.
+func (s *Scheduler) replyUnauthorized(reply func(batch.Reply), target *batch.RequestTarget) {
+	refusal := s.refuseUnauthorized(target)
+	s.replyWhenConfirmed(reply, func() batch.Reply { return refusal })
 }
 
-// replyUnauthorized replies that a call needs a key, once the leadership is confirmed: a former leader may not know the key yet.
-func (s *Scheduler) replyUnauthorized(reply func(batch.Reply), host, path string) {
+// refuseUnauthorized logs that a call needs a key, and returns the reply.
+func (s *Scheduler) refuseUnauthorized(target *batch.RequestTarget) batch.Reply {
 	unauthorizedTotal.Inc()
-	s.options.Logger.Info("call_unauthorized", zap.String("host", host), zap.String("path", path),
+	s.options.Logger.Info("call_unauthorized", zap.String("host", target.Host), zap.String("path", target.Path),
 		zap.Uint64("configuration", s.currentConfiguration().Version), zap.Uint64("term", s.term))
-	s.replyWhenConfirmed(reply, func() batch.Reply {
-		return batch.Reply{Code: batch.CodeUnauthorized, Detail: "the call needs a key of a client account"}
-	})
+	return batch.Reply{Code: batch.CodeUnauthorized, Detail: "the call needs a key of a client account"}
 }
 
 // conflicts reports whether another account's job, stored or about to be, has a job's identity. Without keys nothing tells whose
--- a/internal/ctrl/sched/calls.go
+++ b/internal/ctrl/sched/calls.go
@@ -102,7 +102,7 @@
 		return
 	}
 	if !s.maySubmit(c, q) {
-		s.replyUnauthorized(reply, submission.Host, submission.Path)
+		s.replyUnauthorized(reply, &batch.RequestTarget{Host: submission.Host, Path: submission.Path})
 		return
 	}
 	job := submission.Job
@@ -151,7 +151,7 @@
 		access = s.accessTo(c, c.Cancel, j)
 	}
 	if access == accessDenied {
-		s.replyUnauthorized(reply, c.Cancel.Host, c.Cancel.Path)
+		s.replyUnauthorized(reply, c.Cancel)
 		return
 	}
 	if !s.active || j == nil || access == accessHidden {
@@ -168,18 +168,19 @@
 	s.replyWhenCommitted(reply, batch.Reply{Code: batch.CodeOK, Phase: batch.PhaseCancelled})
 }
 
+// jobState replies with the phase of a job. What the caller may see is judged when the reply is made, by the configuration that it rests on.
 func (s *Scheduler) jobState(c *batch.Call, reply func(batch.Reply)) {
 	id := lastSegment(c.JobState.Path)
-	if s.active && s.refuseAccess(c, c.JobState, s.options.Log.Batch().Job(id), reply) {
-		return
-	}
 	s.replyWhenConfirmed(reply, func() batch.Reply {
 		j := s.options.Log.Batch().Job(id)
-		if j == nil || s.accessTo(c, c.JobState, j) != accessGranted {
-			// Another account may have stored a job of this identity since.
+		switch access := s.accessTo(c, c.JobState, j); {
+		case access == accessDenied:
+			return s.refuseUnauthorized(c.JobState)
+		case j == nil || access == accessHidden:
 			return batch.Reply{Code: batch.CodeGone, Detail: "no such job"}
+		default:
+			return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
 		}
-		return batch.Reply{Code: batch.CodeOK, Phase: j.Phase}
 	})
 }
 
@@ -188,18 +189,19 @@
 	return path[strings.LastIndexByte(path, '/')+1:]
 }
 
+// pendingJobs replies with the number of jobs of a queue that wait. As in jobState, the caller's key is judged when the reply is made.
 func (s *Scheduler) pendingJobs(c *batch.Call, reply func(batch.Reply)) {
 	l := c.Pending
-	if q, rest := s.currentConfiguration().Match(l.Host, l.Path); q != nil && rest == "" && !s.maySubmit(c, q) {
-		s.replyUnauthorized(reply, l.Host, l.Path)
-		return
-	}
 	s.replyWhenConfirmed(reply, func() batch.Reply {
 		q, rest := s.currentConfiguration().Match(l.Host, l.Path)
-		if q == nil || rest != "" {
+		switch {
+		case q == nil || rest != "":
 			return batch.Reply{Code: batch.CodeNotFound, Detail: "no queue has this host and path"}
+		case !s.maySubmit(c, q):
+			return s.refuseUnauthorized(l)
+		default:
+			return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q)}
 		}
-		return batch.Reply{Code: batch.CodeOK, Pending: s.countWaiting(q)}
 	})
 }
 
