--- a/internal/app/site/replica.go
+++ b/internal/app/site/replica.go
@@ -55,22 +55,30 @@
 	return d.log.Close()
 }
 
-func newMembership(settings conf.Site, logger *zap.Logger) (*member.Membership, *disk, error) {
-	self := member.Process{
-		Name: settings.Name, ControlAddress: settings.Listen.Control,
-		Address: net.JoinHostPort(settings.Listen.Host, strconv.Itoa(settings.Listen.PeerPort)),
-	}
+// newDisk opens the data folder, if the settings name one.
+func newDisk(settings conf.Site) (*disk, error) {
 	if settings.Control.DataFolder == "" {
-		return member.New(self, logger), &disk{}, nil
+		return &disk{}, nil
 	}
 	log, recovered, err := store.Open(settings.Control.DataFolder, settings.Name, codec.Codec{})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	return &disk{log: log, recovered: recovered}, nil
+}
+
+func newMembership(settings conf.Site, d *disk, logger *zap.Logger) *member.Membership {
+	self := member.Process{
+		Name: settings.Name, ControlAddress: settings.Listen.Control,
+		Address: net.JoinHostPort(settings.Listen.Host, strconv.Itoa(settings.Listen.PeerPort)),
+	}
+	if d.log != nil {
+		found := &d.recovered
+		logger.Info("data_folder_opened", zap.String("identity", fmt.Sprintf("%016x", uint64(found.Identity.ID))),
+			zap.Uint64("snapshot", found.Snapshot.Index), zap.Int("entries", len(found.Entries)), zap.Int("torn_bytes", found.TornBytes))
+		self.Replica = found.Identity.ID
 	}
-	logger.Info("data_folder_opened", zap.String("identity", fmt.Sprintf("%016x", uint64(recovered.Identity.ID))),
-		zap.Uint64("snapshot", recovered.Snapshot.Index), zap.Int("entries", len(recovered.Entries)), zap.Int("torn_bytes", recovered.TornBytes))
-	self.Replica = recovered.Identity.ID
-	return member.New(self, logger), &disk{log: log, recovered: recovered}, nil
+	return member.New(self, logger)
 }
 
 func newConnections(c clock.Clock, logger *zap.Logger) (*link.Connections, *inbox) {
--- a/internal/app/site/site.go
+++ b/internal/app/site/site.go
@@ -88,7 +88,7 @@
 	return fx.Options(
 		fx.Supply(settings, o, logger, logWriter),
 		fx.Provide(
-			newClock, newUptime, newLoop, newGroup, newMembership, newConnections, newReplica, newClient, newOrderExecutor, newOrderQueues, newScheduler,
+			newClock, newUptime, newLoop, newGroup, newDisk, newMembership, newConnections, newReplica, newClient, newOrderExecutor, newOrderQueues, newScheduler,
 			newLocal, newProxy, newGate, newPeerHandler, newGossiper, newServer, newGuards, newListeners, newDrainer, newReloader,
 		),
 		fx.Invoke(start),
--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -56,6 +56,7 @@
 	address string
 	clock   clock.Clock
 	logger  *zap.Logger
+	dialer  Dialer
 	// deliver handles incoming one-way frames.
 	deliver func(context.Context, *peer.Link)
 	queue   chan *pendingCall
@@ -124,8 +125,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-p.queue:
-			dialer := net.Dialer{Timeout: dialTimeout}
-			conn, err := dialer.DialContext(ctx, "tcp", p.address)
+			conn, err := p.dial(ctx)
 			p.setReachable(err)
 			if err != nil {
 				p.failQueued(first)
@@ -137,6 +137,12 @@
 	}
 }
 
+func (p *peerConn) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return p.dialer.DialContext(ctx, "tcp", p.address)
+}
+
 // setReachable records the result of a dial and logs when the other process becomes reachable or unreachable.
 func (p *peerConn) setReachable(err error) {
 	switch {
--- a/internal/wire/link/connections.go
+++ b/internal/wire/link/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"go.uber.org/zap"
@@ -10,12 +11,19 @@
 	"cowslipstack/internal/wire/peer"
 )
 
+// Dialer opens connections to other processes.
+type Dialer interface {
+	// DialContext opens a connection to an address of a network.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Connections holds the keep-alive connections to other processes, by address. It is safe for concurrent use.
 type Connections struct {
 	clock   clock.Clock
 	logger  *zap.Logger
 	deliver func(context.Context, *peer.Link)
 	start   chan *peerConn
+	dialer  Dialer
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
@@ -24,9 +32,15 @@
 // NewConnections returns a connection set that passes incoming one-way frames to deliver, with the
 // context of Run.
 func NewConnections(clk clock.Clock, logger *zap.Logger, deliver func(context.Context, *peer.Link)) *Connections {
-	return &Connections{clock: clk, logger: logger, deliver: deliver, start: make(chan *peerConn, maxQueuedFrames), conns: map[string]*peerConn{}}
+	return &Connections{
+		clock: clk, logger: logger, deliver: deliver, start: make(chan *peerConn, maxQueuedFrames), dialer: &net.Dialer{},
+		conns: map[string]*peerConn{},
+	}
 }
 
+// UseDialer replaces the dialer of the operating system; it must be called before Run.
+func (c *Connections) UseDialer(d Dialer) { c.dialer = d }
+
 // Run runs the goroutines of the connections until the context ends, and returns once all have ended.
 func (c *Connections) Run(ctx context.Context) error {
 	done := make(chan struct{})
@@ -65,7 +79,7 @@
 	conn := c.conns[address]
 	if conn == nil {
 		conn = &peerConn{
-			address: address, clock: c.clock, logger: c.logger, deliver: c.deliver,
+			address: address, clock: c.clock, logger: c.logger, deliver: c.deliver, dialer: c.dialer,
 			queue: make(chan *pendingCall, maxQueuedFrames), pending: map[uint64]*pendingCall{},
 		}
 		c.conns[address] = conn
