--- a/internal/app/site/days_draw_test.go
+++ b/internal/app/site/days_draw_test.go
@@ -6,6 +6,13 @@
 	"time"
 )
 
+const (
+	// askingTime is about how long a quorum takes to answer.
+	askingTime = 6 * time.Millisecond
+	// unreadReads is the number of reads that come to a process shortly before it goes on.
+	unreadReads = 3
+)
+
 func (d *day) drawAbsence(s *processSlot) {
 	if s.process == nil || s.frozen || s.stopping {
 		return
@@ -110,6 +117,27 @@
 	}
 }
 
+// freezeLeader lets the leader stand still while it asks a quorum for a call that has just come.
+func (d *day) freezeLeader() {
+	for _, s := range d.slots {
+		if s.process == nil || s.frozen || s.stopping || s.process.parts.Membership.Route().Leader != s.name {
+			continue
+		}
+		d.readInBackground(s.process, 1)
+		time.Sleep(time.Duration(d.random.Int64N(int64(askingTime))))
+		s.freeze()
+		s.wakes = time.Now().Add(time.Duration(d.random.Int64N(int64(maxAbsence))))
+		return
+	}
+}
+
+// readInBackground lets callers read the configuration from a process.
+func (d *day) readInBackground(p *process, count int) {
+	for range count {
+		d.background(func() { d.readConfiguration(p) })
+	}
+}
+
 // split cuts the machines into two halves for a time.
 func (d *day) split() {
 	until := time.Now().Add(time.Duration(d.random.Int64N(int64(maxAbsence))))
@@ -135,6 +163,9 @@
 				s.wakes = time.Now().Add(maxAbsence)
 			}
 		case s.frozen:
+			// They lie unread when the process goes on.
+			d.readInBackground(s.process, unreadReads)
+			time.Sleep(dayStep)
 			s.thaw()
 		}
 	}
--- a/internal/app/site/days_process_test.go
+++ b/internal/app/site/days_process_test.go
@@ -20,6 +20,7 @@
 	"cowslipstack/internal/base/conf"
 	"cowslipstack/internal/base/logs"
 	"cowslipstack/internal/base/loop"
+	"cowslipstack/internal/ctrl/member"
 	"cowslipstack/internal/ctrl/store"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/link"
@@ -67,9 +68,10 @@
 type processParts struct {
 	fx.In
 
-	Loop    *loop.Loop
-	Server  *platform.Server
-	Drainer *drainer
+	Loop       *loop.Loop
+	Membership *member.Membership
+	Server     *platform.Server
+	Drainer    *drainer
 }
 
 // lockedBuffer is a buffer for the log of a process.
@@ -122,6 +124,7 @@
 	options := Options{Path: settings.Name, Out: p.log, Reload: make(chan struct{})}
 	p.app = fx.New(Module(settings, options, logger, writer), fx.NopLogger, fx.Populate(&p.parts),
 		fx.Decorate(
+			func() clock.Clock { return machineClock{machine: p.machine} },
 			func() clock.Uptime { return fakeUptime{since: s.day.began} },
 			func() *listeners { return &listeners{peers: p.machine.listen(peerPort)} },
 			func(c *link.Connections) *link.Connections {
--- a/internal/app/site/days_test.go
+++ b/internal/app/site/days_test.go
@@ -55,6 +55,8 @@
 	LoseDisk, Replace int
 	// Strike is the rate per thousand steps at which all processes die, right after a change was acknowledged.
 	Strike int
+	// FreezeAsking is the rate per thousand steps at which the leader stands still just after a call came to it.
+	FreezeAsking int
 	// Stop is the rate at which processes are told to stop, and Split the rate per thousand steps at which the machines are cut into two halves.
 	Stop, Split int
 	// SnapshotRecords is the number of log entries between two snapshots.
@@ -131,7 +133,7 @@
 	}
 	kind = dayKind{
 		Core: number("core", 3), Entries: number("entries", 2), Steps: number("steps", 1), Losses: number("losses", 1),
-		Freeze: number("freeze", 0), Kill: number("kill", 0), Power: number("power", 0), Cut: number("cut", 0), Reset: number("reset", 0),
+		Freeze: number("freeze", 0), FreezeAsking: number("freeze_asking", 0), Kill: number("kill", 0), Power: number("power", 0), Cut: number("cut", 0), Reset: number("reset", 0),
 		LoseDisk: number("lose_disk", 0), Replace: number("replace", 0), Strike: number("strike", 0), Stop: number("stop", 0), Split: number("split", 0),
 		SnapshotRecords: number("snapshot_records", 2048), Accounts: number("accounts", 0) > 0, Large: number("large", 0) > 0,
 		EndsInStrike: number("ends_in_strike", 0) > 0,
@@ -187,6 +189,9 @@
 		if d.happens(d.kind.Strike) {
 			d.setStriking()
 		}
+		if d.happens(d.kind.FreezeAsking) {
+			d.freezeLeader()
+		}
 		if d.happens(d.kind.Split) {
 			d.split()
 		}
