Remove silent voters beyond those that the others can do with

Two machines were replaced; their successors made the voters seven, and the two that were gone stayed among them, since an odd number was cut only after all silent ones had been silent for 8 s, and others fell silent for short times meanwhile. Two more lost disks left three of seven.

Now a silent voter waits for 8 s only where the others bear the losses to tolerate beside it; otherwise it goes after 1.5 s, or once all silent ones have been for 4 s, and one that was silent for 8 s goes whatever the others do.

--- a/internal/ctrl/member/change.go
+++ b/internal/ctrl/member/change.go
@@ -15,8 +15,8 @@
 	// ambiguousAfterMs is how long all silent voters must be silent if there are several, in milliseconds: those that only stand still may be
 	// back by then.
 	ambiguousAfterMs = 4000
-	// removeAfterMs is how long a surplus voter or a learner must be silent before it is removed without a learner that takes its place, in
-	// milliseconds.
+	// removeAfterMs is how long a voter must be silent before it is removed though the others can do with it, or others are silent too, and a
+	// learner before it is removed, in milliseconds.
 	removeAfterMs = 8000
 )
 
@@ -36,50 +36,55 @@
 		}
 	}
 	v := m.viewOf(statuses, now)
-	needed := 2*losses + 1
 	if old, ok := v.supersededVoter(); ok {
 		return quorum.Change{Kind: quorum.ChangeRemove, Member: old}, true
 	}
-	if surplus, ok := v.surplusVoter(needed); ok {
+	if surplus, ok := v.surplusVoter(losses); ok {
 		return quorum.Change{Kind: quorum.ChangeRemove, Member: surplus}, true
 	}
-	if learner, ok := v.learnerToPromote(needed); ok {
+	if learner, ok := v.learnerToPromote(votersFor(losses)); ok {
 		return quorum.Change{Kind: quorum.ChangePromote, Member: learner}, true
 	}
 	return v.silentLearner()
 }
 
+// votersFor returns the number of voters of which so many may be lost.
+func votersFor(losses int) int { return 2*losses + 1 }
+
 // view is what the leader sees of the members.
 type view struct {
 	// voters are all voters, the leader included.
 	voters []quorum.MemberStatus
-	// lost are the voters that have been silent for replaceAfterMs, the one that was silent for longest first, with the times.
-	lost     []quorum.Member
-	silentMs []int64
-	// learners are those that have caught up and whose processes are alive; others are the learners that aren't.
+	// lost are the voters that have been silent for replaceAfterMs, the one that was silent for longest first.
+	lost []silentMember
+	// learners are those that have caught up and whose processes are alive, others the learners that aren't.
 	learners []quorum.Member
-	others   []quorum.MemberStatus
-	// othersSilentMs is how long each of the others has been silent.
-	othersSilentMs []int64
+	others   []silentMember
+}
+
+// silentMember is a member and how long its process has been silent, in milliseconds.
+type silentMember struct {
+	status quorum.MemberStatus
+	ms     int64
 }
 
 func (m *Membership) viewOf(statuses []quorum.MemberStatus, now int64) *view {
 	v := &view{}
 	for _, s := range statuses {
-		silent := m.silentMs(s.Member, now)
+		silent := silentMember{status: s, ms: m.silentMs(s.Member, now)}
 		switch {
 		case s.Member.Voter:
 			v.voters = append(v.voters, s)
-			if !s.Leader && !s.Heard && silent > replaceAfterMs {
-				at, _ := slices.BinarySearchFunc(v.silentMs, silent, func(a, b int64) int { return cmp.Compare(b, a) })
-				v.lost, v.silentMs = slices.Insert(v.lost, at, s.Member), slices.Insert(v.silentMs, at, silent)
+			if !s.Leader && !s.Heard && silent.ms > replaceAfterMs {
+				v.lost = append(v.lost, silent)
 			}
 		case s.CaughtUp && m.isPresent(s.Member, now):
 			v.learners = append(v.learners, s.Member)
 		default:
-			v.others, v.othersSilentMs = append(v.others, s), append(v.othersSilentMs, silent)
+			v.others = append(v.others, silent)
 		}
 	}
+	slices.SortStableFunc(v.lost, func(a, b silentMember) int { return cmp.Compare(b.ms, a.ms) })
 	return v
 }
 
@@ -99,23 +104,17 @@
 	return quorum.Member{}, false
 }
 
-// surplusVoter returns the voter to remove while there are more than needed: one that is lost, if the others are then odd in number, a
-// learner takes its place, or it has been silent for long. If the voters are even in number, none is lost, and no learner will make them odd, it
-// is a voter that is heard: if the voters are partitioned in two, an odd number has a majority on one side, an even number may have none.
-func (v *view) surplusVoter(needed int) (quorum.Member, bool) {
+// surplusVoter returns the voter to remove while there are more than needed: one that is lost, or one that is heard if the voters are even in
+// number, none is lost, and no learner will make them odd. If the voters are partitioned in two, an odd number has a majority on one side, an
+// even number may have none.
+func (v *view) surplusVoter(losses int) (quorum.Member, bool) {
 	even := len(v.voters)%2 == 0
 	switch {
-	case len(v.voters) <= needed:
+	case len(v.voters) <= votersFor(losses):
 		return quorum.Member{}, false
 	case len(v.lost) > 0:
-		enough := int64(replaceAfterMs)
-		if len(v.lost) > 1 {
-			enough = ambiguousAfterMs
-		}
-		if !even && len(v.learners) == 0 {
-			enough = removeAfterMs
-		}
-		return v.lost[0], v.silentMs[len(v.lost)-1] > enough
+		longest, shortest := v.lost[0], v.lost[len(v.lost)-1]
+		return longest.status.Member, longest.ms > removeAfterMs || shortest.ms > v.patienceMs(losses)
 	case even && len(v.learners)+len(v.others) == 0:
 		return v.lastHeardVoter()
 	default:
@@ -123,6 +122,20 @@
 	}
 }
 
+// patienceMs returns how long all lost voters must be silent before one of them is removed, in milliseconds.
+func (v *view) patienceMs(losses int) int64 {
+	voters := len(v.voters)
+	bearsLosses := voters-len(v.lost)-losses > voters/2
+	switch {
+	case bearsLosses && voters%2 == 1 && len(v.learners) == 0:
+		return removeAfterMs
+	case len(v.lost) > 1:
+		return ambiguousAfterMs
+	default:
+		return replaceAfterMs
+	}
+}
+
 // lastHeardVoter returns the last voter that doesn't lead, if all are heard.
 func (v *view) lastHeardVoter() (last quorum.Member, ok bool) {
 	for _, s := range v.voters {
@@ -150,9 +163,9 @@
 
 // silentLearner returns the removal of a learner that has been silent for long.
 func (v *view) silentLearner() (quorum.Change, bool) {
-	for i, s := range v.others {
-		if !s.Heard && v.othersSilentMs[i] >= removeAfterMs {
-			return quorum.Change{Kind: quorum.ChangeRemove, Member: s.Member}, true
+	for _, o := range v.others {
+		if !o.status.Heard && o.ms >= removeAfterMs {
+			return quorum.Change{Kind: quorum.ChangeRemove, Member: o.status.Member}, true
 		}
 	}
 	return quorum.Change{}, false
