--- a/internal/app/site/days_calls_test.go
+++ b/internal/app/site/days_calls_test.go
@@ -1,11 +1,11 @@
 package site
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"net/url"
 	"strings"
 	"time"
 
@@ -20,6 +20,8 @@
 	answerPatience = time.Second
 	// maxRedirects is how often a caller follows a redirect.
 	maxRedirects = 2
+	// maxIdleConns is the number of connections to a process that are kept open.
+	maxIdleConns = 8
 	// largePadding is the size of the padding of large configurations in bytes, which are redirected.
 	largePadding = 40 << 10
 	host         = "h.example"
@@ -47,21 +49,10 @@
 // anySlot returns any machine, whether its process runs or not.
 func (d *day) anySlot() *processSlot { return d.slots[d.random.IntN(len(d.slots))] }
 
-// control makes a call of an operator at a process, and follows redirects.
-func (d *day) control(p *process, method, path, body string) answer {
-	for range maxRedirects + 1 {
-		if p == nil {
-			return answer{}
-		}
-		a := d.await(func() answer {
-			return p.call(p.parts.Server.Control(), httptest.NewRequest(method, "http://"+p.machine.address.String()+path, strings.NewReader(body)))
-		})
-		if a.status != http.StatusTemporaryRedirect {
-			return a
-		}
-		p = d.processAt(a.location)
-	}
-	return answer{}
+// answer is what a process answers to a call; a status of 0 means that none came in time.
+type answer struct {
+	status int
+	body   string
 }
 
 // running returns the process of a machine, nil if none runs.
@@ -71,46 +62,54 @@
 	return s.process
 }
 
-// processAt returns the process that runs at the address in a URL, nil if none does.
-func (d *day) processAt(location string) *process {
-	u, err := url.Parse(location)
+// newCaller returns the client of all callers and operators, which follows redirects as the operators do.
+func newCaller(m *machine) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DialContext: m.DialContext, MaxIdleConnsPerHost: maxIdleConns},
+		CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+			if len(via) > maxRedirects {
+				return http.ErrUseLastResponse
+			}
+			return nil
+		},
+	}
+}
+
+// call makes a call at a port of a process.
+func (d *day) call(p *process, port uint16, method, path string, header http.Header, body string) answer {
+	if p == nil {
+		return answer{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerPatience)
+	defer cancel()
+	to := netip.AddrPortFrom(p.machine.address, port)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+path, strings.NewReader(body))
 	if err != nil {
-		return nil
+		return answer{}
+	}
+	r.Header = header
+	if port == callersPort {
+		r.Host = host
 	}
-	at, err := netip.ParseAddrPort(u.Host)
+	response, err := d.client.Do(r)
 	if err != nil {
-		return nil
+		return answer{}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, s := range d.slots {
-		if s.process != nil && s.address == at.Addr() {
-			return s.process
-		}
+	text, err := io.ReadAll(response.Body)
+	if closed := response.Body.Close(); err != nil || closed != nil {
+		return answer{}
 	}
-	return nil
+	return answer{status: response.StatusCode, body: string(text)}
 }
 
-// await waits for the answer to a call for as long as its caller does; the call goes on.
-func (d *day) await(call func() answer) answer {
-	answers := make(chan answer, 1)
-	d.ends.Go(func() { answers <- call() })
-	select {
-	case a := <-answers:
-		return a
-	case <-time.After(answerPatience):
-		return answer{}
-	}
+// control makes a call of an operator at a process.
+func (d *day) control(p *process, method, path, body string) answer {
+	return d.call(p, controlPort, method, path, http.Header{}, body)
 }
 
 // caller makes a call of a caller at a process.
 func (d *day) caller(p *process, method, path, key, body string) answer {
-	return d.await(func() answer {
-		r := httptest.NewRequest(method, "http://"+host+path, strings.NewReader(body))
-		r.Header.Set("Authorization", "Bearer "+key)
-		r.Header.Set("Deadline-Ms", "3000")
-		return p.call(p.parts.Server.Callers(), r)
-	})
+	return d.call(p, callersPort, method, path, http.Header{"Authorization": {"Bearer " + key}, "Deadline-Ms": {"3000"}}, body)
 }
 
 // drawCalls makes calls at any process.
--- a/internal/app/site/days_process_test.go
+++ b/internal/app/site/days_process_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -24,7 +22,6 @@
 	"cowslipstack/internal/ctrl/store"
 	"cowslipstack/internal/wire/codec"
 	"cowslipstack/internal/wire/link"
-	"cowslipstack/platform"
 )
 
 const (
@@ -70,7 +67,6 @@
 
 	Loop       *loop.Loop
 	Membership *member.Membership
-	Server     *platform.Server
 	Drainer    *drainer
 }
 
@@ -95,10 +91,7 @@
 
 // settings returns the settings of a process.
 func (s *processSlot) settings() (conf.Site, error) {
-	var seeds []string
-	for i := range seedCount {
-		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(addressOf(i), controlPort)))
-	}
+	seeds := s.day.seeds()
 	text := fmt.Sprintf("name = %q\ndata_centre = \"dc\"\nseeds = [%s]\n[listen]\nhost = %q\npeer_port = %d\ncontrol = %q\ncallers = %q\n[control]\n"+
 		"first_start = %t\nlosses = %d\nsnapshot_records = %d\n",
 		s.name, strings.Join(seeds, ", "), s.address, peerPort, netip.AddrPortFrom(s.address, controlPort), netip.AddrPortFrom(s.address, callersPort),
@@ -110,6 +103,20 @@
 	return conf.LoadSite(path)
 }
 
+// seeds returns the control addresses of some machines: of the first ones at the first start, then of any that belong to the system.
+func (d *day) seeds() []string {
+	order := d.random.Perm(len(d.slots))
+	var all []string
+	for i := range seedCount {
+		at := addressOf(i)
+		if !d.firstStart {
+			at = d.slots[order[i]].address
+		}
+		all = append(all, fmt.Sprintf("%q", netip.AddrPortFrom(at, controlPort)))
+	}
+	return all
+}
+
 // start starts a process on the machine.
 func (s *processSlot) start() error {
 	settings, err := s.settings()
@@ -126,7 +133,12 @@
 		fx.Decorate(
 			func() clock.Clock { return machineClock{machine: p.machine} },
 			func() clock.Uptime { return fakeUptime{since: s.day.began} },
-			func() *listeners { return &listeners{peers: p.machine.listen(peerPort)} },
+			func(g *guards) *listeners {
+				return &listeners{
+					peers: g.peers.Listener(p.machine.listen(peerPort)), control: g.control.Listener(p.machine.listen(controlPort)),
+					callers: g.callers.Listener(p.machine.listen(callersPort)),
+				}
+			},
 			func(c *link.Connections) *link.Connections {
 				c.UseDialer(p.machine)
 				return c
@@ -189,28 +201,6 @@
 	s.process.machine.thaw()
 }
 
-// answer is what a process answers to a call; a status of 0 means that none came.
-type answer struct {
-	status   int
-	body     string
-	location string
-}
-
-// call makes a call at the process, which reads it once it doesn't stand still, and may end meanwhile.
-func (p *process) call(handler http.Handler, r *http.Request) answer {
-	p.machine.waitThawed()
-	if p.machine.isDead() {
-		return answer{}
-	}
-	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, r)
-	p.machine.waitThawed()
-	if p.machine.isDead() {
-		return answer{}
-	}
-	return answer{status: recorder.Code, body: recorder.Body.String(), location: recorder.Header().Get("Location")}
-}
-
 func addressOf(number int) netip.Addr {
 	return netip.AddrFrom4([4]byte{10, 0, byte(number / 250), byte(number%250 + 1)})
 }
--- a/internal/app/site/days_test.go
+++ b/internal/app/site/days_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -39,9 +41,14 @@
 	recoveryTime = 15 * time.Second
 	// backgroundLimit bounds the calls in progress.
 	backgroundLimit = 200
-	thousand        = 1000
+	// lastDeadline is above the longest deadline of a call.
+	lastDeadline = 70 * time.Second
+	thousand     = 1000
 )
 
+// clientAddress is the address of the callers and operators.
+var clientAddress = netip.AddrFrom4([4]byte{10, 9, 9, 9})
+
 // dayKind is a kind of days, with rates per thousand steps and process.
 type dayKind struct {
 	// Core is the number of processes with a disk, Entries that of the others, and Steps how long absences are drawn.
@@ -72,6 +79,7 @@
 	kind     dayKind
 	random   *rand.Rand
 	network  *network
+	client   *http.Client
 	slots    []*processSlot
 	began    time.Time
 	folder   string
@@ -167,6 +175,7 @@
 
 func (d *day) play() string {
 	defer d.end()
+	d.client = newCaller(d.network.start(clientAddress))
 	for i := range d.kind.Core + d.kind.Entries {
 		s := &processSlot{day: d, name: fmt.Sprintf("p%d", i), address: addressOf(i)}
 		if i < d.kind.Core {
@@ -269,6 +278,9 @@
 		d.kill(s, false, time.Now())
 	}
 	d.ends.Wait()
+	d.client.CloseIdleConnections()
+	// Handlers of dead processes go on until the deadlines of their calls.
+	time.Sleep(lastDeadline)
 }
 
 // background runs a call of an operator or caller, unless too many are in progress.
