--- a/internal/app/site/targets_test.go
+++ b/internal/app/site/targets_test.go
@@ -24,7 +24,9 @@
 	go func() { done <- l.Run(ctx) }()
 	defer func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	}()
 	m := member.New(member.Process{Name: "e1", Address: "e1:7000"}, zap.NewNop())
 	g := &gossiper{peers: &peerHandler{loop: l, membership: m, uptime: clock.SystemUptime{}}}
