--- a/internal/app/site/days_draw_test.go
+++ b/internal/app/site/days_draw_test.go
@@ -20,8 +20,7 @@
 	until := time.Now().Add(time.Duration(d.random.Int64N(int64(maxAbsence))))
 	switch {
 	case d.happens(d.kind.Freeze):
-		s.freeze()
-		s.wakes = until
+		s.freeze(until)
 	case d.happens(d.kind.Kill):
 		d.kill(s, false, until)
 	case d.happens(d.kind.Power):
@@ -125,8 +124,7 @@
 		}
 		d.readInBackground(s.process, 1)
 		time.Sleep(time.Duration(d.random.Int64N(int64(askingTime))))
-		s.freeze()
-		s.wakes = time.Now().Add(time.Duration(d.random.Int64N(int64(maxAbsence))))
+		s.freeze(time.Now().Add(time.Duration(d.random.Int64N(int64(maxAbsence)))))
 		return
 	}
 }
--- a/internal/app/site/days_process_test.go
+++ b/internal/app/site/days_process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +60,8 @@
 	app     *fx.App
 	parts   processParts
 	log     *lockedBuffer
+	// lostUptime is by how much the uptime is behind, in nanoseconds.
+	lostUptime atomic.Int64
 }
 
 // processParts are the parts of a process that the day uses.
@@ -83,11 +86,16 @@
 	return l.b.Write(p)
 }
 
-// fakeUptime is an uptime by the clock of the day.
-type fakeUptime struct{ since time.Time }
+// fakeUptime is an uptime by the clock of the day, less the time that it stood still with its machine.
+type fakeUptime struct {
+	since time.Time
+	lost  *atomic.Int64
+}
 
 // Milliseconds returns the uptime.
-func (u fakeUptime) Milliseconds() int64 { return time.Since(u.since).Milliseconds() }
+func (u fakeUptime) Milliseconds() int64 {
+	return (time.Since(u.since) - time.Duration(u.lost.Load())).Milliseconds()
+}
 
 // settings returns the settings of a process.
 func (s *processSlot) settings() (conf.Site, error) {
@@ -132,7 +140,7 @@
 	p.app = fx.New(Module(settings, options, logger, writer), fx.NopLogger, fx.Populate(&p.parts),
 		fx.Decorate(
 			func() clock.Clock { return machineClock{machine: p.machine} },
-			func() clock.Uptime { return fakeUptime{since: s.day.began} },
+			func() clock.Uptime { return fakeUptime{since: s.day.began, lost: &p.lostUptime} },
 			func(g *guards) *listeners {
 				return &listeners{
 					peers: g.peers.Listener(p.machine.listen(peerPort)), control: g.control.Listener(p.machine.listen(controlPort)),
@@ -188,10 +196,13 @@
 	})
 }
 
-// freeze lets the process stand still.
-func (s *processSlot) freeze() {
+// freeze lets the process stand still until a time, at times with its uptime.
+func (s *processSlot) freeze(until time.Time) {
 	p := s.process
-	s.frozen = true
+	s.frozen, s.wakes = true, until
+	if s.day.happens(s.day.kind.StandStill) {
+		p.lostUptime.Add(int64(time.Until(until)))
+	}
 	p.machine.freeze()
 	_ = p.parts.Loop.TryPost(p.machine.waitThawed) // A full loop has enough to do.
 }
