Let as many replicas vote as the losses to tolerate need, and one more while a voter is replaced

With four losses to tolerate nine voters are needed, the most that voted: since a learner votes first, none could take the place of a voter that is gone. The most is now what the losses need, where that is more than nine.

--- a/internal/ctrl/member/change.go
+++ b/internal/ctrl/member/change.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxVoters limits the number of voters; further replicas stay learners.
+	// maxVoters limits the number of voters, unless the losses to tolerate need more; further replicas stay learners.
 	maxVoters = 9
 	// replaceAfterMs is how long a voter must be silent before a learner takes its place, in milliseconds.
 	replaceAfterMs = 1500
@@ -153,8 +153,12 @@
 // learnerToPromote returns the learner to make a voter. With an odd number of voters, of which none is lost and as many as needed, the last
 // learner stays one.
 func (v *view) learnerToPromote(needed int) (quorum.Member, bool) {
-	voters := len(v.voters)
-	if len(v.learners) == 0 || voters >= maxVoters {
+	voters, most := len(v.voters), max(maxVoters, needed)
+	if len(v.lost) > 0 {
+		// The lost one goes afterwards.
+		most = max(most, needed+1)
+	}
+	if len(v.learners) == 0 || voters >= most {
 		return quorum.Member{}, false
 	}
 	keep := len(v.learners) == 1 && voters%2 == 1 && voters >= needed && len(v.lost) == 0
