--- a/internal/base/tests/orders.go
+++ b/internal/base/tests/orders.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// recentOrders is the number of orders from which RecentOrder mostly draws.
+// recentOrders is the number of orders from which Recent mostly draws.
 const recentOrders = 8
 
 // Order is a change of the configuration as an operator sends it. Each one allows calls that no other one allows.
--- a/internal/ctrl/member/change.go
+++ b/internal/ctrl/member/change.go
@@ -15,8 +15,8 @@
 	// ambiguousAfterMs is how long all silent voters must be silent if there are several, in milliseconds: those that only stand still may be
 	// back by then.
 	ambiguousAfterMs = 4000
-	// removeAfterMs is how long a voter must be silent before it is removed though the others can do with it, or others are silent too, and a
-	// learner before it is removed, in milliseconds.
+	// removeAfterMs is how long a voter must be silent before it is removed in any case while there are more than needed, and a learner before it
+	// is removed, in milliseconds.
 	removeAfterMs = 8000
 )
 
